Lay the foundation: errors, clock, links, ticket schema, platform interface

Cause: the work is cut into subsystems that meet in messages, error kinds, the ticket schema and the platform interface, so these come first. Conclusion: subsystems can be built side by side against these interfaces.

--- /dev/null
+++ b/carobroute/links/__init__.py
@@ -0,0 +1,44 @@
+"""Links between the system's processes: messages, frames, heartbeats."""
+
+from carobroute.links._codec import Frame, decode_body, decode_frame, encode_frame
+from carobroute.links._endpoint import Endpoint, LinkParameters, Peer
+from carobroute.links._messages import (
+    Message,
+    Nack,
+    Ok,
+    message,
+    message_types,
+)
+from carobroute.links._request_messages import (
+    Ack,
+    Attach,
+    Cancel,
+    Chunk,
+    End,
+    LoadReport,
+    Start,
+    Submit,
+)
+
+__all__ = [
+    "Ack",
+    "Attach",
+    "Cancel",
+    "Chunk",
+    "End",
+    "Endpoint",
+    "Frame",
+    "LinkParameters",
+    "LoadReport",
+    "Message",
+    "Nack",
+    "Ok",
+    "Peer",
+    "Start",
+    "Submit",
+    "decode_body",
+    "decode_frame",
+    "encode_frame",
+    "message",
+    "message_types",
+]
--- /dev/null
+++ b/carobroute/links/_endpoint.py
@@ -0,0 +1,635 @@
+"""Endpoint: one process's end of all its links.
+
+Each process binds one ROUTER socket for peers that open a link to it and opens one
+DEALER socket for each peer that it calls. One task reads each connection, and one
+task serves each peer: it sends, pings, notices silence and opens a new connection.
+A connection that goes silent is abandoned for a new socket; messages that were lost
+with it are made up for by the layer above (`on_reopen`), nothing is run again here.
+"""
+
+import asyncio
+import itertools
+from collections import Counter, deque
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+import zmq
+import zmq.asyncio
+from returns.result import Failure, Result, Success
+
+from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.links._codec import (
+    LOWEST_VERSION,
+    VERSION,
+    decode_body,
+    decode_frame,
+    encode_frame,
+)
+from carobroute.links._messages import Hello, Message, Nack, Ok, Ping, Pong, Welcome
+from carobroute.utils import Clock, TaskSet
+
+MAX_CALL_ID = 1 << 62
+
+Handler = Callable[["Peer", Any], Awaitable[Message | None] | Message | None]
+
+
+class LinkParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Times and bounds of a link.
+
+    Parameters
+    ----------
+    ping_busy_ms : float
+        Interval of pings while calls are in flight on the link.
+    ping_idle_ms : float
+        Interval of pings otherwise.
+    silence_ms : float
+        Time without any frame after a ping at which a connection is given up.
+    reopen_ms, reopen_most_ms : float
+        First and longest delay before a new connection is opened.
+    max_queued : int
+        Messages that may wait for one peer.
+    max_bytes : int
+        Largest frame accepted, in bytes.
+    """
+
+    ping_busy_ms: float = 500.0
+    ping_idle_ms: float = 5_000.0
+    silence_ms: float = 1_500.0
+    reopen_ms: float = 50.0
+    reopen_most_ms: float = 2_000.0
+    max_queued: int = 20_000
+    max_bytes: int = 32 * 1024 * 1024
+
+
+class CurveKeys(msgspec.Struct, frozen=True, kw_only=True):
+    """CURVE key pair of this process and the public keys it accepts.
+
+    Parameters
+    ----------
+    public, secret : str
+        Own key pair, Z85.
+    server_public : str
+        Public key that peers' listening sockets use.
+    accepted : list of str
+        Public keys of peers that may connect.
+    """
+
+    public: str
+    secret: str
+    server_public: str
+    accepted: list[str]
+
+
+class Peer:
+    """One peer process, with the connection in use to it.
+
+    Parameters
+    ----------
+    endpoint : Endpoint
+        Endpoint that the peer belongs to.
+    address : str
+        Address to open connections to; empty for a peer that opened the link itself.
+    """
+
+    __slots__ = (
+        "_address",
+        "_busy",
+        "_calls",
+        "_closing",
+        "_endpoint",
+        "_last_heard_ms",
+        "_ping_sent_ms",
+        "_queue",
+        "_reopened",
+        "_routing_id",
+        "_socket",
+        "_up",
+        "_wake",
+        "data_centre",
+        "incarnation",
+        "name",
+        "role",
+        "ticket",
+        "version",
+    )
+
+    def __init__(self, *, endpoint: "Endpoint", address: str = ""):
+        self._endpoint = endpoint
+        self._address = address
+        self._queue: deque[Message] = deque()
+        self._wake = asyncio.Event()
+        self._calls: dict[int, asyncio.Future] = {}
+        self._busy = 0
+        self._closing = False
+        self._last_heard_ms = 0.0
+        self._ping_sent_ms = 0.0
+        self._reopened = 0
+        self._routing_id = b""
+        self._socket: zmq.asyncio.Socket | None = None
+        self._up = False
+        self.incarnation = ""
+        self.name = ""
+        self.role = ""
+        self.data_centre = ""
+        self.ticket = 0
+        self.version = VERSION
+
+    @property
+    def address(self) -> str:
+        """Address that connections are opened to, or empty."""
+        return self._address
+
+    @property
+    def up(self) -> bool:
+        """Whether the connection in use has been heard since it was opened."""
+        return self._up
+
+    @property
+    def silent_ms(self) -> float:
+        """Time since anything was heard from the peer, in milliseconds."""
+        return self._endpoint.clock.now_ms() - self._last_heard_ms
+
+    @property
+    def reopened(self) -> int:
+        """Number of connections that were given up as silent."""
+        return self._reopened
+
+    @property
+    def queued(self) -> int:
+        """Number of messages that wait to be sent."""
+        return len(self._queue)
+
+    def hold(self) -> None:
+        """Note one more call in flight, which makes the link ping more often."""
+        self._busy += 1
+        self._wake.set()
+
+    def release(self) -> None:
+        """Note that a call in flight has ended."""
+        self._busy = max(0, self._busy - 1)
+
+    def send(self, entry: Message) -> bool:
+        """Queue `entry` for sending.
+
+        Returns
+        -------
+        queued : bool
+            False if the queue is full; the message is dropped and counted.
+        """
+        if len(self._queue) >= self._endpoint.parameters.max_queued:
+            self._endpoint.counts["dropped_queue_full"] += 1
+            return False
+        self._queue.append(entry)
+        self._wake.set()
+        return True
+
+    async def call(self, entry: Message, *, timeout_ms: float) -> Result[Any, Fault]:
+        """Send `entry` and wait for the reply.
+
+        Parameters
+        ----------
+        entry : Message
+            The request; its `call_id` is set here.
+        timeout_ms : float
+            Longest wait, in milliseconds.
+
+        Returns
+        -------
+        reply : Result
+            The reply, or a `PEER_LOST` fault when none came in time.
+        """
+        entry.call_id = self._endpoint.next_call_id()
+        future = asyncio.get_running_loop().create_future()
+        self._calls[entry.call_id] = future
+        self.hold()
+        try:
+            if not self.send(entry):
+                return fail(ErrorKind.PEER_LOST, f"queue to {self} is full")
+            async with asyncio.timeout(timeout_ms / 1_000):
+                reply = await future
+        except TimeoutError:
+            return fail(
+                ErrorKind.PEER_LOST,
+                f"no reply from {self} to {type(entry).__name__}"
+                f" within {timeout_ms:.0f} ms",
+            )
+        finally:
+            self.release()
+            self._calls.pop(entry.call_id, None)
+        if isinstance(reply, Nack):
+            return Failure(reply.fault)
+        return Success(reply)
+
+    def __str__(self) -> str:
+        return self.name or self._address or self.incarnation
+
+    def _resolve(self, entry: Message) -> None:
+        future = self._calls.get(entry.reply_to)
+        if future is not None and not future.done():
+            future.set_result(entry)
+
+    def _drain(self) -> list[Message]:
+        messages = list(self._queue)
+        self._queue.clear()
+        return messages
+
+
+class Endpoint:
+    """All links of one process.
+
+    Parameters
+    ----------
+    name, role, data_centre, incarnation : str
+        Who this process is.
+    clock : Clock
+        Source of time.
+    parameters : LinkParameters
+        Times and bounds.
+    ticket_number : callable
+        Returns the highest ticket number in force here; sent with every frame.
+    curve : CurveKeys or None, default=None
+        Keys; without them links are plain.
+    on_event : callable, default=None
+        Called with an event name and fields, for the log.
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        role: str,
+        data_centre: str,
+        incarnation: str,
+        clock: Clock,
+        parameters: LinkParameters | None = None,
+        ticket_number: Callable[[], int] = lambda: 0,
+        curve: CurveKeys | None = None,
+        on_event: Callable[..., None] | None = None,
+    ):
+        self.name = name
+        self.role = role
+        self.data_centre = data_centre
+        self.incarnation = incarnation
+        self.clock = clock
+        self.parameters = parameters or LinkParameters()
+        self.ticket_number = ticket_number
+        self.curve = curve
+        self.counts: Counter[str] = Counter()
+        self._on_event = on_event or (lambda *args, **fields: None)
+        self._context: zmq.asyncio.Context | None = None
+        self._router: zmq.asyncio.Socket | None = None
+        self._handlers: dict[type[Message], Handler] = {}
+        self._outbound: dict[str, Peer] = {}
+        self._inbound: dict[str, Peer] = {}
+        self._by_routing_id: dict[bytes, Peer] = {}
+        self._call_ids = itertools.count(1)
+        self._tasks = TaskSet(on_failure=self._task_failed)
+        self._reopen_hooks: list[Callable[[Peer], None]] = []
+        self._ticket_hooks: list[Callable[[Peer, int], None]] = []
+        self.address = ""
+
+    @property
+    def peers(self) -> list[Peer]:
+        """All peers, those that this process calls first."""
+        return [*self._outbound.values(), *self._inbound.values()]
+
+    def next_call_id(self) -> int:
+        """Return a number for a new call."""
+        return next(self._call_ids) % MAX_CALL_ID
+
+    def handle(self, kind: type[Message], handler: Handler) -> None:
+        """Have `handler` called for messages of type `kind`.
+
+        A handler may be a plain or a coroutine function. Its return value, if any,
+        is sent back as the reply to a call.
+        """
+        if kind in self._handlers:
+            raise ValueError(f"{kind.__name__} already has a handler")
+        self._handlers[kind] = handler
+
+    def on_reopen(self, hook: Callable[[Peer], None]) -> None:
+        """Have `hook` called when a new connection replaces a silent one."""
+        self._reopen_hooks.append(hook)
+
+    def on_ticket(self, hook: Callable[[Peer, int], None]) -> None:
+        """Have `hook` called when a peer shows a ticket number other than ours."""
+        self._ticket_hooks.append(hook)
+
+    async def start(self, bind: str = "tcp://127.0.0.1:*") -> str:
+        """Bind the listening socket and return its address."""
+        self._context = zmq.asyncio.Context()
+        router = self._context.socket(zmq.ROUTER)
+        router.setsockopt(zmq.LINGER, 0)
+        router.setsockopt(zmq.ROUTER_MANDATORY, 1)
+        router.setsockopt(zmq.SNDHWM, 0)
+        router.setsockopt(zmq.MAXMSGSIZE, self.parameters.max_bytes)
+        if self.curve is not None:
+            router.curve_server = True
+            router.curve_publickey = self.curve.public.encode()
+            router.curve_secretkey = self.curve.secret.encode()
+        router.bind(bind)
+        self._router = router
+        bound = router.getsockopt(zmq.LAST_ENDPOINT)
+        assert isinstance(bound, bytes)
+        self.address = bound.decode().rstrip("\0")
+        self._tasks.spawn(self._read_router(), name="links-router")
+        self._tasks.spawn(self._expire_inbound(), name="links-expire")
+        return self.address
+
+    def peer(self, address: str) -> Peer:
+        """Return the peer at `address`, opening a link on first use."""
+        found = self._outbound.get(address)
+        if found is None:
+            found = Peer(endpoint=self, address=address)
+            found._last_heard_ms = self.clock.now_ms()
+            self._outbound[address] = found
+            self._tasks.spawn(self._serve_peer(found), name=f"peer {address}")
+        return found
+
+    def forget(self, address: str) -> None:
+        """Close the link to `address`."""
+        found = self._outbound.pop(address, None)
+        if found is not None:
+            found._closing = True
+            found._wake.set()
+
+    async def stop(self) -> None:
+        """Close all links."""
+        await self._tasks.close()
+        if self._context is not None:
+            self._context.destroy(linger=0)
+
+    # Peers that this process calls.
+
+    async def _serve_peer(self, peer: Peer) -> None:
+        delay_ms = self.parameters.reopen_ms
+        while not peer._closing:
+            reader = self._open(peer)
+            try:
+                await self._use_connection(peer)
+            finally:
+                reader.cancel()
+                self._close_socket(peer)
+            if peer._closing:
+                break
+            heard = peer._up
+            peer._up = False
+            peer._reopened += 1
+            self.counts["reopened"] += 1
+            self._on_event("link_silent", level="warning", peer=str(peer))
+            delay_ms = (
+                self.parameters.reopen_ms
+                if heard
+                else min(delay_ms * 2, self.parameters.reopen_most_ms)
+            )
+            await self.clock.sleep_ms(delay_ms)
+
+    def _open(self, peer: Peer) -> asyncio.Task:
+        assert self._context is not None
+        socket = self._context.socket(zmq.DEALER)
+        socket.setsockopt(zmq.LINGER, 0)
+        socket.setsockopt(zmq.SNDHWM, 0)
+        socket.setsockopt(zmq.MAXMSGSIZE, self.parameters.max_bytes)
+        socket.setsockopt(zmq.RECONNECT_IVL, int(self.parameters.reopen_ms))
+        socket.setsockopt(zmq.RECONNECT_IVL_MAX, int(self.parameters.reopen_most_ms))
+        if self.curve is not None:
+            socket.curve_publickey = self.curve.public.encode()
+            socket.curve_secretkey = self.curve.secret.encode()
+            socket.curve_serverkey = self.curve.server_public.encode()
+        socket.connect(peer.address)
+        peer._socket = socket
+        now_ms = self.clock.now_ms()
+        peer._ping_sent_ms = now_ms
+        hello = Hello(
+            lowest_version=LOWEST_VERSION,
+            highest_version=VERSION,
+            name=self.name,
+            role=self.role,
+            data_centre=self.data_centre,
+        )
+        peer._queue.appendleft(hello)
+        peer._wake.set()
+        return self._tasks.spawn(
+            self._read_dealer(peer, socket), name=f"connection {peer.address}"
+        )
+
+    def _close_socket(self, peer: Peer) -> None:
+        if peer._socket is not None:
+            peer._socket.close(linger=0)
+            peer._socket = None
+
+    async def _use_connection(self, peer: Peer) -> None:
+        """Send, ping and watch one connection until it is silent or closed."""
+        next_ping_ms = self.clock.now_ms() + self.parameters.ping_busy_ms
+        while not peer._closing:
+            interval_ms = self._ping_interval_ms(peer)
+            now_ms = self.clock.now_ms()
+            next_ping_ms = min(next_ping_ms, now_ms + interval_ms)
+            await self._wait(peer, next_ping_ms - now_ms)
+            now_ms = self.clock.now_ms()
+            if now_ms >= next_ping_ms:
+                peer._queue.append(Ping())
+                if not peer._ping_sent_ms:
+                    peer._ping_sent_ms = now_ms
+                next_ping_ms = now_ms + interval_ms
+            await self._flush(peer)
+            if self._is_silent(peer, now_ms):
+                return
+
+    def _ping_interval_ms(self, peer: Peer) -> float:
+        if peer._busy or peer._ping_sent_ms:
+            return self.parameters.ping_busy_ms
+        return self.parameters.ping_idle_ms
+
+    def _is_silent(self, peer: Peer, now_ms: float) -> bool:
+        if not peer._ping_sent_ms:
+            return False
+        return now_ms - peer._ping_sent_ms > self.parameters.silence_ms
+
+    async def _wait(self, peer: Peer, timeout_ms: float) -> None:
+        if peer._wake.is_set():
+            return
+        try:
+            async with asyncio.timeout(max(0.0, timeout_ms) / 1_000):
+                await peer._wake.wait()
+        except TimeoutError:
+            pass
+
+    async def _flush(self, peer: Peer) -> None:
+        peer._wake.clear()
+        messages = peer._drain()
+        if messages and peer._socket is not None:
+            data = self._encode(messages, peer)
+            await peer._socket.send(data)
+
+    def _encode(self, messages: list[Message], peer: Peer) -> bytes:
+        data = encode_frame(
+            messages,
+            incarnation=self.incarnation,
+            ticket=self.ticket_number(),
+            version=min(VERSION, peer.version),
+        )
+        self.counts["frames_sent"] += 1
+        self.counts["bytes_sent"] += len(data)
+        return data
+
+    async def _read_dealer(self, peer: Peer, socket: zmq.asyncio.Socket) -> None:
+        while True:
+            data = await socket.recv()
+            if peer._socket is not socket:
+                return
+            peer._ping_sent_ms = 0.0
+            opened = not peer._up
+            peer._up = True
+            self._dispatch(peer, data)
+            if opened:
+                for hook in self._reopen_hooks:
+                    hook(peer)
+
+    # Peers that opened a link to this process.
+
+    async def _read_router(self) -> None:
+        assert self._router is not None
+        while True:
+            routing_id, data = await self._router.recv_multipart()
+            peer = self._by_routing_id.get(routing_id)
+            if peer is None:
+                peer = self._admit(routing_id, data)
+                if peer is None:
+                    continue
+            self._dispatch(peer, data)
+
+    def _admit(self, routing_id: bytes, data: bytes) -> Peer | None:
+        """Return the peer behind a new connection, which must begin with Hello."""
+        try:
+            frame = decode_frame(data)
+            first = decode_body(frame.body[0])
+        except (msgspec.DecodeError, IndexError):
+            self.counts["refused_frame"] += 1
+            return None
+        if not isinstance(first, Hello) or first.lowest_version > VERSION:
+            self.counts["refused_hello"] += 1
+            return None
+        peer = self._inbound.get(frame.incarnation)
+        if peer is None:
+            peer = Peer(endpoint=self)
+            peer.incarnation = frame.incarnation
+            self._inbound[frame.incarnation] = peer
+            self._tasks.spawn(self._serve_inbound(peer), name=f"peer {first.name}")
+        self._by_routing_id.pop(peer._routing_id, None)
+        peer._routing_id = routing_id
+        peer._up = True
+        self._by_routing_id[routing_id] = peer
+        return peer
+
+    async def _serve_inbound(self, peer: Peer) -> None:
+        assert self._router is not None
+        while not peer._closing:
+            await peer._wake.wait()
+            peer._wake.clear()
+            messages = peer._drain()
+            if not messages:
+                continue
+            data = self._encode(messages, peer)
+            try:
+                await self._router.send_multipart([peer._routing_id, data])
+            except zmq.ZMQError:
+                # The connection is gone; the peer opens a new one and re-attaches.
+                self.counts["dropped_unroutable"] += 1
+
+    async def _expire_inbound(self) -> None:
+        """Forget inbound peers that have not been heard for several idle pings."""
+        limit_ms = 4 * self.parameters.ping_idle_ms
+        while True:
+            await self.clock.sleep_ms(self.parameters.ping_idle_ms)
+            for peer in list(self._inbound.values()):
+                if peer.silent_ms > limit_ms:
+                    peer._closing = True
+                    peer._up = False
+                    peer._wake.set()
+                    self._inbound.pop(peer.incarnation, None)
+                    self._by_routing_id.pop(peer._routing_id, None)
+
+    # Both.
+
+    def _dispatch(self, peer: Peer, data: bytes) -> None:
+        self.counts["frames_received"] += 1
+        self.counts["bytes_received"] += len(data)
+        try:
+            frame = decode_frame(data)
+        except msgspec.DecodeError:
+            self.counts["refused_frame"] += 1
+            return
+        peer._last_heard_ms = self.clock.now_ms()
+        peer.incarnation = frame.incarnation
+        if frame.ticket != peer.ticket or frame.ticket != self.ticket_number():
+            peer.ticket = frame.ticket
+            for hook in self._ticket_hooks:
+                hook(peer, frame.ticket)
+        for raw in frame.body:
+            try:
+                entry = decode_body(raw)
+            except msgspec.DecodeError:
+                self.counts["refused_message"] += 1
+                continue
+            self._deliver(peer, entry)
+
+    def _deliver(self, peer: Peer, entry: Message) -> None:
+        if entry.reply_to:
+            peer._resolve(entry)
+        elif isinstance(entry, Ping):
+            peer.send(Pong())
+        elif isinstance(entry, Pong):
+            pass
+        elif isinstance(entry, Hello):
+            self._welcome(peer, entry)
+        elif isinstance(entry, Welcome):
+            peer.name, peer.role = entry.name, entry.role
+            peer.data_centre = entry.data_centre
+            peer.version = entry.version
+        else:
+            self._run_handler(peer, entry)
+
+    def _welcome(self, peer: Peer, hello: Hello) -> None:
+        peer.name, peer.role = hello.name, hello.role
+        peer.data_centre = hello.data_centre
+        peer.version = min(VERSION, hello.highest_version)
+        peer.send(
+            Welcome(
+                version=peer.version,
+                name=self.name,
+                role=self.role,
+                data_centre=self.data_centre,
+            )
+        )
+
+    def _run_handler(self, peer: Peer, entry: Message) -> None:
+        handler = self._handlers.get(type(entry))
+        if handler is None:
+            self.counts["unhandled"] += 1
+            return
+        result = handler(peer, entry)
+        if isinstance(result, Message):
+            self._reply(peer, entry, result)
+        elif result is not None:
+            self._tasks.spawn(
+                self._finish_handler(peer, entry, result),
+                name=f"handler {type(entry).__name__}",
+            )
+
+    async def _finish_handler(self, peer: Peer, entry: Message, result) -> None:
+        reply = await result
+        if isinstance(reply, Message):
+            self._reply(peer, entry, reply)
+        elif entry.call_id:
+            self._reply(peer, entry, Ok())
+
+    def _reply(self, peer: Peer, entry: Message, reply: Message) -> None:
+        if entry.call_id:
+            reply.reply_to = entry.call_id
+        peer.send(reply)
+
+    def _task_failed(self, name: str, error: BaseException) -> None:
+        self.counts["task_failures"] += 1
+        self._on_event("task_failed", level="error", task=name, error=repr(error))
--- /dev/null
+++ b/carobroute/utils/__init__.py
@@ -0,0 +1,24 @@
+"""Small helpers shared by every subpackage."""
+
+from carobroute.utils._clock import Clock, ManualClock
+from carobroute.utils._identity import (
+    content_hash,
+    new_incarnation,
+    new_token,
+    rendezvous_order,
+    rendezvous_winner,
+)
+from carobroute.utils._registry import Registry
+from carobroute.utils._tasks import TaskSet
+
+__all__ = [
+    "Clock",
+    "ManualClock",
+    "Registry",
+    "TaskSet",
+    "content_hash",
+    "new_incarnation",
+    "new_token",
+    "rendezvous_order",
+    "rendezvous_winner",
+]
--- /dev/null
+++ b/carobroute/utils/_tasks.py
@@ -0,0 +1,47 @@
+"""Tracking of background tasks."""
+
+import asyncio
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+
+class TaskSet:
+    """Background tasks of one object, whose failures are always reported.
+
+    Parameters
+    ----------
+    on_failure : callable
+        Called with the task's name and its exception when a task fails.
+    """
+
+    __slots__ = ("_on_failure", "_tasks")
+
+    def __init__(self, *, on_failure: Callable[[str, BaseException], None]):
+        self._on_failure = on_failure
+        self._tasks: set[asyncio.Task] = set()
+
+    def __len__(self) -> int:
+        return len(self._tasks)
+
+    def spawn(self, coroutine: Coroutine[Any, Any, Any], *, name: str) -> asyncio.Task:
+        """Start `coroutine` as a task that is kept until it ends."""
+        task = asyncio.get_running_loop().create_task(coroutine, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._finish)
+        return task
+
+    async def close(self) -> None:
+        """Cancel what still runs and wait for it to end."""
+        current = asyncio.current_task()
+        pending = [task for task in self._tasks if task is not current]
+        for task in pending:
+            task.cancel()
+        await asyncio.gather(*pending, return_exceptions=True)
+
+    def _finish(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled():
+            return
+        error = task.exception()
+        if error is not None:
+            self._on_failure(task.get_name(), error)
