--- /dev/null
+++ b/carobroute/telemetry/__init__.py
@@ -0,0 +1,18 @@
+"""Events, decisions, metrics and state dumps of one process."""
+
+from carobroute.telemetry._decisions import Decision, DecisionLog
+from carobroute.telemetry._dump import StateDump
+from carobroute.telemetry._events import EventLog, format_event
+from carobroute.telemetry._metrics import BoundedMetric, Metrics
+from carobroute.telemetry._telemetry import Telemetry
+
+__all__ = [
+    "BoundedMetric",
+    "Decision",
+    "DecisionLog",
+    "EventLog",
+    "Metrics",
+    "StateDump",
+    "Telemetry",
+    "format_event",
+]
