--- a/carobroute/settings/_schema.py
+++ b/carobroute/settings/_schema.py
@@ -72,6 +72,8 @@
     ----------
     bind : str
         Address to listen on, as `tcp://host:port`; port `*` or 0 takes a free one.
+    announce : str
+        Address that peers use, where it differs from the one bound; empty for none.
     curve : CurveSettings or None
         Keys; without them links are plain.
     ping_busy_ms, ping_idle_ms : float
@@ -85,6 +87,7 @@
     """
 
     bind: LinkAddress = "tcp://127.0.0.1:*"
+    announce: Annotated[str, Meta(pattern=r"^(tcp://[^\s/]+:[0-9]{1,5})?$")] = ""
     curve: CurveSettings | None = None
     ping_busy_ms: PositiveMs = 500.0
     ping_idle_ms: PositiveMs = 5_000.0
