--- a/carobroute/platform/_interface.py
+++ b/carobroute/platform/_interface.py
@@ -134,6 +134,10 @@
             A `STORE_UNAVAILABLE` fault means that the outcome is still unknown.
         """
 
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
 
 class ObjectStoreClient(abc.ABC):
     """Client of the object store."""
@@ -152,6 +156,10 @@
     async def delete(self, key: str) -> Result[None, Fault]:
         """Remove the object if it exists."""
 
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
+
 
 class InstanceListClient(abc.ABC):
     """Client of the platform's instance list, which lags."""
@@ -169,3 +177,7 @@
     @abc.abstractmethod
     async def withdraw(self, instance: Instance) -> Result[None, Fault]:
         """Remove this process's own entry."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Close all connections."""
--- /dev/null
+++ b/carobroute/platform/_retry.py
@@ -0,0 +1,136 @@
+"""Retries against the platform: jittered, bounded, and paced per process."""
+
+import random as random_module
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from returns.result import Result, Success
+
+from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.platform._interface import Transaction, TransactionOutcome
+from carobroute.utils import Clock
+
+SendOnce = Callable[[Transaction, float], Awaitable[Result[TransactionOutcome, Fault]]]
+
+
+class RetryParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Delays and pace of retries.
+
+    Parameters
+    ----------
+    first_ms, most_ms : float
+        First and longest delay between two tries of one transaction.
+    per_s : float
+        Retries a second that one process makes, over all its transactions.
+    burst : float
+        Retries that may be made at once after a quiet time.
+    """
+
+    first_ms: float = 25.0
+    most_ms: float = 5_000.0
+    per_s: float = 10.0
+    burst: float = 20.0
+
+
+class RetryPacer:
+    """Says when the next retry may be sent.
+
+    Each delay is drawn between half and all of an exponentially growing bound, and a
+    token bucket shared by all transactions of the process bounds the sum of retries,
+    so that the return of the store meets a load known beforehand.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    random : random.Random
+        Source of jitter.
+    parameters : RetryParameters, default=None
+        Delays and pace.
+
+    Examples
+    --------
+    >>> import random
+    >>> from carobroute.utils import ManualClock
+    >>> pacer = RetryPacer(clock=ManualClock(), random=random.Random(1))
+    >>> 12.5 <= pacer.delay_ms(0) <= 25
+    True
+    >>> pacer.delay_ms(60) <= 5_000
+    True
+    """
+
+    __slots__ = ("_clock", "_next_free_ms", "_parameters", "_random")
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        random: random_module.Random,
+        parameters: RetryParameters | None = None,
+    ):
+        self._clock = clock
+        self._random = random
+        self._parameters = parameters or RetryParameters()
+        self._next_free_ms = 0.0
+
+    def delay_ms(self, tries: int) -> float:
+        """Return the delay before the next try after `tries` + 1 failed ones."""
+        parameters = self._parameters
+        bound_ms = min(parameters.most_ms, parameters.first_ms * 2.0 ** min(tries, 32))
+        return bound_ms * (0.5 + 0.5 * self._random.random())
+
+    def reserve_ms(self) -> float:
+        """Take the next place in the budget; return the wait until it is due."""
+        interval_ms = 1_000.0 / self._parameters.per_s
+        now_ms = self._clock.now_ms()
+        floor_ms = now_ms - interval_ms * self._parameters.burst
+        self._next_free_ms = max(self._next_free_ms, floor_ms) + interval_ms
+        return max(0.0, self._next_free_ms - now_ms)
+
+
+async def settle(
+    send: SendOnce,
+    transaction: Transaction,
+    *,
+    clock: Clock,
+    pacer: RetryPacer,
+    deadline_ms: float,
+) -> Result[TransactionOutcome, Fault]:
+    """Send `transaction` with its own token until its result is definite.
+
+    Parameters
+    ----------
+    send : callable
+        Sends it once, bounded by the time left in milliseconds.
+    transaction : Transaction
+        What to send.
+    clock : Clock
+        Source of time.
+    pacer : RetryPacer
+        Delays between tries.
+    deadline_ms : float
+        Monotonic time at which to give up.
+
+    Returns
+    -------
+    outcome : Result
+        The definite outcome, or a `STORE_UNAVAILABLE` fault while still unknown.
+    """
+    tries = 0
+    detail = "the deadline had passed before the first try"
+    while True:
+        left_ms = deadline_ms - clock.now_ms()
+        if left_ms <= 0:
+            return fail(
+                ErrorKind.STORE_UNAVAILABLE, f"gave up after {tries} tries: {detail}"
+            )
+        result = await send(transaction, left_ms)
+        if isinstance(result, Success):
+            return result
+        fault = result.failure()
+        if fault.kind is not ErrorKind.STORE_UNAVAILABLE:
+            return result
+        detail = fault.detail
+        delay_ms = max(pacer.delay_ms(tries), pacer.reserve_ms())
+        tries += 1
+        await clock.sleep_ms(min(delay_ms, max(0.0, deadline_ms - clock.now_ms())))
