--- /dev/null
+++ b/carobroute/engines/__init__.py
@@ -0,0 +1,37 @@
+"""Adapters to what a local process stands beside: model engines and plain services."""
+
+from carobroute.engines._interface import (
+    CacheEvent,
+    CacheEvents,
+    Engine,
+    EngineAnswer,
+    EngineCall,
+    EngineLoad,
+    EngineOrder,
+    EngineParameters,
+    KvHandle,
+    OrderAction,
+    engine_adapters,
+)
+from carobroute.engines._openai import OpenAiEngine
+from carobroute.engines._plain import PlainEngine
+from carobroute.engines._prompt import block_hashes, count_tokens, prompt_text
+
+__all__ = [
+    "CacheEvent",
+    "CacheEvents",
+    "Engine",
+    "EngineAnswer",
+    "EngineCall",
+    "EngineLoad",
+    "EngineOrder",
+    "EngineParameters",
+    "KvHandle",
+    "OpenAiEngine",
+    "OrderAction",
+    "PlainEngine",
+    "block_hashes",
+    "count_tokens",
+    "engine_adapters",
+    "prompt_text",
+]
--- /dev/null
+++ b/carobroute/engines/_plain.py
@@ -0,0 +1,127 @@
+"""Adapter to a plain service: HTTP passed through."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+from returns.result import Failure, Result, Success
+
+from carobroute.engines._http import PIECE_BYTES, HttpTransport, end_to_end
+from carobroute.engines._interface import (
+    Engine,
+    EngineAnswer,
+    EngineCall,
+    EngineParameters,
+    default_clock,
+    engine_adapters,
+)
+from carobroute.errors import ErrorKind, Fault, FaultError
+from carobroute.utils import Clock
+from carobroute.world import CallClass
+
+FENCE_HEADER = "X-Fence"
+
+
+@engine_adapters.register("plain")
+class PlainEngine(Engine):
+    """Passes calls on to a plain HTTP service.
+
+    Parameters
+    ----------
+    address : str
+        Base URL of the service.
+    clock : Clock, default=None
+        Source of time.
+    parameters : EngineParameters, default=None
+        Times and bounds.
+
+    Notes
+    -----
+    A call that may not be repeated goes on a new connection, so that one that went
+    silent while it was kept open cannot swallow it.
+    """
+
+    __slots__ = ("_clock", "_parameters", "_transport")
+
+    def __init__(
+        self,
+        *,
+        address: str,
+        clock: Clock | None = None,
+        parameters: EngineParameters | None = None,
+    ):
+        self._clock = default_clock(clock)
+        self._parameters = parameters or EngineParameters()
+        self._transport = HttpTransport(address=address, parameters=self._parameters)
+
+    async def start(self) -> None:
+        """Open the sessions."""
+        await self._transport.start()
+
+    async def stop(self) -> None:
+        """Close the sessions."""
+        await self._transport.stop()
+
+    async def open(self, call: EngineCall) -> Result[EngineAnswer, Fault]:
+        """Send `call` and return the answer once it has begun."""
+        headers = end_to_end(call.headers)
+        if call.fence:
+            headers[FENCE_HEADER] = str(call.fence)
+        sent = await self._transport.send(
+            call.method,
+            call.path,
+            headers=headers,
+            body=call.body,
+            first_byte_ms=call.deadline_ms or self._parameters.first_byte_ms,
+            fresh=call.call_class is CallClass.NON_IDEMPOTENT,
+        )
+        if isinstance(sent, Failure):
+            return sent
+        response = sent.unwrap()
+
+        async def close() -> None:
+            response.close()
+
+        return Success(
+            EngineAnswer(
+                status=response.status,
+                headers=end_to_end(response.headers),
+                chunks=read_pieces(response),
+                streaming=False,
+                close=close,
+            )
+        )
+
+    async def probe(self) -> Result[None, Fault]:
+        """Tell on a new connection whether the service answers."""
+        sent = await self._transport.send(
+            "HEAD",
+            "/",
+            first_byte_ms=self._parameters.side_call_ms,
+            fresh=True,
+        )
+        if isinstance(sent, Failure):
+            return sent
+        sent.unwrap().close()
+        return Success(None)
+
+
+async def read_pieces(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    """Yield the body of `response` in bounded pieces.
+
+    Raises
+    ------
+    FaultError
+        If the body breaks off or stays silent beyond the read limit.
+    """
+    try:
+        async for piece in response.content.iter_chunked(PIECE_BYTES):
+            yield piece
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise FaultError(
+            Fault(
+                kind=ErrorKind.STREAM_BROKEN,
+                detail=f"the answer's body broke off: {error!r}",
+            )
+        ) from error
+    finally:
+        response.release()
--- /dev/null
+++ b/carobroute/requests/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions about requests: limits, routing, retries, quarantine."""
+
+__all__: list[str] = []
