--- a/carobroute/engines/__init__.py
+++ b/carobroute/engines/__init__.py
@@ -15,9 +15,17 @@
 )
 from carobroute.engines._openai import OpenAiEngine
 from carobroute.engines._plain import PlainEngine
-from carobroute.engines._prompt import block_hashes, count_tokens, prompt_text
+from carobroute.engines._prompt import (
+    BLOCK_CHARS,
+    CHARS_PER_TOKEN,
+    block_hashes,
+    count_tokens,
+    prompt_text,
+)
 
 __all__ = [
+    "BLOCK_CHARS",
+    "CHARS_PER_TOKEN",
     "CacheEvent",
     "CacheEvents",
     "Engine",
--- /dev/null
+++ b/carobroute/requests/_carob.py
@@ -0,0 +1,266 @@
+"""The product's own routing policy."""
+
+import random
+import statistics
+
+import msgspec
+
+from carobroute.engines import BLOCK_CHARS, CHARS_PER_TOKEN
+from carobroute.requests._policies import Pick, RoutingPolicy, routing_policies
+from carobroute.requests._prefix import PrefixIndex
+from carobroute.requests._target import Sent, TargetRecord
+from carobroute.requests._views import CandidateInputs, RouteQuery
+from carobroute.utils import rendezvous_winner
+
+BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
+
+
+class CarobParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Weights of the product's own policy.
+
+    Parameters
+    ----------
+    samples : int
+        Targets drawn at random for each comparison.
+    load_ms : float
+        Cost of a target whose every slot is taken, beside the wait.
+    load_bound : float
+        A cached prefix counts only up to this multiple of the mean load.
+    pace_steps : float
+        Steps over which a slow group's lag is charged.
+    slow_factor : float
+        Multiple of the median step above which a group is slow.
+    other_data_centre_ms, other_region_ms : float
+        Time that a call to another data centre or region adds.
+    spill_ms : float
+        What another data centre must save to be chosen.
+    smoothing : float
+        Weight of a new sample in learned times.
+    """
+
+    samples: int = 2
+    load_ms: float = 60.0
+    load_bound: float = 1.25
+    pace_steps: float = 8.0
+    slow_factor: float = 1.5
+    other_data_centre_ms: float = 1.0
+    other_region_ms: float = 30.0
+    spill_ms: float = 10.0
+    smoothing: float = 0.05
+
+
+class Learned:
+    """Times that the policy learns from its own traffic.
+
+    Parameters
+    ----------
+    smoothing : float
+        Weight of a new sample.
+    """
+
+    __slots__ = ("_smoothing", "prefill_ms", "stay_ms")
+
+    MIN_PREFILL_MS = 0.001
+    MAX_PREFILL_MS = 2.0
+
+    def __init__(self, *, smoothing: float):
+        self._smoothing = smoothing
+        self.prefill_ms = 0.05
+        self.stay_ms = 1_000.0
+
+    def note_prefill(self, elapsed_ms: float, tokens: int) -> None:
+        """Take the time that `tokens` tokens took to their first answer token."""
+        sample = elapsed_ms / max(1, tokens)
+        sample = min(self.MAX_PREFILL_MS, max(self.MIN_PREFILL_MS, sample))
+        self.prefill_ms += self._smoothing * (sample - self.prefill_ms)
+
+    def note_stay(self, duration_ms: float) -> None:
+        """Take the duration of a whole call."""
+        self.stay_ms += self._smoothing * (duration_ms - self.stay_ms)
+
+
+@routing_policies.register("carob")
+class CarobPolicy(RoutingPolicy):
+    """Least expected time to the first token, within a group's pace.
+
+    A few targets of the own data centre are compared: some drawn at random, the one
+    that holds most of the prompt's prefix, and the one that a hash of the prefix
+    names, so that entries agree on a home for a new prefix without a message. Each
+    is charged its expected wait and prefill, its load, and the lag of its group.
+    Another data centre is chosen only where the own ones miss the first-token target
+    and the other still makes it.
+
+    Parameters
+    ----------
+    random : random.Random
+        Source of chance.
+    prefixes : PrefixIndex
+        Belief about prefix caches.
+    parameters : CarobParameters, default=None
+        Weights.
+
+    References
+    ----------
+    M. Mitzenmacher, "The Power of Two Choices in Randomized Load Balancing", IEEE
+    Transactions on Parallel and Distributed Systems 12(10), 2001.
+
+    V. Mirrokni, M. Thorup and M. Zadimoghaddam, "Consistent Hashing with Bounded
+    Loads", SODA 2018.
+    """
+
+    __slots__ = ("_learned", "_parameters")
+
+    def __init__(
+        self,
+        *,
+        random: random.Random,
+        prefixes: PrefixIndex,
+        parameters: CarobParameters | None = None,
+    ):
+        super().__init__(random=random, prefixes=prefixes)
+        self._parameters = parameters or CarobParameters()
+        self._learned = Learned(smoothing=self._parameters.smoothing)
+
+    def pick(
+        self,
+        records: list[TargetRecord],
+        query: RouteQuery,
+        everyone: list[TargetRecord],
+    ) -> Pick:
+        """Return the record with the least cost among a few."""
+        if query.idempotency_key:
+            return self._by_key(records, query)
+        near = [r for r in records if r.view.data_centre == query.data_centre]
+        far = [r for r in records if r.view.data_centre != query.data_centre]
+        scene = _Scene(records, everyone, query)
+        weighed = self._weigh(near or far, query, scene)
+        best = min(weighed, key=_cost)
+        reason = "least_cost" if not best[1].cached_blocks else "prefix"
+        if near and far and best[1].first_ms > query.first_token_ms:
+            other = min(self._weigh(far, query, scene), key=_cost)
+            weighed = [*weighed, other]
+            makes_it = other[1].first_ms <= query.first_token_ms
+            saves = other[1].cost_ms + self._parameters.spill_ms < best[1].cost_ms
+            if makes_it and saves:
+                best, reason = other, "spill"
+        return Pick(
+            record=best[0], reason=reason, candidates=[inputs for _, inputs in weighed]
+        )
+
+    def note_first_byte(
+        self, record: TargetRecord, elapsed_ms: float, sent: Sent
+    ) -> None:
+        """Learn the prefill time from a call that did not wait for a slot."""
+        if not sent.waited and sent.tokens_ahead > 0:
+            self._learned.note_prefill(elapsed_ms - record.step_ms, sent.tokens_ahead)
+
+    def note_end(self, record: TargetRecord, duration_ms: float) -> None:
+        """Learn how long calls stay."""
+        self._learned.note_stay(duration_ms)
+
+    def _by_key(self, records: list[TargetRecord], query: RouteQuery) -> Pick:
+        names = {record.name: record for record in records}
+        home = rendezvous_winner(f"{query.team}\0{query.idempotency_key}", names)
+        assert home is not None
+        return Pick(record=names[home], reason="key")
+
+    def _weigh(
+        self, records: list[TargetRecord], query: RouteQuery, scene: "_Scene"
+    ) -> list[tuple[TargetRecord, CandidateInputs]]:
+        drawn = self._candidates(records, query)
+        return [(record, self._inputs(record, query, scene)) for record in drawn]
+
+    def _candidates(
+        self, records: list[TargetRecord], query: RouteQuery
+    ) -> list[TargetRecord]:
+        count = min(self._parameters.samples, len(records))
+        drawn = {r.name: r for r in self._random.sample(records, count)}
+        blocks = query.prompt_blocks
+        if blocks:
+            holder = max(records, key=lambda r: self._prefixes.cached(r.name, blocks))
+            drawn[holder.name] = holder
+            names = {r.name: r for r in records}
+            home = rendezvous_winner(str(blocks[0]), names)
+            if home is not None:
+                drawn[home] = names[home]
+        return list(drawn.values())
+
+    def _inputs(
+        self, record: TargetRecord, query: RouteQuery, scene: "_Scene"
+    ) -> CandidateInputs:
+        parameters = self._parameters
+        share = record.health.share
+        load = (record.load + 1.0) / share
+        cached = self._prefixes.cached(record.name, query.prompt_blocks)
+        if load > parameters.load_bound * scene.mean_load + 1.0:
+            cached = 0
+        step_ms = scene.step_ms(record)
+        waiting = max(0.0, load - record.concurrency)
+        wait_ms = waiting / record.concurrency * self._learned.stay_ms
+        uncached = max(0, query.tokens - cached * BLOCK_TOKENS)
+        prefill_ms = self._learned.prefill_ms * (record.tokens_ahead + uncached)
+        first_ms = wait_ms + prefill_ms + step_ms + self._link_ms(record, scene)
+        cost_ms = first_ms + parameters.load_ms * load / record.concurrency
+        cost_ms += self._pace_ms(step_ms, query, scene)
+        return CandidateInputs(
+            target=record.name,
+            data_centre=record.view.data_centre,
+            load=record.load,
+            report_age_ms=record.report_age_ms,
+            cached_blocks=cached,
+            step_ms=step_ms,
+            first_ms=first_ms,
+            cost_ms=cost_ms,
+            share=share,
+        )
+
+    def _link_ms(self, record: TargetRecord, scene: "_Scene") -> float:
+        if record.view.data_centre == scene.data_centre:
+            return 0.0
+        if record.view.region == scene.region:
+            return self._parameters.other_data_centre_ms
+        return self._parameters.other_region_ms
+
+    def _pace_ms(self, step_ms: float, query: RouteQuery, scene: "_Scene") -> float:
+        """Charge a slow group, most of all one beyond the target between tokens."""
+        if step_ms <= self._parameters.slow_factor * scene.median_step_ms:
+            return 0.0
+        charge = self._parameters.pace_steps * (step_ms - scene.median_step_ms)
+        if step_ms > query.between_tokens_ms:
+            charge += query.first_token_ms * step_ms / query.between_tokens_ms
+        return charge
+
+
+class _Scene:
+    """What all candidates of one request are measured against."""
+
+    __slots__ = ("_groups", "data_centre", "mean_load", "median_step_ms", "region")
+
+    def __init__(
+        self,
+        records: list[TargetRecord],
+        everyone: list[TargetRecord],
+        query: RouteQuery,
+    ):
+        self._groups: dict[str, float] = {}
+        for record in everyone:
+            group = record.view.group
+            if group:
+                known = self._groups.get(group, 0.0)
+                self._groups[group] = max(known, record.step_ms)
+        steps = [step for step in map(self.step_ms, records) if step > 0]
+        self.median_step_ms = statistics.median(steps) if steps else 0.0
+        self.mean_load = sum(record.load for record in records) / len(records)
+        self.data_centre = query.data_centre
+        regions = [
+            r.view.region for r in everyone if r.view.data_centre == query.data_centre
+        ]
+        self.region = regions[0] if regions else ""
+
+    def step_ms(self, record: TargetRecord) -> float:
+        """Return the pace of a target: its slowest group member sets it."""
+        return max(record.step_ms, self._groups.get(record.view.group, 0.0))
+
+
+def _cost(weighed: tuple[TargetRecord, CandidateInputs]) -> float:
+    return weighed[1].cost_ms
--- /dev/null
+++ b/carobroute/requests/_target.py
@@ -0,0 +1,219 @@
+"""What one entry knows of one target, from reports and its own traffic."""
+
+from collections import deque
+
+import msgspec
+
+from carobroute.links import LoadReport
+from carobroute.requests._health import Health, HealthParameters
+from carobroute.requests._views import TargetView
+from carobroute.utils import Clock
+from carobroute.world import TargetState
+
+SMOOTHING = 0.2
+MAX_PENDING = 1_024
+
+
+class Sent(msgspec.Struct, frozen=True, kw_only=True):
+    """One own call that has not had its first byte.
+
+    Parameters
+    ----------
+    tokens : int
+        Prompt tokens that were expected not to be cached.
+    tokens_ahead : int
+        Those and the ones that waited at the target before it.
+    waited : bool
+        Whether the target had no free slot.
+    """
+
+    tokens: int
+    tokens_ahead: int
+    waited: bool
+
+
+class TargetRecord:
+    """Load, pace and health of one target.
+
+    The load is corrected for the lag of reports: a report says how many of this
+    entry's own calls it counts, so what remains is the others' load, and the entry
+    adds the calls that it has in flight itself.
+
+    Parameters
+    ----------
+    view : TargetView
+        The target.
+    clock : Clock
+        Source of time.
+    health : HealthParameters
+        Times and bounds of ejection and slow start.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_first_ms",
+        "_health",
+        "_in_flight",
+        "_leaving",
+        "_leaving_ticket",
+        "_others",
+        "_pending",
+        "_pending_tokens",
+        "_report",
+        "_report_at_ms",
+        "_view",
+    )
+
+    def __init__(self, *, view: TargetView, clock: Clock, health: HealthParameters):
+        self._view = view
+        self._clock = clock
+        self._health = Health(clock=clock, parameters=health)
+        self._leaving = False
+        self._leaving_ticket = 0
+        self._in_flight = 0
+        self._others = 0.0
+        self._first_ms = 0.0
+        self._pending: deque[Sent] = deque(maxlen=MAX_PENDING)
+        self._pending_tokens = 0
+        self._report: LoadReport | None = None
+        self._report_at_ms = clock.now_ms()
+
+    @property
+    def name(self) -> str:
+        """Name of the target."""
+        return self._view.name
+
+    @property
+    def view(self) -> TargetView:
+        """The target as configuration and the instance list show it."""
+        return self._view
+
+    @property
+    def health(self) -> Health:
+        """Health as seen in this entry's own traffic."""
+        return self._health
+
+    @property
+    def in_flight(self) -> int:
+        """Own calls in flight."""
+        return self._in_flight
+
+    @property
+    def load(self) -> float:
+        """Calls at the target, corrected for the lag of reports."""
+        return self._others + self._in_flight
+
+    @property
+    def reported_load(self) -> float:
+        """Calls at the target as it last reported them, uncorrected."""
+        if self._report is None:
+            return 0.0
+        return self._report.running + self._report.queued
+
+    @property
+    def tokens_ahead(self) -> int:
+        """Prompt tokens that wait there, the greater of the report and own sends."""
+        reported = self._report.tokens_queued if self._report else 0
+        return max(reported, self._pending_tokens)
+
+    @property
+    def step_ms(self) -> float:
+        """Step time in the last report; 0 before there is one."""
+        return self._report.step_ms if self._report else 0.0
+
+    @property
+    def concurrency(self) -> int:
+        """Calls that the target runs at a time."""
+        reported = self._report.concurrency if self._report else 0
+        return max(1, reported or self._view.concurrency)
+
+    @property
+    def report_age_ms(self) -> float:
+        """Time since the last report, or since the target became known."""
+        return self._clock.now_ms() - self._report_at_ms
+
+    @property
+    def first_ms(self) -> float:
+        """Smoothed time to the first byte of own calls."""
+        return self._first_ms
+
+    @property
+    def available(self) -> bool:
+        """Whether the target may be given new work at all."""
+        return not self._leaving and self._view.state is TargetState.SERVING
+
+    def update(self, view: TargetView) -> None:
+        """Take a newer view of the target.
+
+        A mark as leaving ends only with a new incarnation or a later ticket that has
+        the target serving.
+        """
+        replaced = view.incarnation and view.incarnation != self._view.incarnation
+        if replaced:
+            first_sight = not self._view.incarnation
+            self._forget_run(first_sight)
+        elif view.ticket > self._leaving_ticket:
+            self._leaving = False
+        self._view = view
+
+    def note_leaving(self) -> None:
+        """Give the target no more work while this incarnation lasts."""
+        if not self._leaving:
+            self._leaving = True
+            self._leaving_ticket = self._view.ticket
+
+    def note_sent(self, uncached_tokens: int) -> None:
+        """Count one more own call in flight."""
+        self._pending.append(
+            Sent(
+                tokens=uncached_tokens,
+                tokens_ahead=self.tokens_ahead + uncached_tokens,
+                waited=self.load >= self.concurrency,
+            )
+        )
+        self._in_flight += 1
+        self._pending_tokens += uncached_tokens
+
+    def note_first_byte(self, elapsed_ms: float) -> Sent | None:
+        """Take the time to a first byte; return what was noted of the oldest call."""
+        sent = self._pop_pending()
+        if self._first_ms:
+            self._first_ms += SMOOTHING * (elapsed_ms - self._first_ms)
+        else:
+            self._first_ms = elapsed_ms
+        self._health.note_ok()
+        return sent
+
+    def note_end(self, ok: bool) -> None:
+        """Count one own call less in flight."""
+        self._in_flight = max(0, self._in_flight - 1)
+        while len(self._pending) > self._in_flight:
+            self._pop_pending()
+        if ok:
+            self._health.note_ok()
+
+    def note_report(self, report: LoadReport) -> bool:
+        """Take a report; return False if a newer one has been taken already."""
+        if self._report is not None and report.sequence <= self._report.sequence:
+            return False
+        self._report = report
+        self._report_at_ms = self._clock.now_ms()
+        self._others = max(0.0, report.running + report.queued - report.known)
+        if report.leaving:
+            self.note_leaving()
+        return True
+
+    def _pop_pending(self) -> Sent | None:
+        if not self._pending:
+            return None
+        sent = self._pending.popleft()
+        self._pending_tokens -= sent.tokens
+        return sent
+
+    def _forget_run(self, first_sight: bool) -> None:
+        self._leaving = False
+        self._others = 0.0
+        self._report = None
+        self._first_ms = 0.0
+        if not first_sight:
+            self._health.note_returned()
