Add ticket log, checks, keeper, directory and overlay

Cause: every process needs one configuration that only moves forward, with the platform's table as the only thing to agree through.

A filing is one transaction on the head's version and is checked against the configuration of that head. Notes along links, the ticket number of each frame, a few reading bridges and a slow poll spread it. Links gain an owner for each user of a peer, so that the overlay can drop a link that calls still use.

--- a/carobroute/links/_endpoint.py
+++ b/carobroute/links/_endpoint.py
@@ -109,6 +109,7 @@
         "data_centre",
         "incarnation",
         "name",
+        "owners",
         "role",
         "ticket",
         "version",
@@ -130,6 +131,7 @@
         self._up = False
         self.incarnation = ""
         self.name = ""
+        self.owners: set[str] = set()
         self.role = ""
         self.data_centre = ""
         self.ticket = 0
@@ -337,20 +339,28 @@
         self._tasks.spawn(self._expire_inbound(), name="links-expire")
         return self.address
 
-    def peer(self, address: str) -> Peer:
-        """Return the peer at `address`, opening a link on first use."""
+    def peer(self, address: str, owner: str = "calls") -> Peer:
+        """Return the peer at `address`, opening a link on first use.
+
+        The link stays open until each `owner` that asked for it has called `forget`.
+        """
         found = self._outbound.get(address)
         if found is None:
             found = Peer(endpoint=self, address=address)
             found._last_heard_ms = self.clock.now_ms()
             self._outbound[address] = found
             self._tasks.spawn(self._serve_peer(found), name=f"peer {address}")
+        found.owners.add(owner)
         return found
 
-    def forget(self, address: str) -> None:
-        """Close the link to `address`."""
-        found = self._outbound.pop(address, None)
-        if found is not None:
+    def forget(self, address: str, owner: str = "calls") -> None:
+        """Close the link to `address` once no owner is left that asked for it."""
+        found = self._outbound.get(address)
+        if found is None:
+            return
+        found.owners.discard(owner)
+        if not found.owners:
+            del self._outbound[address]
             found._closing = True
             found._wake.set()
 
--- /dev/null
+++ b/carobroute/membership/_suspicion.py
@@ -0,0 +1,125 @@
+"""Suspicions of several observers.
+
+One observer's silence is not a death: the path may be at fault. An instance is
+suspected only while at least two observers report it silent and fewer report that
+they hear it. Reports expire, so that a lost retraction does not last.
+"""
+
+from collections.abc import Callable, Iterable
+
+import msgspec
+
+from carobroute.membership._directory import BoundedDict
+from carobroute.utils import Clock
+
+
+class SuspicionParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Bounds of suspicions.
+
+    Parameters
+    ----------
+    observers : int
+        Observers that must report an instance as silent.
+    valid_ms : float
+        Time for which a report counts.
+    max_accused, max_observers : int
+        Instances, and observers for each, that are remembered.
+    """
+
+    observers: int = 2
+    valid_ms: float = 20_000.0
+    max_accused: int = 2_000
+    max_observers: int = 8
+
+
+class Report(msgspec.Struct, frozen=True):
+    """One observer's last word on one instance."""
+
+    silent: bool
+    since_ms: float
+
+
+class Suspicions:
+    """Reports of observers on instances.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    parameters : SuspicionParameters, default=None
+        Bounds.
+
+    Examples
+    --------
+    >>> from carobroute.utils import ManualClock
+    >>> suspicions = Suspicions(clock=ManualClock())
+    >>> suspicions.note("entry-1", ["runner-1~1"], [])
+    True
+    >>> suspicions.is_suspected("runner-1~1")
+    False
+    >>> suspicions.note("entry-2", ["runner-1~1"], [])
+    True
+    >>> suspicions.is_suspected("runner-1~1")
+    True
+    """
+
+    __slots__ = ("_callbacks", "_clock", "_parameters", "_reports")
+
+    def __init__(self, *, clock: Clock, parameters: SuspicionParameters | None = None):
+        self._clock = clock
+        self._parameters = parameters or SuspicionParameters()
+        self._callbacks: list[Callable[[], None]] = []
+        self._reports: BoundedDict[str, BoundedDict[str, Report]] = BoundedDict(
+            most=self._parameters.max_accused
+        )
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        """Have `callback` called after an instance became suspected or cleared."""
+        self._callbacks.append(callback)
+
+    def note(self, observer: str, silent: Iterable[str], heard: Iterable[str]) -> bool:
+        """Take in one observer's words; return whether any was news."""
+        news = False
+        for incarnation in silent:
+            news |= self._note(observer, incarnation, True)
+        for incarnation in heard:
+            news |= self._note(observer, incarnation, False)
+        return news
+
+    def is_suspected(self, incarnation: str) -> bool:
+        """Whether enough observers call it silent, and more than hear it."""
+        valid = self._valid(incarnation)
+        silent = sum(report.silent for report in valid)
+        heard = len(valid) - silent
+        return silent >= self._parameters.observers and silent > heard
+
+    def is_accused(self, incarnation: str) -> bool:
+        """Whether any observer calls this incarnation silent."""
+        return any(report.silent for report in self._valid(incarnation))
+
+    def _valid(self, incarnation: str) -> list[Report]:
+        limit_ms = self._clock.now_ms() - self._parameters.valid_ms
+        reports = self._reports.get(incarnation)
+        if reports is None:
+            return []
+        return [report for report in reports.values() if report.since_ms >= limit_ms]
+
+    def _note(self, observer: str, incarnation: str, silent: bool) -> bool:
+        reports = self._reports.get(incarnation)
+        if reports is None:
+            if not silent:
+                return False
+            reports = BoundedDict(most=self._parameters.max_observers)
+            self._reports[incarnation] = reports
+        known = reports.get(observer)
+        now_ms = self._clock.now_ms()
+        half_ms = self._parameters.valid_ms / 2
+        if known and known.silent == silent and now_ms - known.since_ms < half_ms:
+            return False
+        before = self.is_suspected(incarnation)
+        reports.pop(observer, None)
+        reports[observer] = Report(silent, now_ms)
+        if self.is_suspected(incarnation) != before:
+            for callback in self._callbacks:
+                callback()
+        return True
--- a/carobroute/tickets/__init__.py
+++ b/carobroute/tickets/__init__.py
@@ -1,5 +1,15 @@
 """Change tickets: schema, validation, acceptance, spreading."""
 
+from carobroute.tickets import _check_groups  # noqa: F401  (registers its checks)
+from carobroute.tickets._check import (
+    TicketFault,
+    check_ticket,
+    describe_faults,
+    ticket_checks,
+)
+from carobroute.tickets._file import dump_ticket, load_ticket_file, parse_ticket
+from carobroute.tickets._keeper import ConfigurationKeeper, KeeperParameters
+from carobroute.tickets._log import TicketLog
 from carobroute.tickets._schema import (
     CallRule,
     Configuration,
@@ -15,6 +25,8 @@
 )
 
 __all__ = [
+    "ConfigurationKeeper",
+    "KeeperParameters",
     "CallRule",
     "Configuration",
     "ExpertPlacement",
@@ -24,6 +36,14 @@
     "TargetObject",
     "TeamObject",
     "Ticket",
+    "TicketFault",
+    "TicketLog",
     "TicketObject",
+    "check_ticket",
+    "describe_faults",
+    "dump_ticket",
+    "load_ticket_file",
     "object_key",
+    "parse_ticket",
+    "ticket_checks",
 ]
--- /dev/null
+++ b/carobroute/tickets/_file.py
@@ -0,0 +1,66 @@
+"""Ticket files: YAML in, YAML out."""
+
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import yaml
+from returns.result import Result, Success
+
+from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.tickets._schema import Ticket
+
+MAX_FILE_BYTES = 8 * 1024 * 1024
+
+
+def load_ticket_file(path: str | Path) -> Result[Ticket, Fault]:
+    """Return the ticket in a YAML file.
+
+    Parameters
+    ----------
+    path : str or Path
+        File with the fields of `Ticket`.
+
+    Returns
+    -------
+    ticket : Result
+        An `INVALID_TICKET` fault says where the file is wrong.
+    """
+    try:
+        with open(path, "rb") as stream:
+            data = stream.read(MAX_FILE_BYTES + 1)
+    except OSError as error:
+        return fail(ErrorKind.NOT_FOUND, f"cannot read {path}: {error.strerror}")
+    if len(data) > MAX_FILE_BYTES:
+        return fail(
+            ErrorKind.TOO_LARGE, f"{path}: expected at most {MAX_FILE_BYTES} bytes"
+        )
+    return parse_ticket(data, name=str(path))
+
+
+def parse_ticket(data: bytes, *, name: str = "ticket") -> Result[Ticket, Fault]:
+    """Return the ticket in YAML text.
+
+    Examples
+    --------
+    >>> parse_ticket(b"{based_on: 1, token: t, author: mere}").failure().detail
+    'ticket: Object missing required field `objects`'
+    """
+    try:
+        loaded: Any = yaml.safe_load(data)
+    except yaml.YAMLError as error:
+        return fail(ErrorKind.INVALID_TICKET, f"{name}: not YAML: {error}")
+    try:
+        return Success(msgspec.convert(loaded, Ticket))
+    except msgspec.ValidationError as error:
+        return fail(ErrorKind.INVALID_TICKET, f"{name}: {error}")
+
+
+def dump_ticket(ticket: Ticket) -> str:
+    """Return the YAML text of a ticket that is still to be filed."""
+    fields = msgspec.to_builtins(ticket)
+    for given_on_acceptance in ("number", "filed_ms", "chain"):
+        fields.pop(given_on_acceptance, None)
+    order = ["author", "reason", "based_on", "token", "objects", "removed"]
+    ordered = {key: fields[key] for key in order if key in fields}
+    return yaml.safe_dump(ordered, sort_keys=False, allow_unicode=True)
--- a/carobroute/tickets/_schema.py
+++ b/carobroute/tickets/_schema.py
@@ -4,6 +4,8 @@
 
 from carobroute.world import CallClass, ServiceKind, TargetState
 
+MAX_REMOVED = 10_000
+
 
 class CallRule(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Call class of the calls that match a method and a path prefix.
@@ -215,6 +217,8 @@
         Keys of objects that cease to exist.
     filed_ms : float
         Wall-clock time of acceptance, for records only.
+    chain : str
+        Hash of this ticket and of all before it, given on acceptance.
     """
 
     based_on: int
@@ -225,6 +229,7 @@
     removed: list[str] = []
     number: int = 0
     filed_ms: float = 0.0
+    chain: str = ""
 
 
 class ObjectInForce(msgspec.Struct, frozen=True, kw_only=True):
@@ -243,15 +248,26 @@
         Highest ticket number contained.
     objects : dict of str to ObjectInForce, default=None
         Objects in force by key.
+    removed : dict of str to int, default=None
+        Number of the ticket that removed an object, by key.
+    chain : str, default=""
+        Hash of all tickets up to `number`.
     """
 
-    __slots__ = ("_number", "_objects")
+    __slots__ = ("_chain", "_number", "_objects", "_removed")
 
     def __init__(
-        self, *, number: int = 0, objects: dict[str, ObjectInForce] | None = None
+        self,
+        *,
+        number: int = 0,
+        objects: dict[str, ObjectInForce] | None = None,
+        removed: dict[str, int] | None = None,
+        chain: str = "",
     ):
         self._number = number
         self._objects = dict(objects or {})
+        self._removed = dict(removed or {})
+        self._chain = chain
 
     @property
     def number(self) -> int:
@@ -263,6 +279,21 @@
         """Objects in force by key."""
         return self._objects
 
+    @property
+    def removed(self) -> dict[str, int]:
+        """Number of the ticket that removed an object, by key."""
+        return self._removed
+
+    @property
+    def chain(self) -> str:
+        """Hash of all tickets up to `number`, or empty."""
+        return self._chain
+
+    def number_of(self, key: str) -> int:
+        """Return the number of the ticket that last touched `key`, or 0."""
+        known = self._objects.get(key)
+        return max(known.number if known else 0, self._removed.get(key, 0))
+
     def service(self, name: str) -> ServiceObject | None:
         """Return the service called `name`, or None."""
         return self._entry(f"service/{name}", ServiceObject)
@@ -302,17 +333,23 @@
         An object that a later ticket already set is left as it is, so applying
         tickets in any order, or twice, never takes an object back.
         """
-        objects = dict(self._objects)
+        objects, removed = dict(self._objects), dict(self._removed)
         for entry in ticket.objects:
             key = object_key(entry)
-            known = objects.get(key)
-            if known is None or known.number < ticket.number:
+            if self.number_of(key) < ticket.number:
                 objects[key] = ObjectInForce(number=ticket.number, entry=entry)
+                removed.pop(key, None)
         for key in ticket.removed:
-            known = objects.get(key)
-            if known is not None and known.number < ticket.number:
-                del objects[key]
-        return Configuration(number=max(self._number, ticket.number), objects=objects)
+            if self.number_of(key) < ticket.number:
+                objects.pop(key, None)
+                removed[key] = ticket.number
+        newer = ticket.number > self._number
+        return Configuration(
+            number=max(self._number, ticket.number),
+            objects=objects,
+            removed=_newest(removed),
+            chain=ticket.chain if newer else self._chain,
+        )
 
     def _entry(self, key, kind):
         found = self._objects.get(key)
@@ -324,3 +361,11 @@
             for key in sorted(self._objects)
             if isinstance(self._objects[key].entry, kind)
         ]
+
+
+def _newest(removed: dict[str, int]) -> dict[str, int]:
+    """Return the newest `MAX_REMOVED` entries of `removed`."""
+    if len(removed) <= MAX_REMOVED:
+        return removed
+    by_number = sorted(removed.items(), key=lambda item: (item[1], item[0]))
+    return dict(by_number[-MAX_REMOVED:])
--- /dev/null
+++ b/carobroute/tickets/tests/test_keeper.py
@@ -0,0 +1,189 @@
+import random
+
+import pytest
+
+from carobroute.links import Endpoint, LinkParameters
+from carobroute.membership import Directory, Overlay
+from carobroute.testing import (
+    FakeTable,
+    make_instance,
+    make_service,
+    make_target,
+    make_team,
+    make_ticket,
+    wait_until,
+)
+from carobroute.tickets import ConfigurationKeeper, KeeperParameters, TicketLog
+from carobroute.utils import Clock
+
+WAIT_MS = 10_000.0
+LINKS = LinkParameters(ping_busy_ms=50, ping_idle_ms=100, silence_ms=400, reopen_ms=10)
+# Only the start reads the table, so that what spreads comes along the links.
+NO_POLL = KeeperParameters(
+    bridge_poll_ms=1e9,
+    poll_ms=1e9,
+    bridge_poll_most_ms=1e9,
+    poll_most_ms=1e9,
+    start_retry_ms=10,
+    start_retry_most_ms=50,
+    outage_ms=100,
+    fruitless_ms=50,
+)
+
+
+class Node:
+    """One process with links, directory, overlay and keeper."""
+
+    def __init__(self, name, table, parameters=NO_POLL):
+        clock = Clock()
+        self.events = []
+        self.endpoint = Endpoint(
+            name=name,
+            role="entry",
+            data_centre="suva",
+            incarnation=f"{name}~1",
+            clock=clock,
+            parameters=LINKS,
+            ticket_number=lambda: self.keeper.current.number,
+        )
+        self.log = TicketLog(table=table, clock=clock)
+        self.name, self.clock, self.parameters = name, clock, parameters
+
+    async def start(self):
+        address = await self.endpoint.start()
+        self.instance = make_instance(self.name, address=address)
+        self.directory = Directory(clock=self.clock, own=self.instance)
+        self.overlay = Overlay(
+            directory=self.directory,
+            endpoint=self.endpoint,
+            clock=self.clock,
+            random=random.Random(1),
+        )
+        self.keeper = ConfigurationKeeper(
+            log=self.log,
+            endpoint=self.endpoint,
+            directory=self.directory,
+            clock=self.clock,
+            random=random.Random(1),
+            name=self.name,
+            overlay=self.overlay,
+            parameters=self.parameters,
+            on_event=lambda name, **fields: self.events.append((name, fields)),
+        )
+
+    async def begin(self):
+        await self.overlay.start()
+        await self.keeper.start()
+
+    async def stop(self):
+        await self.keeper.stop()
+        await self.overlay.stop()
+        await self.endpoint.stop()
+
+
+@pytest.fixture
+def table():
+    return FakeTable(clock=Clock())
+
+
+@pytest.fixture
+async def nodes(table):
+    entries = [Node(f"entry-{i}", table) for i in range(4)]
+    for node in entries:
+        await node.start()
+    for node in entries:
+        node.directory.update_from_list([n.instance for n in entries])
+        await node.begin()
+    yield entries
+    for node in entries:
+        await node.stop()
+
+
+async def file_at(node, ticket):
+    deadline_ms = node.clock.now_ms() + WAIT_MS
+    return (await node.log.file(ticket, deadline_ms)).unwrap()
+
+
+def start_ticket():
+    return make_ticket(make_service(), make_target())
+
+
+async def test_ticket_offered_at_one_process_reaches_all(nodes, table):
+    for node in nodes:
+        assert (await node.keeper.wait_ready(WAIT_MS)).unwrap() == 0
+    reads = table.counts["read"]
+    accepted = await file_at(nodes[0], start_ticket())
+    nodes[0].keeper.offer([accepted])
+    for node in nodes:
+        assert await node.keeper.wait_number(1, WAIT_MS)
+        assert node.keeper.current.target("runner-1") is not None
+    # The filing reads the token row and the head; nobody else read anything.
+    assert table.counts["read"] == reads + 2
+
+
+async def test_new_process_in_an_outage_learns_from_its_peers(nodes, table):
+    accepted = await file_at(nodes[0], start_ticket())
+    nodes[0].keeper.offer([accepted])
+    for node in nodes:
+        assert await node.keeper.wait_number(1, WAIT_MS)
+    table.available = False
+    late = Node("entry-9", table)
+    await late.start()
+    late.directory.update_from_list([n.instance for n in nodes])
+    await late.begin()
+    assert (await late.keeper.wait_ready(WAIT_MS)).unwrap() == 1
+    await late.stop()
+
+
+async def test_new_process_without_table_and_peers_is_not_ready(table):
+    table.available = False
+    node = Node("entry-0", table)
+    await node.start()
+    await node.begin()
+    await wait_until(lambda: node.keeper.store_failures >= 5)
+    refused = await node.keeper.wait_ready(1.0)
+    assert refused.failure().kind.value == "stale_configuration"
+    assert "the table has not answered since the start" in refused.failure().detail
+    table.available = True
+    assert (await node.keeper.wait_ready(WAIT_MS)).unwrap() == 0
+    await node.stop()
+
+
+async def test_older_and_foreign_tickets_change_nothing(nodes):
+    keeper = nodes[0].keeper
+    first = await file_at(nodes[0], start_ticket())
+    second = await file_at(nodes[0], make_ticket(make_team(), based_on=1))
+    assert not keeper.offer([second])
+    assert keeper.offer([second, first])
+    before = keeper.current
+    assert not keeper.offer([first])
+    forged = type(second)(
+        number=3, based_on=2, token="x", author="a", objects=[make_team("b")], chain="0"
+    )
+    assert not keeper.offer([forged])
+    assert keeper.current is before
+    assert "ticket_mismatch" in [name for name, _ in nodes[0].events]
+
+
+async def test_table_restored_from_an_old_copy_does_not_take_a_process_back(nodes):
+    node = nodes[0]
+    accepted = await file_at(node, start_ticket())
+    node.keeper.offer([accepted])
+    old = TicketLog(table=FakeTable(clock=node.clock), clock=node.clock)
+    node.keeper._log = old
+    await node.keeper.refresh()
+    assert node.keeper.current.number == 1
+    assert "table_behind" in [name for name, _ in node.events]
+
+
+async def test_failing_callback_does_not_keep_others_from_the_news(nodes):
+    seen = []
+
+    def broken(configuration):
+        raise RuntimeError("broken part")
+
+    keeper = nodes[0].keeper
+    keeper.on_change(broken)
+    keeper.on_change(lambda configuration: seen.append(configuration.number))
+    keeper.offer([await file_at(nodes[0], start_ticket())])
+    assert seen == [1]
--- /dev/null
+++ b/carobroute/tickets/tests/test_log.py
@@ -0,0 +1,134 @@
+import asyncio
+
+import pytest
+
+from carobroute.errors import ErrorKind
+from carobroute.testing import (
+    FakeTable,
+    make_service,
+    make_target,
+    make_team,
+    make_ticket,
+)
+from carobroute.tickets import TicketLog
+from carobroute.utils import ManualClock
+from carobroute.world import TargetState
+
+LATE_MS = 1_000_000.0
+
+
+@pytest.fixture
+def clock():
+    return ManualClock()
+
+
+@pytest.fixture
+def table(clock):
+    return FakeTable(clock=clock)
+
+
+@pytest.fixture
+def log(table, clock):
+    return TicketLog(table=table, clock=clock)
+
+
+async def file_start(log):
+    """File ticket 1: a service with two serving targets."""
+    ticket = make_ticket(make_service(), make_target(), make_target("runner-2"))
+    return (await log.file(ticket, LATE_MS)).unwrap()
+
+
+async def test_tickets_are_numbered_and_chained(log):
+    first = await file_start(log)
+    second = (await log.file(make_ticket(make_team(), based_on=1), LATE_MS)).unwrap()
+    assert (first.number, second.number) == (1, 2)
+    assert first.chain and second.chain != first.chain
+    assert (await log.head()).unwrap() == 2
+    assert [t.number for t in (await log.read(0, 10)).unwrap()] == [1, 2]
+
+
+async def test_untouched_objects_are_rebased(log):
+    await file_start(log)
+    (await log.file(make_ticket(make_team("a"), based_on=1), LATE_MS)).unwrap()
+    late = await log.file(make_ticket(make_team("b"), based_on=1), LATE_MS)
+    assert late.unwrap().number == 3
+
+
+async def test_loser_learns_ticket_and_objects(log):
+    await file_start(log)
+    one = make_ticket(make_team("till", weight=2.0), based_on=1, author="mere")
+    two = make_ticket(make_team("till", weight=3.0), based_on=1, author="jone")
+    results = await asyncio.gather(log.file(one, LATE_MS), log.file(two, LATE_MS))
+    lost = [r.failure() for r in results if r.value_or(None) is None]
+    assert len(lost) == 1
+    assert lost[0].kind is ErrorKind.CONFLICT
+    assert lost[0].detail == "changed since ticket 1: team/till by ticket 2"
+
+
+async def test_two_right_tickets_cannot_be_wrong_together(log):
+    """Each drains one of the last two targets; no object is touched by both."""
+    await file_start(log)
+    drains = [
+        make_ticket(make_target(name, state=TargetState.DRAINING), based_on=1)
+        for name in ("runner-1", "runner-2")
+    ]
+    results = await asyncio.gather(*(log.file(t, LATE_MS) for t in drains))
+    lost = [r.failure() for r in results if r.value_or(None) is None]
+    assert [f.kind for f in lost] == [ErrorKind.INVALID_TICKET]
+    assert "no serving target after this ticket" in lost[0].detail
+
+
+async def test_lost_answer_is_settled_by_the_client(log, table):
+    await file_start(log)
+    table.lose_answers = 3
+    ticket = make_ticket(make_team(), based_on=1)
+    assert (await log.file(ticket, LATE_MS)).unwrap().number == 2
+    assert (await log.head()).unwrap() == 2
+
+
+async def test_lost_answer_is_settled_by_a_restarted_client(log, table, clock):
+    await file_start(log)
+    ticket = make_ticket(make_team(), based_on=1)
+    table.lose_answers = 10_000
+    unknown = await log.file(ticket, clock.now_ms() + 50)
+    assert unknown.failure().kind is ErrorKind.OUTCOME_UNKNOWN
+    table.lose_answers = 0
+    (await log.file(make_ticket(make_team(), based_on=2), LATE_MS)).unwrap()
+    restarted = TicketLog(table=table, clock=clock)
+    assert (await restarted.file(ticket, LATE_MS)).unwrap().number == 2
+    assert (await restarted.head()).unwrap() == 3
+
+
+async def test_same_filing_through_two_processes_is_accepted_once(log, table, clock):
+    await file_start(log)
+    other = TicketLog(table=table, clock=clock)
+    ticket = make_ticket(make_team(), based_on=1)
+    results = await asyncio.gather(
+        log.file(ticket, LATE_MS), other.file(ticket, LATE_MS)
+    )
+    assert results[0].unwrap() == results[1].unwrap()
+    assert (await log.head()).unwrap() == 2
+
+
+async def test_token_of_another_content_is_refused(log):
+    await file_start(log)
+    token = "ab" * 16
+    (await log.file(make_ticket(make_team("a"), token=token), LATE_MS)).unwrap()
+    other = await log.file(make_ticket(make_team("b"), token=token), LATE_MS)
+    assert other.failure().kind is ErrorKind.KEY_REUSED
+
+
+async def test_unreachable_table_refuses_before_anything_was_sent(log, table):
+    table.available = False
+    result = await log.file(make_ticket(make_team()), 0.0)
+    assert result.failure().kind is ErrorKind.STORE_UNAVAILABLE
+    assert result.failure().not_run
+
+
+async def test_removed_object_does_not_return_with_an_older_ticket(log):
+    await file_start(log)
+    added = (await log.file(make_ticket(make_team(), based_on=1), LATE_MS)).unwrap()
+    gone = make_ticket(based_on=2, removed=["team/counter"])
+    (await log.file(gone, LATE_MS)).unwrap()
+    configuration = (await log.load_configuration()).unwrap()
+    assert configuration.with_ticket(added).team("counter") is None
