--- a/carobroute/testing/_processes.py
+++ b/carobroute/testing/_processes.py
@@ -2,54 +2,19 @@
 
 import asyncio
 import ctypes
-import inspect
 import os
 import signal
 import sys
 from collections import deque
-from collections.abc import Callable, Sequence
+from collections.abc import Sequence
 from pathlib import Path
-from typing import Any
 
 KEPT_LINES = 2_000
-POLL_S = 0.02
 START_TIMEOUT_S = 60.0
 STOP_TIMEOUT_S = 30.0
 PR_SET_PDEATHSIG = 1
 
 
-async def wait_until(
-    condition: Callable[[], Any], *, what: str, timeout_s: float = 30.0
-) -> Any:
-    """Wait until `condition` returns something true, and return it.
-
-    Parameters
-    ----------
-    condition : callable
-        Plain or coroutine function without arguments.
-    what : str
-        What is waited for, for the error message.
-    timeout_s : float, default=30.0
-        Longest wait.
-
-    Raises
-    ------
-    AssertionError
-        If the condition did not hold in time.
-    """
-    loop = asyncio.get_running_loop()
-    end_s = loop.time() + timeout_s
-    while True:
-        value = condition()
-        if inspect.isawaitable(value):
-            value = await value
-        if value:
-            return value
-        if loop.time() > end_s:
-            raise AssertionError(f"waited {timeout_s:.0f} s in vain until {what}")
-        await asyncio.sleep(POLL_S)
-
-
 class Child:
     """One process under test.
 
