Split the keeper; answer on request whether a ticket is in force

Status is asked along a tree made for the question: nothing is sent while nobody asks, and a delegate that does not answer costs only its own place in the list.

--- /dev/null
+++ b/carobroute/tickets/_forward.py
@@ -0,0 +1,193 @@
+"""A configuration that only moves forward."""
+
+import asyncio
+from collections.abc import Callable
+
+import msgspec
+
+from carobroute.tickets._codec import (
+    chain_hash,
+    decode_configuration,
+    decode_ticket,
+    encode_configuration,
+)
+from carobroute.tickets._history import TicketHistory
+from carobroute.tickets._messages import TicketRange
+from carobroute.tickets._schema import MAX_REMOVED, Configuration, Ticket
+from carobroute.utils import Clock
+
+
+class ForwardConfiguration:
+    """The configuration in force in one process, and its last tickets.
+
+    Tickets are applied in order, each checked against the chain hash of the one
+    before; a whole configuration is adopted only if it takes no object back.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    on_event : callable
+        Called with an event name and fields.
+    """
+
+    __slots__ = (
+        "_advanced",
+        "_callbacks",
+        "_clock",
+        "_current",
+        "_history",
+        "_image",
+        "_on_event",
+        "_reported_chain",
+    )
+
+    def __init__(self, *, clock: Clock, on_event: Callable[..., None]):
+        self._clock = clock
+        self._on_event = on_event
+        self._current = Configuration()
+        self._history = TicketHistory()
+        self._image: tuple[int, bytes] = (0, b"")
+        self._callbacks: list[Callable[[Configuration], None]] = []
+        self._advanced = asyncio.Event()
+        self._reported_chain = ""
+
+    @property
+    def current(self) -> Configuration:
+        """The configuration in force."""
+        return self._current
+
+    @property
+    def number(self) -> int:
+        """Highest ticket number in force."""
+        return self._current.number
+
+    @property
+    def history(self) -> TicketHistory:
+        """The last tickets and when they came into force here."""
+        return self._history
+
+    def on_change(self, callback: Callable[[Configuration], None]) -> None:
+        """Have `callback` called with each new configuration, in order."""
+        self._callbacks.append(callback)
+
+    async def wait_number(self, number: int, timeout_ms: float) -> bool:
+        """Wait until ticket `number` is in force; False if that took too long."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                while self.number < number:
+                    self._advanced.clear()
+                    await self._advanced.wait()
+        except TimeoutError:
+            return False
+        return True
+
+    def offer(self, tickets: list[Ticket]) -> bool:
+        """Apply tickets that follow; return whether the configuration moved."""
+        configuration = self._current
+        for ticket in sorted(tickets, key=lambda entry: entry.number):
+            if ticket.number <= configuration.number:
+                self.compare_chain(ticket.number, ticket.chain)
+                continue
+            if ticket.number > configuration.number + 1:
+                break
+            if chain_hash(configuration.chain, ticket) != ticket.chain:
+                self._mismatch(ticket.number, ticket.chain, "ticket")
+                break
+            configuration = configuration.with_ticket(ticket)
+            self._history.append(ticket, in_force_ms=self._clock.wall_ms())
+        return self._put_in_force(configuration)
+
+    def adopt(self, configuration: Configuration) -> bool:
+        """Replace the whole configuration by one that is ahead in every object."""
+        back = step_back(self._current, configuration)
+        if configuration.number > self.number and back:
+            self._on_event(
+                "configuration_refused",
+                level="error",
+                number=configuration.number,
+                before=self.number,
+                object=back,
+            )
+            return False
+        if not self._put_in_force(configuration):
+            return False
+        self._history.clear()
+        return True
+
+    def adopt_range(self, entry: TicketRange) -> bool:
+        """Apply what a peer sent; return whether the configuration moved."""
+        try:
+            if entry.image:
+                return self.adopt(decode_configuration(entry.image))
+            tickets = [decode_ticket(data) for data in entry.tickets]
+        except (ValueError, msgspec.MsgspecError) as error:
+            self._on_event("ticket_damaged", level="error", error=repr(error))
+            return False
+        return self.offer(tickets)
+
+    def range_after(self, after: int, *, ready: bool) -> TicketRange:
+        """Return what a peer lacks that has all tickets up to `after`."""
+        number = self.number
+        if after >= number:
+            return TicketRange(number=number, ready=ready)
+        tickets = self._history.after(after)
+        if tickets is not None:
+            return TicketRange(number=number, ready=ready, tickets=tickets)
+        if self._image[0] != number:
+            self._image = (number, encode_configuration(self._current))
+        return TicketRange(number=number, ready=ready, image=self._image[1])
+
+    def compare_chain(self, number: int, chain: str) -> None:
+        """Report a chain hash that differs for the number in force."""
+        known = self._current.chain
+        if number == self.number and known and chain and chain != known:
+            self._mismatch(number, chain, "chain")
+
+    def _put_in_force(self, configuration: Configuration) -> bool:
+        before = self.number
+        if configuration.number <= before:
+            return False
+        self._current = configuration
+        self._on_event("in_force", number=configuration.number, before=before)
+        self._advanced.set()
+        for callback in self._callbacks:
+            try:
+                callback(configuration)
+            except Exception as error:
+                # One part of the process must not keep the others from the news.
+                self._on_event(
+                    "task_failed", level="error", task="on_change", error=repr(error)
+                )
+        return True
+
+    def _mismatch(self, number: int, chain: str, what: str) -> None:
+        if chain == self._reported_chain:
+            return
+        self._reported_chain = chain
+        self._on_event(
+            "ticket_mismatch",
+            level="error",
+            what=what,
+            number=number,
+            got=chain,
+            expected=self._current.chain,
+        )
+
+
+def step_back(before: Configuration, after: Configuration) -> str:
+    """Return the key of an object that `after` would take back, or an empty string.
+
+    Examples
+    --------
+    >>> step_back(Configuration(number=1), Configuration(number=2))
+    ''
+    """
+    # A full list of removals no longer names the oldest ones.
+    forgetful = len(after.removed) >= MAX_REMOVED
+    for key, known in before.objects.items():
+        if forgetful and key not in after.objects:
+            continue
+        if after.number_of(key) < known.number:
+            return key
+    return ""
--- a/carobroute/tickets/_messages.py
+++ b/carobroute/tickets/_messages.py
@@ -1,5 +1,7 @@
 """Messages that spread tickets between processes."""
 
+import msgspec
+
 from carobroute.links import Message, message
 
 
@@ -48,7 +50,7 @@
     image: bytes = b""
 
 
-class StatusMember(Message, kw_only=True):
+class StatusMember(msgspec.Struct, kw_only=True):
     """One process to ask for its ticket number."""
 
     name: str
@@ -74,7 +76,7 @@
     timeout_ms: float
 
 
-class Laggard(Message, kw_only=True):
+class Laggard(msgspec.Struct, kw_only=True):
     """One process that a ticket is not in force at.
 
     Parameters
--- a/carobroute/tickets/tests/test_keeper.py
+++ b/carobroute/tickets/tests/test_keeper.py
@@ -4,6 +4,7 @@
 
 from carobroute.links import Endpoint, LinkParameters
 from carobroute.membership import Directory, Overlay
+from carobroute.platform import Put, Transaction
 from carobroute.testing import (
     FakeTable,
     make_instance,
@@ -140,7 +141,7 @@
     node = Node("entry-0", table)
     await node.start()
     await node.begin()
-    await wait_until(lambda: node.keeper.store_failures >= 5)
+    await wait_until(lambda: node.keeper.table_failures >= 5)
     refused = await node.keeper.wait_ready(1.0)
     assert refused.failure().kind.value == "stale_configuration"
     assert "the table has not answered since the start" in refused.failure().detail
@@ -165,13 +166,16 @@
     assert "ticket_mismatch" in [name for name, _ in nodes[0].events]
 
 
-async def test_table_restored_from_an_old_copy_does_not_take_a_process_back(nodes):
+async def test_table_restored_from_an_old_copy_does_not_take_a_process_back(
+    nodes, table
+):
     node = nodes[0]
     accepted = await file_at(node, start_ticket())
     node.keeper.offer([accepted])
-    old = TicketLog(table=FakeTable(clock=node.clock), clock=node.clock)
-    node.keeper._log = old
-    await node.keeper.refresh()
+    for key in table.keys("tickets"):
+        put = Put(table="tickets", key=key, value=None)
+        await table.transact(Transaction(token=key, conditions=[], puts=[put]))
+    assert (await node.keeper.refresh()).unwrap() == 0
     assert node.keeper.current.number == 1
     assert "table_behind" in [name for name, _ in node.events]
 
@@ -187,3 +191,22 @@
     keeper.on_change(lambda configuration: seen.append(configuration.number))
     keeper.offer([await file_at(nodes[0], start_ticket())])
     assert seen == [1]
+
+
+async def test_status_names_the_silent_and_the_late(nodes):
+    for node in nodes:
+        await node.keeper.wait_ready(WAIT_MS)
+    gone = make_instance("entry-gone", address="tcp://127.0.0.1:9")
+    nodes[0].directory.learn([gone])
+    nodes[0].keeper.offer([await file_at(nodes[0], start_ticket())])
+    for node in nodes:
+        assert await node.keeper.wait_number(1, WAIT_MS)
+    answer = await nodes[0].keeper.status(1, 2_000)
+    assert answer.in_force == len(nodes)
+    assert [(e.name, e.reason) for e in answer.laggards] == [
+        ("entry-gone", "no answer")
+    ]
+    assert answer.slowest_ms >= 0
+    late = await nodes[0].keeper.status(2, 2_000)
+    assert late.in_force == 0
+    assert [e.number for e in late.laggards] == [1, 1, 1, 1, -1]
