--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -1,6 +1,8 @@
-"""Builders of test data and in-memory fakes of the platform."""
+"""Test support: processes, a fault-injecting proxy, fakes, builders of test data."""
 
 from carobroute.testing._fake_platform import FakeInstanceList, FakeTable
+from carobroute.testing._fault_proxy import FaultProxy, Faults, ProxiedPort
+from carobroute.testing._processes import Child, ProcessGroup
 from carobroute.testing._ticket_data import (
     make_instance,
     make_service,
@@ -11,8 +13,13 @@
 from carobroute.testing._waiting import wait_until
 
 __all__ = [
+    "Child",
     "FakeInstanceList",
     "FakeTable",
+    "FaultProxy",
+    "Faults",
+    "ProcessGroup",
+    "ProxiedPort",
     "make_instance",
     "make_service",
     "make_target",
--- a/carobroute/testing/_fake_platform.py
+++ b/carobroute/testing/_fake_platform.py
@@ -154,6 +154,9 @@
         if len(self._tokens) > MAX_TOKENS:
             del self._tokens[next(iter(self._tokens))]
 
+    async def close(self) -> None:
+        """Hold nothing to close."""
+
 
 class FakeInstanceList(InstanceListClient):
     """Instance list held in memory, which can lag behind by some fetches.
@@ -210,3 +213,6 @@
 
 def _unavailable() -> Result:
     return fail(ErrorKind.STORE_UNAVAILABLE, "the fake service does not answer")
+
+    async def close(self) -> None:
+        """Hold nothing to close."""
