--- a/carobroute/testing/_fake_platform.py
+++ b/carobroute/testing/_fake_platform.py
@@ -111,9 +111,6 @@
                 return result
             await self._clock.sleep_ms(RETRY_MS)
 
-    async def close(self) -> None:
-        """Do nothing; there is no connection."""
-
     def row(self, table: str, key: str) -> Row | None:
         """Return a row without counting it as a call."""
         return self._rows.get((table, key))
@@ -203,9 +200,6 @@
             del self._entries[instance.name]
         return Success(None)
 
-    async def close(self) -> None:
-        """Do nothing; there is no connection."""
-
 
 def _absent(table: str, key: str) -> Row:
     return Row(table=table, key=key, version=0, value=b"")
--- a/carobroute/tickets/__init__.py
+++ b/carobroute/tickets/__init__.py
@@ -7,9 +7,11 @@
     describe_faults,
     ticket_checks,
 )
+from carobroute.tickets._compact import TicketCompactor
 from carobroute.tickets._file import dump_ticket, load_ticket_file, parse_ticket
 from carobroute.tickets._keeper import ConfigurationKeeper, KeeperParameters
 from carobroute.tickets._log import TicketLog
+from carobroute.tickets._operator_api import ticket_routes
 from carobroute.tickets._schema import (
     CallRule,
     Configuration,
@@ -25,6 +27,7 @@
 )
 
 __all__ = [
+    "TicketCompactor",
     "ConfigurationKeeper",
     "KeeperParameters",
     "CallRule",
@@ -46,4 +49,5 @@
     "object_key",
     "parse_ticket",
     "ticket_checks",
+    "ticket_routes",
 ]
--- /dev/null
+++ b/carobroute/tickets/_compact.py
@@ -0,0 +1,187 @@
+"""Compaction: a snapshot in place of old tickets, so that the log stays short.
+
+A snapshot's rows are written first, each with a condition that it is new. One
+transaction then moves the head to it on condition that the head has not moved and that
+every row is still there; a compactor that was paused or lost its duty can therefore
+only fail. Old rows are deleted last, and a reader that loses the race reads the head
+again.
+"""
+
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.platform import Condition, Put, TableClient, Transaction
+from carobroute.tickets._codec import Head, encode_configuration, encode_row, split_rows
+from carobroute.tickets._log import (
+    HEAD_KEY,
+    TABLE,
+    TicketLog,
+    snapshot_row_key,
+    ticket_row_key,
+)
+from carobroute.utils import Clock, new_token
+
+KEEP_TICKETS = 2_000
+COMPACT_ABOVE_TICKETS = 2_700
+DELETE_BATCH_ROWS = 50
+
+
+class TicketCompactor:
+    """Replaces old tickets by a snapshot.
+
+    Parameters
+    ----------
+    log : TicketLog
+        The log to compact.
+    clock : Clock
+        Source of time.
+    keep : int, default=2000
+        Tickets that stay readable one by one.
+    above : int, default=2700
+        Number of tickets in the log from which on it is compacted.
+    guard : callable, default=None
+        Returns whether this process may still act; asked before each write.
+    on_event : callable, default=None
+        Called with an event name and fields.
+    """
+
+    __slots__ = ("_above", "_clock", "_guard", "_keep", "_log", "_on_event")
+
+    def __init__(
+        self,
+        *,
+        log: TicketLog,
+        clock: Clock,
+        keep: int = KEEP_TICKETS,
+        above: int = COMPACT_ABOVE_TICKETS,
+        guard: Callable[[], bool] | None = None,
+        on_event: Callable[..., None] | None = None,
+    ):
+        self._log = log
+        self._clock = clock
+        self._keep = keep
+        self._above = above
+        self._guard = guard or (lambda: True)
+        self._on_event = on_event or (lambda *args, **fields: None)
+
+    @property
+    def _table(self) -> TableClient:
+        return self._log.table
+
+    async def compact(self, deadline_ms: float) -> Result[int, Fault]:
+        """Compact the log if it is long; return the number up to which it is."""
+        found = await self._log.read_head()
+        if isinstance(found, Failure):
+            return found
+        head, _version = found.unwrap()
+        if head.number - head.floor <= self._above:
+            return await self._delete_old(head, deadline_ms)
+        loaded = await self._log.configuration_at(head.number - self._keep)
+        if isinstance(loaded, Failure):
+            return loaded
+        configuration = loaded.unwrap()
+        name = f"{configuration.number}-{new_token()}"
+        rows = split_rows(encode_configuration(configuration))
+        written = await self._write_rows(name, rows, deadline_ms)
+        if isinstance(written, Failure):
+            return written
+        moved = await self._move_head(
+            configuration.number, name, len(rows), deadline_ms
+        )
+        if isinstance(moved, Failure):
+            return moved
+        self._on_event("tickets_compacted", number=configuration.number)
+        return await self._delete_old(moved.unwrap(), deadline_ms)
+
+    async def _write_rows(
+        self, name: str, rows: list[bytes], deadline_ms: float
+    ) -> Result[None, Fault]:
+        for index, data in enumerate(rows):
+            key = snapshot_row_key(name, index)
+            result = await self._commit(
+                [Condition(table=TABLE, key=key, version=0)],
+                [Put(table=TABLE, key=key, value=data)],
+                deadline_ms,
+            )
+            if isinstance(result, Failure):
+                return result
+        return Success(None)
+
+    async def _move_head(
+        self, number: int, name: str, rows: int, deadline_ms: float
+    ) -> Result[Head, Fault]:
+        while True:
+            found = await self._log.read_head()
+            if isinstance(found, Failure):
+                return found
+            head, version = found.unwrap()
+            if head.floor >= number:
+                return fail(
+                    ErrorKind.CONFLICT, f"the log is already compacted to {head.floor}"
+                )
+            moved = msgspec.structs.replace(
+                head, floor=number, snapshot=name, snapshot_rows=rows
+            )
+            conditions = [Condition(table=TABLE, key=HEAD_KEY, version=version)]
+            conditions += [
+                Condition(table=TABLE, key=snapshot_row_key(name, index), version=1)
+                for index in range(rows)
+            ]
+            put = Put(table=TABLE, key=HEAD_KEY, value=encode_row(moved))
+            result = await self._commit(conditions, [put], deadline_ms)
+            if isinstance(result, Success):
+                return Success(moved)
+            fault = result.failure()
+            late = self._clock.now_ms() >= deadline_ms
+            if fault.kind is not ErrorKind.CONFLICT or late:
+                return Failure(fault)
+
+    async def _delete_old(self, head: Head, deadline_ms: float) -> Result[int, Fault]:
+        """Delete the tickets below the floor, and snapshots that nobody points to."""
+        keys = await self._old_keys(head)
+        if isinstance(keys, Failure):
+            return keys
+        doomed = keys.unwrap()
+        for start in range(0, len(doomed), DELETE_BATCH_ROWS):
+            batch = doomed[start : start + DELETE_BATCH_ROWS]
+            puts = [Put(table=TABLE, key=key, value=None) for key in batch]
+            result = await self._commit([], puts, deadline_ms)
+            if isinstance(result, Failure):
+                return result
+        return Success(head.floor)
+
+    async def _old_keys(self, head: Head) -> Result[list[str], Fault]:
+        if not head.floor:
+            return Success([])
+        tickets = await self._log.read_kept(head.floor)
+        if isinstance(tickets, Failure):
+            return tickets
+        keys = []
+        for ticket in tickets.unwrap():
+            keys += [ticket_row_key(ticket.number), f"t/{ticket.token}"]
+        rows = await self._table.scan(TABLE, "s/")
+        if isinstance(rows, Failure):
+            return rows
+        current = f"s/{head.snapshot}/"
+        # A snapshot above the floor may be one that another process still writes.
+        for row in rows.unwrap():
+            number = int(row.key.split("/")[1].split("-")[0])
+            if not row.key.startswith(current) and number <= head.floor:
+                keys.append(row.key)
+        return Success(keys)
+
+    async def _commit(
+        self, conditions: list[Condition], puts: list[Put], deadline_ms: float
+    ) -> Result[None, Fault]:
+        if not self._guard():
+            return fail(ErrorKind.STALE_FENCE, "the lease of this duty has lapsed")
+        transaction = Transaction(token=new_token(), conditions=conditions, puts=puts)
+        settled = await self._table.settle(transaction, deadline_ms=deadline_ms)
+        if isinstance(settled, Failure):
+            return settled
+        if not settled.unwrap().committed:
+            return fail(ErrorKind.CONFLICT, "a row changed meanwhile")
+        return Success(None)
--- a/carobroute/tickets/_log.py
+++ b/carobroute/tickets/_log.py
@@ -153,6 +153,31 @@
             f"the snapshot moved during each of {MAX_LOAD_ATTEMPTS} reads",
         )
 
+    async def configuration_at(self, number: int) -> Result[Configuration, Fault]:
+        """Return the configuration as it was at ticket `number`.
+
+        A `NOT_FOUND` fault means that it is ahead of the head or compacted away.
+        """
+        found = await self.read_head()
+        if isinstance(found, Failure):
+            return found
+        head, _version = found.unwrap()
+        if not head.floor <= number <= head.number:
+            return fail(
+                ErrorKind.NOT_FOUND,
+                f"configuration {number} is not kept, expected {head.floor} to"
+                f" {head.number}",
+            )
+        return await self._read_from_snapshot(head, number)
+
+    async def read_kept(self, floor: int) -> Result[list[Ticket], Fault]:
+        """Return some of the tickets that lie at or below `floor`."""
+        found = await self._table.scan(TABLE, "n/", limit=READ_LIMIT)
+        if isinstance(found, Failure):
+            return found
+        tickets = [decode_ticket(row.value) for row in found.unwrap()]
+        return Success([t for t in tickets if t.number <= floor])
+
     async def load_to(
         self, head: Head, known: Configuration
     ) -> Result[Configuration, Fault]:
@@ -161,24 +186,39 @@
         A `NOT_FOUND` fault means that a compaction moved the rows meanwhile.
         """
         if known.number < head.floor:
-            snapshot = await self._read_snapshot(head)
-            if isinstance(snapshot, Failure):
-                return snapshot
-            known = snapshot.unwrap()
-        while known.number < head.number:
+            loaded = await self._read_from_snapshot(head, head.number)
+        else:
+            loaded = await self._read_on(known, head.number)
+        if isinstance(loaded, Success):
+            self._known = loaded.unwrap()
+        return loaded
+
+    async def _read_from_snapshot(
+        self, head: Head, number: int
+    ) -> Result[Configuration, Fault]:
+        if not head.floor:
+            return await self._read_on(Configuration(), number)
+        snapshot = await self._read_snapshot(head)
+        if isinstance(snapshot, Failure):
+            return snapshot
+        return await self._read_on(snapshot.unwrap(), number)
+
+    async def _read_on(
+        self, known: Configuration, number: int
+    ) -> Result[Configuration, Fault]:
+        """Return `known` with the tickets up to `number` applied."""
+        while known.number < number:
             found = await self.read(known.number)
             if isinstance(found, Failure):
                 return found
-            tickets = [t for t in found.unwrap() if t.number <= head.number]
+            tickets = [t for t in found.unwrap() if t.number <= number]
             if not tickets:
                 return fail(
                     ErrorKind.NOT_FOUND,
-                    f"the log ends at {known.number}, expected {head.number}",
+                    f"the log ends at {known.number}, expected {number}",
                 )
             for ticket in tickets:
                 known = known.with_ticket(ticket)
-        if known.number == head.number:
-            self._known = known
         return Success(known)
 
     async def file(self, ticket: Ticket, deadline_ms: float) -> Result[Ticket, Fault]:
--- a/carobroute/tickets/tests/test_log.py
+++ b/carobroute/tickets/tests/test_log.py
@@ -10,7 +10,7 @@
     make_team,
     make_ticket,
 )
-from carobroute.tickets import TicketLog
+from carobroute.tickets import TicketCompactor, TicketLog
 from carobroute.utils import ManualClock
 from carobroute.world import TargetState
 
@@ -132,3 +132,74 @@
     (await log.file(gone, LATE_MS)).unwrap()
     configuration = (await log.load_configuration()).unwrap()
     assert configuration.with_ticket(added).team("counter") is None
+
+
+def compactor_of(log, clock, **fields):
+    return TicketCompactor(log=log, clock=clock, keep=2, above=3, **fields)
+
+
+async def file_teams(log, names):
+    for name in names:
+        based_on = (await log.head()).unwrap()
+        (
+            await log.file(make_ticket(make_team(name), based_on=based_on), LATE_MS)
+        ).unwrap()
+
+
+async def test_compacted_log_loads_to_the_same_configuration(log, table, clock):
+    await file_start(log)
+    await file_teams(log, "abcdef")
+    before = (await log.load_configuration()).unwrap()
+    assert (await compactor_of(log, clock).compact(LATE_MS)).unwrap() == 5
+    fresh = TicketLog(table=table, clock=clock)
+    after = (await fresh.load_configuration()).unwrap()
+    assert (after.number, after.chain) == (before.number, before.chain)
+    assert after.objects == before.objects
+    assert [k for k in table.keys("tickets") if k[:2] == "n/"] == [
+        "n/000000000006",
+        "n/000000000007",
+    ]
+    assert (await fresh.read(3)).failure().kind is ErrorKind.NOT_FOUND
+
+
+async def test_filing_older_than_the_log_is_refused(log, clock):
+    """Its token row may be gone, so nobody can tell whether it was accepted."""
+    await file_start(log)
+    lost = make_ticket(make_team("lost"), based_on=1)
+    (await log.file(lost, LATE_MS)).unwrap()
+    await file_teams(log, "abcdef")
+    (await compactor_of(log, clock).compact(LATE_MS)).unwrap()
+    again = await log.file(lost, LATE_MS)
+    assert again.failure().kind is ErrorKind.CONFLICT
+    assert (await log.head()).unwrap() == 8
+
+
+async def test_compactor_that_lost_its_duty_writes_nothing(log, table, clock):
+    await file_start(log)
+    await file_teams(log, "abcdef")
+    keys = table.keys("tickets")
+    stale = compactor_of(log, clock, guard=lambda: False)
+    assert (await stale.compact(LATE_MS)).failure().kind is ErrorKind.STALE_FENCE
+    assert table.keys("tickets") == keys
+
+
+async def test_second_compactor_does_not_break_the_first(log, table, clock):
+    """Another compaction finishes between the first one's rows and its head."""
+    await file_start(log)
+    await file_teams(log, "abcdef")
+    other = TicketLog(table=table, clock=clock)
+    results = await asyncio.gather(
+        compactor_of(log, clock).compact(LATE_MS),
+        compactor_of(other, clock).compact(LATE_MS),
+    )
+    assert any(result.value_or(0) == 5 for result in results)
+    fresh = TicketLog(table=table, clock=clock)
+    assert (await fresh.load_configuration()).unwrap().number == 7
+
+
+async def test_configuration_at_an_earlier_ticket(log):
+    await file_start(log)
+    await file_teams(log, "ab")
+    at = (await log.configuration_at(2)).unwrap()
+    assert at.team("a") is not None and at.team("b") is None
+    assert (await log.configuration_at(9)).failure().kind is ErrorKind.NOT_FOUND
