--- /dev/null
+++ b/carobroute/leases/__init__.py
@@ -0,0 +1,15 @@
+"""Duties that one process at a time holds, and the fences that guard their effects."""
+
+from carobroute.leases._duties import Duties, DutyParameters
+from carobroute.leases._gate import FenceGate
+from carobroute.leases._lease import Lease, LeaseKeeper, LeaseParameters, LeaseRow
+
+__all__ = [
+    "Duties",
+    "DutyParameters",
+    "FenceGate",
+    "Lease",
+    "LeaseKeeper",
+    "LeaseParameters",
+    "LeaseRow",
+]
