Run the stand-in engine as a registered command

The engine cancels a call whose caller disconnects, so the loop that serves a stand-in can now cancel handlers; fence headers and answers agree with the order stand-in.

--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -11,6 +11,7 @@
 
 MS_PER_S = 1_000
 PIECE_BYTES = 64 * 1024
+STALE_FENCE_STATUS = 409
 
 HOP_HEADERS = frozenset(
     {
@@ -183,7 +184,7 @@
         detail = f"{path} answered {status}, expected 200: {data[:200]!r}"
         if status == 404:
             return fail(ErrorKind.NOT_FOUND, detail)
-        if status == 412:
+        if status == STALE_FENCE_STATUS:
             return fail(ErrorKind.STALE_FENCE, detail)
         return fail(ErrorKind.TARGET_FAILED, detail)
 
--- a/carobroute/engines/_plain.py
+++ b/carobroute/engines/_plain.py
@@ -18,7 +18,8 @@
 from carobroute.utils import Clock
 from carobroute.world import CallClass
 
-FENCE_HEADER = "X-Fence"
+FENCE_HEADER = "X-Carobroute-Fence"
+REQUEST_HEADER = "X-Carobroute-Request"
 
 
 @engine_adapters.register("plain")
@@ -64,6 +65,7 @@
     async def open(self, call: EngineCall) -> Result[EngineAnswer, Fault]:
         """Send `call` and return the answer once it has begun."""
         headers = end_to_end(call.headers)
+        headers[REQUEST_HEADER] = call.request_id
         if call.fence:
             headers[FENCE_HEADER] = str(call.fence)
         sent = await self._transport.send(
--- a/carobroute/standins/_command.py
+++ b/carobroute/standins/_command.py
@@ -28,17 +28,27 @@
     return stand_ins
 
 
-def serve(application: web.Application, *, port: int) -> None:
+def serve(
+    application: web.Application, *, port: int, handler_cancellation: bool = False
+) -> None:
     """Serve `application` on loopback until SIGTERM or SIGINT.
 
-    Prints `READY address=http://127.0.0.1:PORT` once it accepts connections.
+    Prints `READY address=http://127.0.0.1:PORT` once it accepts connections. With
+    `handler_cancellation`, a handler is cancelled when its caller disconnects.
     """
     with contextlib.suppress(KeyboardInterrupt):
-        uvloop.run(_serve(application, port))
-
-
-async def _serve(application: web.Application, port: int) -> None:
-    runner = web.AppRunner(application, access_log=None, shutdown_timeout=0.1)
+        uvloop.run(_serve(application, port, handler_cancellation))
+
+
+async def _serve(
+    application: web.Application, port: int, handler_cancellation: bool
+) -> None:
+    runner = web.AppRunner(
+        application,
+        access_log=None,
+        shutdown_timeout=0.1,
+        handler_cancellation=handler_cancellation,
+    )
     await runner.setup()
     with socket.create_server(("127.0.0.1", port), backlog=1024) as listener:
         await web.SockSite(runner, listener).start()
--- a/carobroute/standins/_engine.py
+++ b/carobroute/standins/_engine.py
@@ -1,6 +1,5 @@
 """Stand-in model engine: OpenAI-shaped calls over a batch that makes steps."""
 
-import argparse
 import asyncio
 import base64
 import contextlib
@@ -21,13 +20,15 @@
     count_tokens,
     prompt_text,
 )
+from carobroute.standins._command import serve, stand_ins
 from carobroute.standins._engine_batch import Batch, Settings, Stream
 from carobroute.utils import Clock, new_incarnation
 
 DEFAULT_TOKENS = 32
 KEPT_RUNS = 100_000
 KEPT_IMPORTS = 1_000
-CRASH_STATUS = 70
+CRASH_STATUS = 86
+STALE_FENCE_STATUS = 409
 
 
 class Run(msgspec.Struct, kw_only=True):
@@ -221,7 +222,7 @@
         order = msgspec.json.decode(await request.read(), type=EngineOrder)
         if self.settings.honours_fencing and order.fence < self.fence:
             self.refused_orders += 1
-            return _json({"fence": self.fence}, status=412)
+            return _json({"fence": self.fence}, status=STALE_FENCE_STATUS)
         self.fence = max(self.fence, order.fence)
         self.orders.append(order)
         return _json({})
@@ -275,50 +276,30 @@
     return {"id": f"chatcmpl-{stream.request_id}", "choices": [choice], "usage": used}
 
 
-def parser() -> argparse.ArgumentParser:
-    """Return the parser of the engine's options."""
-    options = argparse.ArgumentParser(prog="engine", description=__doc__)
-    options.add_argument("--port", type=int, default=0)
-    options.add_argument("--name", default="engine")
-    options.add_argument("--seed", type=int, default=1)
-    defaults = Settings()
-    for field in msgspec.structs.fields(Settings):
-        option = "--" + field.name.replace("_", "-")
-        if field.type is bool:
-            options.add_argument(
-                option,
-                action=argparse.BooleanOptionalAction,
-                default=getattr(defaults, field.name),
-            )
-        else:
-            options.add_argument(
-                option, type=field.type, default=getattr(defaults, field.name)
-            )
-    return options
-
-
-async def serve(argv: list[str] | None = None) -> None:
-    """Serve until cancelled."""
-    chosen = vars(parser().parse_args(argv))
-    port, name, seed = (chosen.pop(key) for key in ("port", "name", "seed"))
-    server = EngineServer(name=name, settings=Settings(**chosen), seed=seed)
-    runner = web.AppRunner(server.app(), handler_cancellation=True, shutdown_timeout=1)
-    await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", port)
-    await site.start()
-    bound = runner.addresses[0][1]
-    print(f"READY address=http://127.0.0.1:{bound}", flush=True)
-    try:
-        await asyncio.Event().wait()
-    finally:
-        await runner.cleanup()
-
-
-def main(argv: list[str] | None = None) -> None:
-    """Run the stand-in engine."""
-    with contextlib.suppress(KeyboardInterrupt):
-        asyncio.run(serve(argv))
-
-
-if __name__ == "__main__":
-    main()
+@stand_ins.register("engine")
+def engine(
+    port: int = 0,
+    name: str = "engine",
+    seed: int = 1,
+    concurrency: int = 8,
+    prefill_ms_per_token: float = 0.05,
+    step_ms: float = 5.0,
+    cache_blocks: int = 2_000,
+    event_loss: float = 0.0,
+    crash_on: str = "",
+    resume: bool = True,
+    honours_fencing: bool = False,
+) -> None:
+    """Model engine with continuous batching; its faults are set at `/_faults`."""
+    settings = Settings(
+        concurrency=concurrency,
+        prefill_ms_per_token=prefill_ms_per_token,
+        step_ms=step_ms,
+        cache_blocks=cache_blocks,
+        event_loss=event_loss,
+        crash_on=crash_on,
+        resume=resume,
+        honours_fencing=honours_fencing,
+    )
+    server = EngineServer(name=name, settings=settings, seed=seed)
+    serve(server.app(), port=port, handler_cancellation=True)
