--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks: one module for each, run as `python -m benchmarks.NAME`."""
