--- /dev/null
+++ b/benchmarks/demo.py
@@ -0,0 +1,181 @@
+"""The whole path as separate processes, from a caller's stream to a drained target."""
+
+import argparse
+import asyncio
+import sys
+import tempfile
+from pathlib import Path
+
+from benchmarks._callers import CallerAnswer, send_example
+from carobroute.testing import Fleet, FleetShape, FleetTarget, wait_until
+from carobroute.world import ServiceKind
+
+DESK = Path("examples/klangbjallra")
+LOAD_STREAMS = 24
+MORE_STREAMS = 12
+DRAIN_TIMEOUT_S = 30.0
+
+
+def say(text: str) -> None:
+    """Print one line of the demonstration."""
+    print(text, flush=True)
+
+
+def model_request(fleet: Fleet) -> dict:
+    """Return the first example request that streams."""
+    return next(
+        entry for entry in fleet.requests if entry.get("body", {}).get("stream")
+    )
+
+
+async def show_stream(fleet: Fleet) -> bool:
+    """Stream one real prompt's answer back, piece by piece."""
+    request = model_request(fleet)
+    answer = await send_example(fleet, 0, request)
+    say(
+        f"stream: {request['name']!r} for team {request['team']}: status"
+        f" {answer.status}, {len(answer.pieces)} pieces, request {answer.request_id}"
+    )
+    for piece in answer.pieces[:3]:
+        say(f"  {piece.decode().strip()[:100]}")
+    return answer.is_whole_stream and len(answer.pieces) > 3
+
+
+async def show_order(fleet: Fleet) -> bool:
+    """Place an order twice with one key; it must run once."""
+    request = next(r for r in fleet.requests if _key_of(r))
+    first = await send_example(fleet, 0, request)
+    again = await send_example(fleet, 1, request)
+    runs = await _count_runs(fleet, _key_of(request))
+    say(
+        f"order: {request['name']!r}, key {_key_of(request)!r}: status {first.status};"
+        f" sent again through another entry: status {again.status}, same answer:"
+        f" {first.body == again.body}; runs at the targets: {runs}"
+    )
+    return first.status < 300 and first.body == again.body and runs == 1
+
+
+async def show_stock(fleet: Fleet) -> bool:
+    """Look stock up."""
+    request = next(r for r in fleet.requests if "/stock/" in r["path"])
+    answer = await send_example(fleet, 2, request)
+    say(
+        f"stock: {request['path']}: status {answer.status}, {answer.body.decode()[:80]}"
+    )
+    return answer.status == 200
+
+
+async def show_drain(fleet: Fleet) -> bool:
+    """Drain a target by ticket while streams run on it; none may be cut."""
+    target = fleet.targets_of(ServiceKind.MODEL)[0]
+    request = model_request(fleet)
+    streams = [
+        asyncio.create_task(send_example(fleet, number % 3, request))
+        for number in range(LOAD_STREAMS)
+    ]
+    await wait_until(lambda: _is_running(fleet, target), what="the target has work")
+    printed = await fleet.file_ticket(fleet.entries[1], drain_ticket(target))
+    say("ticket filed:\n" + printed.rstrip())
+    status = await fleet.run_tool(
+        "ticket", "status", "--address", fleet.entries[2].ready["operator"]
+    )
+    say("ticket status:\n" + status.rstrip())
+    answers: list[CallerAnswer] = await asyncio.gather(*streams)
+    whole = sum(answer.is_whole_stream for answer in answers)
+    for answer in answers:
+        if not answer.is_whole_stream:
+            say(f"cut: {answer.status} {answer.body[-300:]!r}")
+    await wait_until(
+        lambda: _is_empty(fleet, target),
+        what="the target is empty",
+        timeout_s=DRAIN_TIMEOUT_S,
+    )
+    before = await _target_runs(fleet, target)
+    later = [send_example(fleet, n % 3, request) for n in range(MORE_STREAMS)]
+    more = await asyncio.gather(*later)
+    new_work = await _target_runs(fleet, target) - before
+    say(
+        f"drain: {target.name}: {whole} of {len(answers)} running streams whole; then"
+        f" {sum(a.is_whole_stream for a in more)} of {len(more)} whole elsewhere, new"
+        f" work on the drained target: {new_work}"
+    )
+    good = all(answer.is_whole_stream for answer in more)
+    return whole == len(answers) and good and new_work == 0
+
+
+def drain_ticket(target: FleetTarget) -> dict:
+    """Return a ticket that drains `target`."""
+    return {
+        "author": "elsa",
+        "reason": f"{target.name} runs hot",
+        "based_on": 1,
+        "token": f"drain-{target.name}",
+        "objects": [{**target.fields, "state": "draining"}],
+    }
+
+
+async def run(directory: Path) -> bool:
+    """Run every part and return whether all did as they should."""
+    shape = FleetShape(entries=3)
+    async with Fleet(desk=DESK, directory=directory, shape=shape) as fleet:
+        say(
+            f"started: platform, {len(fleet.targets)} targets with their local"
+            f" processes, {len(fleet.entries)} entries in {len(fleet.data_centres)}"
+            " data centres"
+        )
+        met = True
+        for part in (show_stream, show_order, show_stock, show_drain):
+            good = await part(fleet)
+            if not good:
+                say(f"NOT AS EXPECTED: {part.__name__}")
+            met = met and good
+    say(f"stopped: {len(fleet.group.children)} processes")
+    return met
+
+
+def main() -> None:
+    """Run the demonstration."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--quick", action="store_true")
+    parser.parse_args()
+    with tempfile.TemporaryDirectory() as directory:
+        met = asyncio.run(run(Path(directory)))
+    say(f"RESULT name=demo met={'yes' if met else 'no'}")
+    sys.exit(0 if met else 1)
+
+
+def _key_of(request: dict) -> str:
+    return request.get("headers", {}).get("Idempotency-Key", "")
+
+
+async def _count_runs(fleet: Fleet, key: str) -> int:
+    """Return how often the order stand-ins ran the order with `key`."""
+    runs = 0
+    for target in fleet.targets_of(ServiceKind.PLAIN):
+        record = await fleet.read_json(target.stand_in.address, "/_record")
+        runs += sum(1 for run in record["runs"] if run["key"] == key)
+    return runs
+
+
+async def _local_state(fleet: Fleet, target: FleetTarget) -> dict:
+    dump = await fleet.read_json(target.local.address, "/operator/dump")
+    return dump["local"]
+
+
+async def _is_running(fleet: Fleet, target: FleetTarget) -> bool:
+    return (await _local_state(fleet, target))["running"] > 0
+
+
+async def _is_empty(fleet: Fleet, target: FleetTarget) -> bool:
+    state = await _local_state(fleet, target)
+    return bool(state["leaving"]) and not state["attempts"]
+
+
+async def _target_runs(fleet: Fleet, target: FleetTarget) -> int:
+    record = await fleet.read_json(target.stand_in.address, "/_record")
+    return len(record["runs"])
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/carobroute/daemon/_command.py
@@ -0,0 +1,70 @@
+"""The command `carobrouted`."""
+
+from pathlib import Path
+from typing import Annotated
+
+import typer
+import uvloop
+from returns.result import Failure
+
+from carobroute.daemon._entry import EntryDaemon
+from carobroute.daemon._local import LocalDaemon
+from carobroute.settings import Settings, load_settings
+from carobroute.world import InstanceRole
+
+EXIT_SETTINGS = 2
+
+app = typer.Typer(
+    name="carobrouted",
+    help="Run one process of a carobroute fleet.",
+    no_args_is_help=True,
+)
+
+SettingsFile = Annotated[
+    Path, typer.Option("--settings", help="YAML file with this process's settings")
+]
+
+
+def main() -> None:
+    """Run the command line."""
+    app()
+
+
+@app.command()
+def entry(settings: SettingsFile) -> None:
+    """Take callers' requests, route them and stream the answers back."""
+    uvloop.run(EntryDaemon(settings=_load(settings, InstanceRole.ENTRY)).run())
+
+
+@app.command()
+def local(settings: SettingsFile) -> None:
+    """Stand beside one target and be the only one that talks to it."""
+    uvloop.run(LocalDaemon(settings=_load(settings, InstanceRole.LOCAL)).run())
+
+
+@app.command()
+def check(
+    file: Annotated[Path, typer.Argument(help="YAML file with settings")],
+) -> None:
+    """Check a settings file as a whole and name every fault in it."""
+    loaded = load_settings(file)
+    if isinstance(loaded, Failure):
+        typer.echo(str(loaded.failure()), err=True)
+        raise typer.Exit(EXIT_SETTINGS)
+    typer.echo(f"{file}: good settings for role {loaded.unwrap().instance.role.value}")
+
+
+def _load(path: Path, role: InstanceRole) -> Settings:
+    loaded = load_settings(path)
+    if isinstance(loaded, Failure):
+        typer.echo(str(loaded.failure()), err=True)
+        raise typer.Exit(EXIT_SETTINGS)
+    settings = loaded.unwrap()
+    if settings.instance.role is not role:
+        typer.echo(
+            f"{path}: instance.role is {settings.instance.role.value!r}, expected"
+            f" {role.value!r}",
+            err=True,
+        )
+        raise typer.Exit(EXIT_SETTINGS)
+    return settings
--- /dev/null
+++ b/carobroute/daemon/_process.py
@@ -0,0 +1,298 @@
+"""What an entry and a local process have in common."""
+
+import asyncio
+import random
+import signal
+import ssl
+
+from aiohttp import web
+from returns.result import Failure
+
+from carobroute.daemon._operator import OperatorInterface
+from carobroute.daemon._web import WebSite
+from carobroute.links import Endpoint, LinkParameters
+from carobroute.membership import Directory, ListPoller, Overlay
+from carobroute.platform import PlatformClients, platform_adapters
+from carobroute.requests import BlameSpreader, Quarantine
+from carobroute.settings import Settings, read_secret
+from carobroute.telemetry import Telemetry
+from carobroute.tickets import ConfigurationKeeper, TicketLog, ticket_routes
+from carobroute.utils import Clock, TaskSet, new_incarnation
+from carobroute.world import Instance
+
+CONFIGURATION_WAIT_MS = 10_000.0
+
+
+class Process:
+    """Links, configuration, membership and operators' interface of one process.
+
+    Parameters
+    ----------
+    settings : Settings
+        Checked settings.
+    """
+
+    def __init__(self, *, settings: Settings):
+        self.settings = settings
+        self.clock = Clock()
+        instance = settings.instance
+        self.incarnation = new_incarnation(instance.name)
+        self.random = random.Random(self.incarnation)
+        self.telemetry = Telemetry(
+            name=instance.name,
+            incarnation=self.incarnation,
+            settings=settings.log,
+            clock=self.clock,
+        )
+        self.tasks = TaskSet(on_failure=self._task_failed)
+        self.endpoint = Endpoint(
+            name=instance.name,
+            role=instance.role.value,
+            data_centre=instance.data_centre,
+            incarnation=self.incarnation,
+            clock=self.clock,
+            parameters=self._link_parameters(),
+            ticket_number=lambda: self.keeper.current.number,
+            on_event=self.telemetry.log.event,
+        )
+        self.platform = self._make_platform()
+        self.log = TicketLog(table=self.platform.table, clock=self.clock)
+        self.ready = False
+        self.stopping = False
+        self.instance: Instance
+        self.directory: Directory
+        self.poller: ListPoller
+        self.keeper: ConfigurationKeeper
+        self.overlay: Overlay
+        self.quarantine = Quarantine(clock=self.clock)
+        self.blames: BlameSpreader
+        self._operator_site: WebSite | None = None
+        self._stop_asked = asyncio.Event()
+
+    async def run(self) -> None:
+        """Run until SIGTERM or SIGINT, then end without cutting anything."""
+        loop = asyncio.get_running_loop()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            loop.add_signal_handler(number, self._stop_asked.set)
+        try:
+            await self._start()
+            await self._stop_asked.wait()
+            # A second signal finds the same handler and does not cut either.
+            self.stopping = True
+            self.telemetry.log.event("process_stopping", in_flight=self.in_flight)
+            await self.finish()
+        finally:
+            await self._stop()
+
+    @property
+    def in_flight(self) -> int:
+        """Calls in hand."""
+        return 0
+
+    async def begin(self) -> None:
+        """Start the role's own parts, before the process is announced."""
+        raise NotImplementedError
+
+    async def finish(self) -> None:
+        """End the role's own parts without cutting what is in flight."""
+        raise NotImplementedError
+
+    def own_instance(self, address: str) -> Instance:
+        """Return the entry of this process for the instance list."""
+        raise NotImplementedError
+
+    def ticket_routes(self) -> list[web.RouteDef]:
+        """Return the operators' routes for tickets."""
+        return ticket_routes(self.keeper, self.log, self.directory)
+
+    def operator_routes(self) -> list[web.RouteDef]:
+        """Return the operators' routes of this role."""
+        return self.ticket_routes()
+
+    async def _start(self) -> None:
+        address = await self.endpoint.start(self.settings.links.bind)
+        self.instance = self.own_instance(address)
+        self.directory = Directory(
+            clock=self.clock, own=self.instance, on_event=self.telemetry.log.event
+        )
+        self.overlay = Overlay(
+            directory=self.directory,
+            endpoint=self.endpoint,
+            clock=self.clock,
+            random=self.random,
+            on_event=self.telemetry.log.event,
+        )
+        self.keeper = ConfigurationKeeper(
+            log=self.log,
+            endpoint=self.endpoint,
+            directory=self.directory,
+            clock=self.clock,
+            random=self.random,
+            name=self.settings.instance.name,
+            overlay=self.overlay,
+            on_event=self.telemetry.log.event,
+        )
+        self.blames = BlameSpreader(
+            quarantine=self.quarantine,
+            endpoint=self.endpoint,
+            neighbours=lambda: self.overlay.neighbours,
+        )
+        self.poller = ListPoller(
+            instances=self.platform.instances,
+            directory=self.directory,
+            clock=self.clock,
+            random=self.random,
+        )
+        self._register_dump()
+        await self._start_operator_site()
+        await self.poller.start()
+        self.blames.start()
+        await self.overlay.start()
+        await self.keeper.start()
+        await self._wait_configured()
+        await self.begin()
+        self.ready = True
+        self.telemetry.log.event(
+            "process_ready", ticket=self.keeper.current.number, link=address
+        )
+        print(self.ready_line(), flush=True)
+
+    async def _wait_configured(self) -> None:
+        """Wait for the head of the tickets, however long the store is away."""
+        while not self._stop_asked.is_set():
+            found = await self.keeper.wait_ready(CONFIGURATION_WAIT_MS)
+            if not isinstance(found, Failure):
+                return
+            self.telemetry.log.event(
+                "waiting_for_configuration",
+                level="warning",
+                reason=str(found.failure()),
+            )
+
+    def ready_line(self) -> str:
+        """Return the line that tells where the process listens."""
+        return (
+            f"READY address={self.operator_address} operator={self.operator_address}"
+            f" link={self.endpoint.address}"
+        )
+
+    async def _start_operator_site(self) -> None:
+        tokens: list[str] = []
+        if self.settings.operator.token_file:
+            tokens = read_secret(self.settings.operator.token_file).unwrap()
+        interface = OperatorInterface(
+            telemetry=self.telemetry,
+            tokens=tokens,
+            ready=lambda: self.ready and not self.stopping,
+            routes=self.operator_routes(),
+        )
+        self._operator_site = WebSite(
+            application=interface.application(), bind=self.settings.operator.http_bind
+        )
+        self.operator_address = await self._operator_site.start()
+
+    async def _stop(self) -> None:
+        if self._operator_site is not None:
+            await self._operator_site.stop()
+        await self.tasks.close()
+        await self.keeper.stop()
+        await self.overlay.stop()
+        await self.endpoint.stop()
+        await self.platform.close()
+
+    def _register_dump(self) -> None:
+        dump = self.telemetry.dump
+        dump.register("process", self._dump_process)
+        dump.register("peers", self._dump_peers)
+        dump.register("link_counts", lambda: dict(self.endpoint.counts))
+        dump.register("configuration", self._dump_configuration)
+        dump.register("directory", self._dump_directory)
+
+    def _dump_process(self) -> dict[str, object]:
+        instance = self.settings.instance
+        return {
+            "name": instance.name,
+            "role": instance.role.value,
+            "data_centre": instance.data_centre,
+            "region": instance.region,
+            "incarnation": self.incarnation,
+            "ready": self.ready,
+            "stopping": self.stopping,
+            "in_flight": self.in_flight,
+            "ticket": self.keeper.current.number,
+        }
+
+    def _dump_peers(self) -> list[dict[str, object]]:
+        return [
+            {
+                "name": str(peer),
+                "incarnation": peer.incarnation,
+                "address": peer.address,
+                "up": peer.up,
+                "silent_ms": round(peer.silent_ms),
+                "reopened": peer.reopened,
+                "queued": peer.queued,
+                "ticket": peer.ticket,
+            }
+            for peer in self.endpoint.peers
+        ]
+
+    def _dump_configuration(self) -> dict[str, object]:
+        current = self.keeper.current
+        return {
+            "number": current.number,
+            "objects": {key: entry.number for key, entry in current.objects.items()},
+        }
+
+    def _dump_directory(self) -> list[dict[str, object]]:
+        return [
+            {
+                "name": entry.name,
+                "incarnation": entry.incarnation,
+                "role": entry.role.value,
+                "target": entry.target,
+                "state": entry.state.value,
+                "address": entry.address,
+            }
+            for entry in self.directory.instances()
+        ]
+
+    def _link_parameters(self) -> LinkParameters:
+        links = self.settings.links
+        return LinkParameters(
+            ping_busy_ms=links.ping_busy_ms,
+            ping_idle_ms=links.ping_idle_ms,
+            silence_ms=links.silence_ms,
+            reopen_ms=links.reopen_ms,
+            reopen_most_ms=links.reopen_most_ms,
+            max_queued=links.max_queued,
+        )
+
+    def _make_platform(self) -> PlatformClients:
+        platform = self.settings.platform
+        token = ""
+        if platform.token_file:
+            token = read_secret(platform.token_file).unwrap()[0]
+        return platform_adapters.get(platform.adapter)(
+            table_url=platform.table_url,
+            objects_url=platform.objects_url,
+            instances_url=platform.instances_url,
+            clock=self.clock,
+            random=self.random,
+            timeout_ms=platform.timeout_ms,
+            token=token,
+        )
+
+    def _task_failed(self, name: str, error: BaseException) -> None:
+        self.telemetry.log.event(
+            "task_failed", level="error", task=name, error=repr(error)
+        )
+
+
+def load_tls(certificate_file: str, key_file: str) -> ssl.SSLContext | None:
+    """Return the TLS context for a listening socket, or None without a certificate."""
+    if not certificate_file:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(certificate_file, key_file)
+    return context
--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -1,18 +1,20 @@
 """HTTP to one target: connections, time limits, faults."""
 
 import asyncio
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 import aiohttp
 from returns.result import Failure, Result, Success
 
 from carobroute.engines._interface import EngineParameters
-from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.errors import ErrorKind, Fault, FaultError, fail
 
 MS_PER_S = 1_000
 PIECE_BYTES = 64 * 1024
 STALE_FENCE_STATUS = 409
 
+Guard = Callable[[], Fault | None]
+
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -94,6 +96,7 @@
         body: bytes = b"",
         first_byte_ms: float,
         fresh: bool,
+        guard: Guard | None = None,
     ) -> Result[aiohttp.ClientResponse, Fault]:
         """Send a request and return the response once its headers are there.
 
@@ -110,6 +113,9 @@
         fresh : bool
             Whether to use a new connection. A kept one may have gone silent
             unnoticed, and a request lost on it has an unknown outcome.
+        guard : callable or None, default=None
+            Asked once the connection stands, right before the request is written; a
+            fault that it returns keeps the request from being sent.
 
         Returns
         -------
@@ -135,7 +141,10 @@
                     data=body or None,
                     timeout=limit,
                     allow_redirects=False,
+                    trace_request_ctx=None if guard is None else _OneSend(guard=guard),
                 )
+        except FaultError as error:
+            return Failure(error.fault)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return fail(
                 ErrorKind.NO_TARGET, f"no connection to {self._address}: {error}"
@@ -198,4 +207,46 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=PIECE_BYTES,
             skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
+            trace_configs=[_guarding()],
         )
+
+
+class _OneSend:
+    """Leave to write one request once.
+
+    The HTTP library sends a request of an idempotent method again on its own when
+    the connection breaks, whatever the service makes of that method.
+    """
+
+    __slots__ = ("_guard", "_used")
+
+    def __init__(self, *, guard: Guard):
+        self._guard = guard
+        self._used = False
+
+    def check(self) -> None:
+        """Raise unless the request may be written now."""
+        if self._used:
+            raise FaultError(
+                Fault(
+                    kind=ErrorKind.OUTCOME_UNKNOWN,
+                    detail="the connection broke after the request was written",
+                )
+            )
+        fault = self._guard()
+        if fault is not None:
+            raise FaultError(fault)
+        self._used = True
+
+
+def _guarding() -> aiohttp.TraceConfig:
+    """Return the trace that asks a request's guard once its connection stands."""
+
+    async def check(session, context, params) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx.check()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(check)
+    trace.on_connection_reuseconn.append(check)
+    return trace
--- a/carobroute/engines/_interface.py
+++ b/carobroute/engines/_interface.py
@@ -70,6 +70,10 @@
         Exported KV handle for a resumed call, or empty.
     fence : int
         Fencing number of an order; 0 for none.
+    guard : callable or None
+        Asked right before the call is written to a connection; a fault that it
+        returns keeps the call from being sent. A call with a guard is written at
+        most once.
     """
 
     request_id: str
@@ -83,6 +87,7 @@
     resume_from: int = 0
     resume_state: bytes = b""
     fence: int = 0
+    guard: Callable[[], Fault | None] | None = None
 
 
 class EngineAnswer:
--- a/carobroute/engines/_plain.py
+++ b/carobroute/engines/_plain.py
@@ -75,6 +75,7 @@
             body=call.body,
             first_byte_ms=call.deadline_ms or self._parameters.first_byte_ms,
             fresh=call.call_class is CallClass.NON_IDEMPOTENT,
+            guard=call.guard,
         )
         if isinstance(sent, Failure):
             return sent
--- /dev/null
+++ b/carobroute/entry/_writer.py
@@ -0,0 +1,196 @@
+"""Answers to callers: whole, or with an error that says what may be concluded."""
+
+import asyncio
+import math
+
+import msgspec
+from aiohttp import web
+
+from carobroute.errors import Fault, Outcome
+from carobroute.utils import Clock
+
+REQUEST_ID_HEADER = "X-Request-Id"
+OUTCOME_HEADER = "X-Carobroute-Outcome"
+RESEND_HEADER = "X-Carobroute-Resend"
+EVENT_STREAM = "text/event-stream"
+MS_PER_S = 1_000
+
+
+class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
+    """Content of an error answer, in the shape that OpenAI clients read.
+
+    Parameters
+    ----------
+    message : str
+        What was got and what was expected.
+    type : str
+        Error kind.
+    code : str
+        Error kind again, where clients look for it.
+    outcome : str
+        `done`, `not_run` or `unknown`.
+    resend : bool
+        Whether the request may be sent again unchanged.
+    request_id : str
+        Identifier to quote to the operators.
+    """
+
+    message: str
+    type: str
+    code: str
+    outcome: str
+    resend: bool
+    request_id: str
+
+
+class ErrorDocument(msgspec.Struct, frozen=True, kw_only=True):
+    """Envelope of an error answer."""
+
+    error: ErrorBody
+
+
+def encode_error(fault: Fault, request_id: str) -> bytes:
+    """Return the JSON document that tells a caller of `fault`."""
+    answer = fault.answer
+    body = ErrorBody(
+        message=fault.detail,
+        type=fault.kind.value,
+        code=fault.kind.value,
+        outcome=answer.outcome.value,
+        resend=answer.resend,
+        request_id=request_id,
+    )
+    return msgspec.json.encode(ErrorDocument(error=body))
+
+
+def error_headers(fault: Fault, request_id: str) -> dict[str, str]:
+    """Return the headers of an error answer."""
+    answer = fault.answer
+    headers = {
+        REQUEST_ID_HEADER: request_id,
+        OUTCOME_HEADER: answer.outcome.value,
+        RESEND_HEADER: "yes" if answer.resend else "no",
+        "Content-Type": "application/json",
+    }
+    if answer.retry_after:
+        wait_s = math.ceil(max(fault.retry_after_ms, MS_PER_S) / MS_PER_S)
+        headers["Retry-After"] = str(wait_s)
+    return headers
+
+
+def error_response(fault: Fault, request_id: str) -> web.Response:
+    """Return the whole error answer for a call that has had no answer yet."""
+    return web.Response(
+        status=fault.answer.status,
+        body=encode_error(fault, request_id),
+        headers=error_headers(fault, request_id),
+    )
+
+
+class CallerWriter:
+    """Writes one answer to one caller.
+
+    Parameters
+    ----------
+    request : web.Request
+        The caller's request.
+    request_id : str
+        Identifier of the call.
+    write_ms : float
+        Longest time that a caller may take to accept one chunk.
+    clock : Clock or None, default=None
+        Source of time.
+    """
+
+    __slots__ = (
+        "_chunks",
+        "_clock",
+        "_request",
+        "_request_id",
+        "_response",
+        "_write_ms",
+        "first_byte_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        request: web.Request,
+        request_id: str,
+        write_ms: float,
+        clock: Clock | None = None,
+    ):
+        self._clock = clock or Clock()
+        self.first_byte_ms = 0.0
+        self._request = request
+        self._request_id = request_id
+        self._write_ms = write_ms
+        self._response: web.StreamResponse | None = None
+        self._chunks = 0
+
+    @property
+    def started(self) -> bool:
+        """Whether the status line has been sent."""
+        return self._response is not None
+
+    @property
+    def chunks(self) -> int:
+        """Number of chunks written."""
+        return self._chunks
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Send status and headers."""
+        response = web.StreamResponse(status=status)
+        for name, value in headers.items():
+            response.headers[name] = value
+        response.headers[REQUEST_ID_HEADER] = self._request_id
+        response.headers[OUTCOME_HEADER] = Outcome.DONE.value
+        if self._is_stream(response):
+            response.headers["Cache-Control"] = "no-cache"
+        await response.prepare(self._request)
+        self._response = response
+        self.first_byte_ms = self._clock.now_ms()
+
+    async def write(self, data: bytes) -> None:
+        """Send one chunk, waiting for a slow caller up to the limit.
+
+        Raises
+        ------
+        ConnectionError
+            If the caller has gone, or took longer than `write_ms`.
+        """
+        assert self._response is not None
+        try:
+            async with asyncio.timeout(self._write_ms / MS_PER_S):
+                await self._response.write(data)
+        except TimeoutError as error:
+            self._abort()
+            raise ConnectionResetError("caller accepts no more data") from error
+        self._chunks += 1
+
+    async def finish(self) -> web.StreamResponse:
+        """End a whole answer."""
+        assert self._response is not None
+        await self._response.write_eof()
+        return self._response
+
+    async def fail(self, fault: Fault) -> web.StreamResponse:
+        """Tell the caller of `fault`, never passing a cut answer off as whole."""
+        if self._response is None:
+            return error_response(fault, self._request_id)
+        if self._is_stream(self._response):
+            event = b"data: " + encode_error(fault, self._request_id) + b"\n\n"
+            await self.write(event)
+            await self._response.write_eof()
+            return self._response
+        # Without the last chunk of the transfer coding, clients see an error.
+        self._abort()
+        return self._response
+
+    def _abort(self) -> None:
+        if self._request.transport is not None:
+            self._request.transport.abort()
+
+    @staticmethod
+    def _is_stream(response: web.StreamResponse) -> bool:
+        return response.headers.get("Content-Type", "").startswith(EVENT_STREAM)
--- a/carobroute/errors/_kinds.py
+++ b/carobroute/errors/_kinds.py
@@ -42,6 +42,7 @@
     STREAM_BROKEN = "stream_broken"
     OUTCOME_UNKNOWN = "outcome_unknown"
     PEER_LOST = "peer_lost"
+    TIMEOUT = "timeout"
     CANCELLED = "cancelled"
     INTERNAL = "internal"
 
@@ -102,6 +103,7 @@
     ErrorKind.STREAM_BROKEN: _unknown(502),
     ErrorKind.OUTCOME_UNKNOWN: _unknown(500),
     ErrorKind.PEER_LOST: _unknown(504),
+    ErrorKind.TIMEOUT: _unknown(504),
     ErrorKind.CANCELLED: _unknown(499),
     ErrorKind.INTERNAL: _unknown(500),
 }
--- a/carobroute/links/_codec.py
+++ b/carobroute/links/_codec.py
@@ -1,12 +1,14 @@
 """Frames: what one pyzmq message holds."""
 
+from collections import deque
+
 import msgspec
 
 from carobroute.links._messages import Message, message_types
 
 VERSION = 1
 LOWEST_VERSION = 1
-MAX_FRAME_BYTES = 32 * 1024 * 1024
+FRAME_TARGET_BYTES = 1024 * 1024
 
 _encoder = msgspec.msgpack.Encoder()
 
@@ -45,6 +47,21 @@
     return _encoder.encode(Frame(version, incarnation, ticket, body))
 
 
+def take_batch(queue: deque[Message]) -> list[Message]:
+    """Remove and return messages from the left of `queue` for one frame.
+
+    A frame is closed once its large fields reach `FRAME_TARGET_BYTES`, so that many
+    large bodies in a row do not add up to a frame that the receiver refuses.
+    """
+    batch: list[Message] = []
+    size = 0
+    while queue and size < FRAME_TARGET_BYTES:
+        entry = queue.popleft()
+        size += len(getattr(entry, "body", b"")) + len(getattr(entry, "data", b""))
+        batch.append(entry)
+    return batch
+
+
 def decode_frame(data: bytes) -> Frame:
     """Return the frame in `data`, with its messages still encoded.
 
--- a/carobroute/links/_endpoint.py
+++ b/carobroute/links/_endpoint.py
@@ -25,6 +25,7 @@
     decode_body,
     decode_frame,
     encode_frame,
+    take_batch,
 )
 from carobroute.links._messages import Hello, Message, Nack, Ok, Ping, Pong, Welcome
 from carobroute.utils import Clock, TaskSet
@@ -94,6 +95,7 @@
 
     __slots__ = (
         "_address",
+        "_broken",
         "_busy",
         "_calls",
         "_closing",
@@ -121,6 +123,7 @@
         self._queue: deque[Message] = deque()
         self._wake = asyncio.Event()
         self._calls: dict[int, asyncio.Future] = {}
+        self._broken = False
         self._busy = 0
         self._closing = False
         self._last_heard_ms = 0.0
@@ -186,6 +189,20 @@
         self._wake.set()
         return True
 
+    def withdraw(self, entry: Message) -> bool:
+        """Take `entry` back if it has not been sent.
+
+        Returns
+        -------
+        withdrawn : bool
+            True if the message was still queued, and so certainly was not sent.
+        """
+        for position, queued in enumerate(self._queue):
+            if queued is entry:
+                del self._queue[position]
+                return True
+        return False
+
     async def call(self, entry: Message, *, timeout_ms: float) -> Result[Any, Fault]:
         """Send `entry` and wait for the reply.
 
@@ -231,11 +248,6 @@
         if future is not None and not future.done():
             future.set_result(entry)
 
-    def _drain(self) -> list[Message]:
-        messages = list(self._queue)
-        self._queue.clear()
-        return messages
-
 
 class Endpoint:
     """All links of one process.
@@ -296,6 +308,11 @@
         """All peers, those that this process calls first."""
         return [*self._outbound.values(), *self._inbound.values()]
 
+    def heard(self, incarnation: str, *, within_ms: float) -> bool:
+        """Whether the peer that opened a link here was heard within `within_ms`."""
+        found = self._inbound.get(incarnation)
+        return found is not None and found.silent_ms <= within_ms
+
     def next_call_id(self) -> int:
         """Return a number for a new call."""
         return next(self._call_ids) % MAX_CALL_ID
@@ -375,11 +392,12 @@
     async def _serve_peer(self, peer: Peer) -> None:
         delay_ms = self.parameters.reopen_ms
         while not peer._closing:
-            reader = self._open(peer)
+            readers = await self._open(peer)
             try:
                 await self._use_connection(peer)
             finally:
-                reader.cancel()
+                for reader in readers:
+                    reader.cancel()
                 self._close_socket(peer)
             if peer._closing:
                 break
@@ -395,22 +413,22 @@
             )
             await self.clock.sleep_ms(delay_ms)
 
-    def _open(self, peer: Peer) -> asyncio.Task:
+    async def _open(self, peer: Peer) -> list[asyncio.Task]:
         assert self._context is not None
         socket = self._context.socket(zmq.DEALER)
         socket.setsockopt(zmq.LINGER, 0)
         socket.setsockopt(zmq.SNDHWM, 0)
         socket.setsockopt(zmq.MAXMSGSIZE, self.parameters.max_bytes)
-        socket.setsockopt(zmq.RECONNECT_IVL, int(self.parameters.reopen_ms))
-        socket.setsockopt(zmq.RECONNECT_IVL_MAX, int(self.parameters.reopen_most_ms))
+        # A lost connection is replaced here, with a new Hello, never by the library.
+        socket.setsockopt(zmq.RECONNECT_IVL, -1)
         if self.curve is not None:
             socket.curve_publickey = self.curve.public.encode()
             socket.curve_secretkey = self.curve.secret.encode()
             socket.curve_serverkey = self.curve.server_public.encode()
         socket.connect(peer.address)
         peer._socket = socket
-        now_ms = self.clock.now_ms()
-        peer._ping_sent_ms = now_ms
+        peer._broken = False
+        peer._ping_sent_ms = self.clock.now_ms()
         hello = Hello(
             lowest_version=LOWEST_VERSION,
             highest_version=VERSION,
@@ -418,14 +436,21 @@
             role=self.role,
             data_centre=self.data_centre,
         )
-        peer._queue.appendleft(hello)
-        peer._wake.set()
-        return self._tasks.spawn(
-            self._read_dealer(peer, socket), name=f"connection {peer.address}"
-        )
+        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED)
+        await socket.send(self._encode([hello], peer))
+        return [
+            self._tasks.spawn(
+                self._read_dealer(peer, socket), name=f"connection {peer.address}"
+            ),
+            self._tasks.spawn(
+                self._watch_dealer(peer, socket, monitor),
+                name=f"monitor {peer.address}",
+            ),
+        ]
 
     def _close_socket(self, peer: Peer) -> None:
         if peer._socket is not None:
+            peer._socket.disable_monitor()
             peer._socket.close(linger=0)
             peer._socket = None
 
@@ -438,7 +463,7 @@
             next_ping_ms = min(next_ping_ms, now_ms + interval_ms)
             await self._wait(peer, next_ping_ms - now_ms)
             now_ms = self.clock.now_ms()
-            if now_ms >= next_ping_ms:
+            if now_ms >= next_ping_ms and peer._up:
                 peer._queue.append(Ping())
                 if not peer._ping_sent_ms:
                     peer._ping_sent_ms = now_ms
@@ -453,6 +478,8 @@
         return self.parameters.ping_idle_ms
 
     def _is_silent(self, peer: Peer, now_ms: float) -> bool:
+        if peer._broken:
+            return True
         if not peer._ping_sent_ms:
             return False
         return now_ms - peer._ping_sent_ms > self.parameters.silence_ms
@@ -468,10 +495,13 @@
 
     async def _flush(self, peer: Peer) -> None:
         peer._wake.clear()
-        messages = peer._drain()
-        if messages and peer._socket is not None:
-            data = self._encode(messages, peer)
-            await peer._socket.send(data)
+        if peer._socket is None or not peer._up:
+            # Nothing leaves before the peer has answered, so that a message still
+            # queued has truly not been sent.
+            return
+        while peer._queue and peer._socket is not None:
+            batch = take_batch(peer._queue)
+            await peer._socket.send(self._encode(batch, peer))
 
     def _encode(self, messages: list[Message], peer: Peer) -> bytes:
         data = encode_frame(
@@ -494,9 +524,19 @@
             peer._up = True
             self._dispatch(peer, data)
             if opened:
+                peer._wake.set()
                 for hook in self._reopen_hooks:
                     hook(peer)
 
+    async def _watch_dealer(
+        self, peer: Peer, socket: zmq.asyncio.Socket, monitor: zmq.asyncio.Socket
+    ) -> None:
+        """Give the connection up as soon as the socket reports it closed."""
+        await monitor.recv_multipart()
+        if peer._socket is socket:
+            peer._broken = True
+            peer._wake.set()
+
     # Peers that opened a link to this process.
 
     async def _read_router(self) -> None:
@@ -534,19 +574,20 @@
         return peer
 
     async def _serve_inbound(self, peer: Peer) -> None:
-        assert self._router is not None
         while not peer._closing:
             await peer._wake.wait()
             peer._wake.clear()
-            messages = peer._drain()
-            if not messages:
-                continue
-            data = self._encode(messages, peer)
-            try:
-                await self._router.send_multipart([peer._routing_id, data])
-            except zmq.ZMQError:
-                # The connection is gone; the peer opens a new one and re-attaches.
-                self.counts["dropped_unroutable"] += 1
+            while peer._queue:
+                data = self._encode(take_batch(peer._queue), peer)
+                await self._send_routed(peer, data)
+
+    async def _send_routed(self, peer: Peer, data: bytes) -> None:
+        assert self._router is not None
+        try:
+            await self._router.send_multipart([peer._routing_id, data])
+        except zmq.ZMQError:
+            # The connection is gone; the peer opens a new one and re-attaches.
+            self.counts["dropped_unroutable"] += 1
 
     async def _expire_inbound(self) -> None:
         """Forget inbound peers that have not been heard for several idle pings."""
--- a/carobroute/links/_request_messages.py
+++ b/carobroute/links/_request_messages.py
@@ -33,6 +33,8 @@
         Time left to the first byte of the answer, in milliseconds; 0 for no limit.
     fingerprint : str
         Content hash of the request.
+    suspect_id : str
+        Identity of the request for the quarantine.
     prompt_blocks : list of int
         Chained hashes of the prompt's blocks, for the prefix cache.
     alone : bool
@@ -42,6 +44,9 @@
         can resume; 0 for a fresh run.
     resume_state : bytes
         Text already sent, or an exported KV handle, for a resumed run.
+    incarnation : str
+        Incarnation of the local process that the message is meant for; any other
+        refuses it.
     """
 
     request_id: str
@@ -62,17 +67,39 @@
     alone: bool = False
     resume_from: int = 0
     resume_state: bytes = b""
+    incarnation: str = ""
+    suspect_id: str = ""
 
 
 @message
 class Attach(Message, tag="attach"):
-    """Asks for the answer of an attempt from chunk `index` on."""
+    """Asks for the answer of an attempt from chunk `index` on.
+
+    An attempt that the local process does not know is closed for good, so that its
+    answer "not run" stays true even if the `Submit` arrives later.
+
+    Parameters
+    ----------
+    request_id : str
+        The request.
+    attempt : int
+        The attempt.
+    index : int
+        First chunk wanted.
+    incarnation : str
+        Incarnation that the attempt was submitted to.
+    started : bool
+        Whether the status and headers have arrived already.
+    age_ms : float
+        Time since the attempt was submitted, in milliseconds.
+    """
 
     request_id: str
     attempt: int
     index: int
-    idempotency_key: str = ""
-    team: str = ""
+    incarnation: str
+    started: bool = False
+    age_ms: float = 0.0
 
 
 @message
@@ -119,6 +146,10 @@
         Why there is no whole answer, or None if it is complete.
     redirect : str
         Target whose local process holds the answer to the same order, or empty.
+    resume_state : bytes
+        Exported state with which another target can continue the answer, or empty.
+    crash : str
+        Identity of the target's crash that ended the attempt, or empty.
     """
 
     request_id: str
@@ -126,11 +157,16 @@
     chunks: int
     fault: Fault | None = None
     redirect: str = ""
+    resume_state: bytes = b""
+    crash: str = ""
 
 
 @message
 class Ack(Message, tag="ack"):
-    """The caller's side holds all chunks below `index`."""
+    """The entry holds all chunks below `index`.
+
+    One more than the number of chunks says that the end has arrived too.
+    """
 
     request_id: str
     attempt: int
--- /dev/null
+++ b/carobroute/local/__init__.py
@@ -0,0 +1,25 @@
+"""The local process: fences orders, runs calls, buffers answers, drains."""
+
+from carobroute.local._answers import Answer, AnswerHead, Delivery
+from carobroute.local._attempts import Attempt, AttemptKey, AttemptTable
+from carobroute.local._crashes import CrashWatch
+from carobroute.local._held import HeldAnswers
+from carobroute.local._orders import LinkAsk, OrderRunner
+from carobroute.local._process import LocalParameters, LocalProcess
+from carobroute.local._runner import CallRunner
+
+__all__ = [
+    "Answer",
+    "AnswerHead",
+    "Attempt",
+    "AttemptKey",
+    "AttemptTable",
+    "CallRunner",
+    "CrashWatch",
+    "Delivery",
+    "HeldAnswers",
+    "LinkAsk",
+    "LocalParameters",
+    "LocalProcess",
+    "OrderRunner",
+]
--- a/carobroute/platform/_adapters.py
+++ b/carobroute/platform/_adapters.py
@@ -50,7 +50,9 @@
     def __call__(
         self,
         *,
-        base_url: str,
+        table_url: str,
+        objects_url: str,
+        instances_url: str,
         clock: Clock,
         random: random_module.Random,
         timeout_ms: float = ...,
--- a/carobroute/platform/_http.py
+++ b/carobroute/platform/_http.py
@@ -175,7 +175,9 @@
 @platform_adapters.register("http")
 def http_platform(
     *,
-    base_url: str,
+    table_url: str,
+    objects_url: str,
+    instances_url: str,
     clock: Clock,
     random: random_module.Random,
     timeout_ms: float = TIMEOUT_MS,
@@ -184,7 +186,6 @@
 ) -> PlatformClients:
     """Return clients of a platform that speaks the project's HTTP protocol."""
     options: dict[str, Any] = {
-        "base_url": base_url,
         "clock": clock,
         "random": random,
         "timeout_ms": timeout_ms,
@@ -192,7 +193,7 @@
         "retry": retry,
     }
     return PlatformClients(
-        table=HttpTableClient(**options),
-        objects=HttpObjectStoreClient(**options),
-        instances=HttpInstanceListClient(**options),
+        table=HttpTableClient(base_url=table_url, **options),
+        objects=HttpObjectStoreClient(base_url=objects_url, **options),
+        instances=HttpInstanceListClient(base_url=instances_url, **options),
     )
--- a/carobroute/platform/tests/test_http.py
+++ b/carobroute/platform/tests/test_http.py
@@ -38,8 +38,11 @@
     stand_in = PlatformStandIn(clock=clock, seed=3, list_lag_ms=100, lease_ms=1_000)
     server = TestServer(stand_in.application())
     await server.start_server()
+    url = str(server.make_url("")).rstrip("/")
     clients = platform_adapters.get("http")(
-        base_url=str(server.make_url("")).rstrip("/"),
+        table_url=url,
+        objects_url=url,
+        instances_url=url,
         clock=Clock(),
         random=random.Random(1),
         timeout_ms=200,
--- a/carobroute/requests/__init__.py
+++ b/carobroute/requests/__init__.py
@@ -6,6 +6,7 @@
     TeamDemand,
     TeamTotals,
 )
+from carobroute.requests._blame_spreader import BlameSpreader
 from carobroute.requests._blames import (
     BlameEntry,
 )
@@ -91,6 +92,7 @@
     "AskClaim",
     "Blame",
     "BlameEntry",
+    "BlameSpreader",
     "CandidateInputs",
     "CarobParameters",
     "CarobPolicy",
--- a/carobroute/requests/_fair_queue.py
+++ b/carobroute/requests/_fair_queue.py
@@ -224,6 +224,10 @@
                 count += 1
         return count
 
+    def reopen(self) -> None:
+        """Take calls again after `drain`."""
+        self._drained = None
+
     async def _wait(self, waiting: Waiting) -> Result[Slot, Fault]:
         limit_s = waiting.deadline_ms / MS_PER_S if waiting.deadline_ms else None
         try:
--- a/carobroute/requests/_router.py
+++ b/carobroute/requests/_router.py
@@ -16,6 +16,7 @@
 from carobroute.requests._target import TargetRecord
 from carobroute.requests._views import Choice, RouteQuery, TargetView
 from carobroute.utils import Clock
+from carobroute.world import TargetState
 
 DEFAULT_POLICY = "carob"
 SUBSET_SIZE = 24
@@ -95,6 +96,11 @@
         """Return the targets of `service` that this entry keeps links to."""
         return list(self._subsets.get(service, []))
 
+    def serving(self, service: str) -> list[str]:
+        """Return all serving targets of `service`, in the subset or not."""
+        views = self._views.get(service, [])
+        return [view.name for view in views if view.state is TargetState.SERVING]
+
     def set_policy(self, service: str, name: str) -> None:
         """Have `service` routed by the registered policy called `name`.
 
--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -2,6 +2,7 @@
 
 from carobroute.testing._fake_platform import FakeInstanceList, FakeTable
 from carobroute.testing._fault_proxy import FaultProxy, Faults, ProxiedPort
+from carobroute.testing._fleet import Fleet, FleetShape, FleetTarget
 from carobroute.testing._processes import Child, ProcessGroup
 from carobroute.testing._ticket_data import (
     make_instance,
@@ -18,6 +19,9 @@
     "FakeTable",
     "FaultProxy",
     "Faults",
+    "Fleet",
+    "FleetShape",
+    "FleetTarget",
     "ProcessGroup",
     "ProxiedPort",
     "make_instance",
