--- a/carobroute/testing/_fleet.py
+++ b/carobroute/testing/_fleet.py
@@ -34,6 +34,10 @@
         Further options of the stand-ins.
     settings : dict
         Sections merged into every settings file.
+    target_fields : dict
+        Fields that every target of the first ticket is given.
+    team_fields : dict
+        Fields that every team of the first ticket is given.
     seed : int
         Seed of the stand-ins.
     """
@@ -45,6 +49,8 @@
     order_options: list[str] = []
     platform_options: list[str] = []
     settings: dict[str, dict[str, Any]] = {}
+    target_fields: dict[str, Any] = {}
+    team_fields: dict[str, Any] = {}
     seed: int = 1
 
 
@@ -286,7 +292,8 @@
             kind = kinds[entry["service"]]
             if left[kind] != 0:
                 left[kind] -= 1
-                chosen.append(FleetTarget(fields=entry, kind=kind))
+                fields = {**entry, **self.shape.target_fields}
+                chosen.append(FleetTarget(fields=fields, kind=kind))
         return chosen
 
     def _first_ticket(self) -> dict[str, Any]:
@@ -299,6 +306,10 @@
         for entry in self.ticket["objects"]:
             if entry["type"] == "target" and entry["name"] not in kept:
                 continue
+            if entry["type"] == "target":
+                entry = self.target(entry["name"]).fields
+            if entry["type"] == "team":
+                entry = {**entry, **self.shape.team_fields}
             if not everything and entry["type"] == "group":
                 continue
             if not everything and entry["type"] == "target":
