--- a/carobroute/requests/__init__.py
+++ b/carobroute/requests/__init__.py
@@ -1,5 +1,15 @@
-"""Requests: the ledger that runs an order at most once."""
+"""Decisions about requests: limits, routing, retries, quarantine, orders."""
 
+from carobroute.requests._admission import (
+    Admission,
+    AdmissionParameters,
+    TeamDemand,
+    TeamTotals,
+)
+from carobroute.requests._blames import BlameEntry
+from carobroute.requests._carob import CarobParameters, CarobPolicy
+from carobroute.requests._fair_queue import FairQueue, FairQueueParameters, Slot
+from carobroute.requests._health import HealthParameters
 from carobroute.requests._ledger import Ledger, read_order
 from carobroute.requests._ledger_claims import Ask
 from carobroute.requests._ledger_clean import CleanParameters, LedgerCleaner
@@ -16,10 +26,32 @@
     StoredAnswer,
     order_fingerprint,
 )
+from carobroute.requests._policies import RoutingPolicy, routing_policies
+from carobroute.requests._prefix import PrefixIndex
+from carobroute.requests._quarantine import (
+    Blame,
+    Quarantine,
+    QuarantineParameters,
+    Verdict,
+    request_fingerprint,
+)
+from carobroute.requests._retries import RetryDecision, RetryParameters, RetryPolicy
+from carobroute.requests._router import Router
+from carobroute.requests._spread import spread_retry_after_ms
+from carobroute.requests._subset import choose_subset
+from carobroute.requests._views import CandidateInputs, Choice, RouteQuery, TargetView
 
 __all__ = [
+    "Admission",
+    "AdmissionParameters",
     "Ask",
     "AskClaim",
+    "Blame",
+    "BlameEntry",
+    "CandidateInputs",
+    "CarobParameters",
+    "CarobPolicy",
+    "Choice",
     "ClaimElsewhere",
     "ClaimFinished",
     "ClaimGranted",
@@ -27,13 +59,34 @@
     "ClaimState",
     "ClaimStatus",
     "CleanParameters",
+    "FairQueue",
+    "FairQueueParameters",
+    "HealthParameters",
     "Ledger",
     "LedgerCleaner",
     "LedgerParameters",
     "OrderRequest",
     "OrderRow",
     "OrderState",
+    "PrefixIndex",
+    "Quarantine",
+    "QuarantineParameters",
+    "RetryDecision",
+    "RetryParameters",
+    "RetryPolicy",
+    "RouteQuery",
+    "Router",
+    "RoutingPolicy",
+    "Slot",
     "StoredAnswer",
+    "TargetView",
+    "TeamDemand",
+    "TeamTotals",
+    "Verdict",
+    "choose_subset",
     "order_fingerprint",
     "read_order",
+    "request_fingerprint",
+    "routing_policies",
+    "spread_retry_after_ms",
 ]
--- a/carobroute/standins/_orders.py
+++ b/carobroute/standins/_orders.py
@@ -13,11 +13,11 @@
 from carobroute.standins._faults import FaultControl
 from carobroute.utils import content_hash
 
-FENCE_HEADER = "X-Carobroute-Fence"
+FENCE_HEADER = "X-Fence"
 KEY_HEADER = "Idempotency-Key"
 TEAM_HEADER = "X-Carobroute-Team"
 REQUEST_HEADER = "X-Carobroute-Request"
-STALE_FENCE_STATUS = 409
+STALE_FENCE_STATUS = 412
 CRASH_STATUS = 86
 EFFECTS = ("orders", "charges", "holds", "invoices")
 
