--- a/carobroute/requests/__init__.py
+++ b/carobroute/requests/__init__.py
@@ -1,4 +1,4 @@
-"""Decisions about requests: limits, routing, retries, quarantine, orders."""
+"""Decisions about requests: limits, routing, retries, quarantine."""
 
 from carobroute.requests._admission import (
     Admission,
