--- a/carobroute/standins/_orders.py
+++ b/carobroute/standins/_orders.py
@@ -13,7 +13,7 @@
 from carobroute.standins._faults import FaultControl
 from carobroute.utils import content_hash
 
-FENCE_HEADER = "X-Fence"
+FENCE_HEADER = "X-Carobroute-Fence"
 KEY_HEADER = "Idempotency-Key"
 TEAM_HEADER = "X-Carobroute-Team"
 REQUEST_HEADER = "X-Carobroute-Request"
--- a/carobroute/standins/tests/test_command.py
+++ b/carobroute/standins/tests/test_command.py
@@ -29,7 +29,7 @@
     stand_in = OrderStandIn(honours_fencing=True)
     async with TestClient(TestServer(stand_in.application())) as client:
         for fence, status in ((2, 200), (1, 412), (2, 200)):
-            headers = {"X-Fence": str(fence), "Idempotency-Key": f"k{fence}"}
+            headers = {"X-Carobroute-Fence": str(fence), "Idempotency-Key": f"k{fence}"}
             answer = await client.post("/orders", data=b"bell", headers=headers)
             assert answer.status == status
         response = await client.get("/_record")
