--- a/carobroute/local/__init__.py
+++ b/carobroute/local/__init__.py
@@ -1,5 +1,9 @@
-"""The local process: the only one that talks to its target."""
+"""The local process: fences orders, runs calls, buffers answers, drains."""
 
+from carobroute.local._answers import Answer, AnswerHead, Delivery
+from carobroute.local._attempts import Attempt, AttemptKey, AttemptTable
+from carobroute.local._crashes import CrashWatch
+from carobroute.local._held import HeldAnswers
 from carobroute.local._orders import (
     LinkAsk,
     OrderDone,
@@ -9,9 +13,22 @@
     OrderPermit,
     OrderRunner,
 )
+from carobroute.local._process import LocalParameters, LocalProcess
+from carobroute.local._runner import CallRunner
 
 __all__ = [
+    "Answer",
+    "AnswerHead",
+    "Attempt",
+    "AttemptKey",
+    "AttemptTable",
+    "CallRunner",
+    "CrashWatch",
+    "Delivery",
+    "HeldAnswers",
     "LinkAsk",
+    "LocalParameters",
+    "LocalProcess",
     "OrderDone",
     "OrderElsewhere",
     "OrderOutcome",
--- a/carobroute/requests/__init__.py
+++ b/carobroute/requests/__init__.py
@@ -6,6 +6,7 @@
     TeamDemand,
     TeamTotals,
 )
+from carobroute.requests._blame_spreader import BlameSpreader
 from carobroute.requests._blames import BlameEntry
 from carobroute.requests._carob import CarobParameters, CarobPolicy
 from carobroute.requests._fair_queue import FairQueue, FairQueueParameters, Slot
@@ -48,6 +49,7 @@
     "AskClaim",
     "Blame",
     "BlameEntry",
+    "BlameSpreader",
     "CandidateInputs",
     "CarobParameters",
     "CarobPolicy",
--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -2,6 +2,7 @@
 
 from carobroute.testing._fake_platform import FakeInstanceList, FakeTable
 from carobroute.testing._fault_proxy import FaultProxy, Faults, ProxiedPort
+from carobroute.testing._fleet import Fleet, FleetShape, FleetTarget
 from carobroute.testing._order_data import FakeObjects, make_order, make_submit
 from carobroute.testing._processes import Child, ProcessGroup
 from carobroute.testing._ticket_data import (
@@ -20,6 +21,9 @@
     "FakeTable",
     "FaultProxy",
     "Faults",
+    "Fleet",
+    "FleetShape",
+    "FleetTarget",
     "ProcessGroup",
     "ProxiedPort",
     "make_instance",
