--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -1,20 +1,19 @@
 """HTTP to one target: connections, time limits, faults."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 
 import aiohttp
 from returns.result import Failure, Result, Success
 
 from carobroute.engines._interface import EngineParameters
-from carobroute.errors import ErrorKind, Fault, FaultError, fail
+from carobroute.engines._once import Guard, OnceBody
+from carobroute.errors import ErrorKind, Fault, fail
 
 MS_PER_S = 1_000
 PIECE_BYTES = 64 * 1024
 STALE_FENCE_STATUS = 409
 
-Guard = Callable[[], Fault | None]
-
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -112,17 +111,40 @@
             Longest wait for the response's headers.
         fresh : bool
             Whether to use a new connection. A kept one may have gone silent
-            unnoticed, and a request lost on it has an unknown outcome.
-        guard : callable or None, default=None
-            Asked once the connection stands, right before the request is written; a
-            fault that it returns keeps the request from being sent.
+            unnoticed, and a request lost on it has an unknown outcome. Such a request
+            leaves at most once.
+        guard : callable, default=None
+            Asked right before the first byte leaves; its fault keeps the request
+            back.
 
         Returns
         -------
         response : Result
-            A `NO_TARGET` fault promises that nothing was sent; a `TARGET_FAILED`
-            or `PEER_LOST` fault leaves the outcome open.
+            A `NO_TARGET` fault, or the guard's own, promises that nothing was sent;
+            a `TARGET_FAILED` or `PEER_LOST` fault leaves the outcome open.
         """
+        if guard is None and fresh:
+            guard = _no_objection
+        once = OnceBody(body, guard=guard) if guard is not None else None
+        sent = await self._send(
+            method, path, headers, once or body, first_byte_ms, fresh
+        )
+        if once is not None and not once.started and isinstance(sent, Failure):
+            fault = sent.failure()
+            detail = f"nothing was sent: {fault.detail}"
+            unsent = Fault(kind=ErrorKind.NO_TARGET, detail=detail)
+            return Failure(once.refusal or (fault if fault.not_run else unsent))
+        return sent
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str] | None,
+        body: bytes | OnceBody,
+        first_byte_ms: float,
+        fresh: bool,
+    ) -> Result[aiohttp.ClientResponse, Fault]:
         session = self._fresh if fresh else self._pooled
         if session is None:
             return fail(ErrorKind.INTERNAL, "the adapter has not been started")
@@ -138,13 +160,10 @@
                     method,
                     self._address + path,
                     headers=headers,
-                    data=body or None,
+                    data=body if body else None,
                     timeout=limit,
                     allow_redirects=False,
-                    trace_request_ctx=None if guard is None else _OneSend(guard=guard),
                 )
-        except FaultError as error:
-            return Failure(error.fault)
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             return fail(
                 ErrorKind.NO_TARGET, f"no connection to {self._address}: {error}"
@@ -207,46 +226,8 @@
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=PIECE_BYTES,
             skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
-            trace_configs=[_guarding()],
         )
 
 
-class _OneSend:
-    """Leave to write one request once.
-
-    The HTTP library sends a request of an idempotent method again on its own when
-    the connection breaks, whatever the service makes of that method.
-    """
-
-    __slots__ = ("_guard", "_used")
-
-    def __init__(self, *, guard: Guard):
-        self._guard = guard
-        self._used = False
-
-    def check(self) -> None:
-        """Raise unless the request may be written now."""
-        if self._used:
-            raise FaultError(
-                Fault(
-                    kind=ErrorKind.OUTCOME_UNKNOWN,
-                    detail="the connection broke after the request was written",
-                )
-            )
-        fault = self._guard()
-        if fault is not None:
-            raise FaultError(fault)
-        self._used = True
-
-
-def _guarding() -> aiohttp.TraceConfig:
-    """Return the trace that asks a request's guard once its connection stands."""
-
-    async def check(session, context, params) -> None:
-        if context.trace_request_ctx is not None:
-            context.trace_request_ctx.check()
-
-    trace = aiohttp.TraceConfig()
-    trace.on_connection_create_end.append(check)
-    trace.on_connection_reuseconn.append(check)
-    return trace
+def _no_objection() -> None:
+    return None
--- a/carobroute/engines/_interface.py
+++ b/carobroute/engines/_interface.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Result
 
+from carobroute.engines._once import Guard
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.utils import Clock, Registry
 from carobroute.world import CallClass
@@ -71,9 +72,7 @@
     fence : int
         Fencing number of an order; 0 for none.
     guard : callable or None
-        Asked right before the call is written to a connection; a fault that it
-        returns keeps the call from being sent. A call with a guard is written at
-        most once.
+        Asked right before the first byte leaves; a fault keeps the call back.
     """
 
     request_id: str
@@ -87,7 +86,7 @@
     resume_from: int = 0
     resume_state: bytes = b""
     fence: int = 0
-    guard: Callable[[], Fault | None] | None = None
+    guard: Guard | None = None
 
 
 class EngineAnswer:
--- a/carobroute/local/__init__.py
+++ b/carobroute/local/__init__.py
@@ -4,7 +4,15 @@
 from carobroute.local._attempts import Attempt, AttemptKey, AttemptTable
 from carobroute.local._crashes import CrashWatch
 from carobroute.local._held import HeldAnswers
-from carobroute.local._orders import LinkAsk, OrderRunner
+from carobroute.local._orders import (
+    LinkAsk,
+    OrderDone,
+    OrderElsewhere,
+    OrderOutcome,
+    OrderParameters,
+    OrderPermit,
+    OrderRunner,
+)
 from carobroute.local._process import LocalParameters, LocalProcess
 from carobroute.local._runner import CallRunner
 
@@ -21,5 +29,10 @@
     "LinkAsk",
     "LocalParameters",
     "LocalProcess",
+    "OrderDone",
+    "OrderElsewhere",
+    "OrderOutcome",
+    "OrderParameters",
+    "OrderPermit",
     "OrderRunner",
 ]
--- a/carobroute/requests/_ledger_batch.py
+++ b/carobroute/requests/_ledger_batch.py
@@ -23,11 +23,12 @@
         Writes made if they do.
     """
 
-    __slots__ = ("conditions", "future", "puts", "sent_ms")
+    __slots__ = ("conditions", "future", "puts", "sent", "sent_ms")
 
     def __init__(self, *, conditions: list[Condition], puts: list[Put]):
         self.conditions = conditions
         self.puts = puts
+        self.sent = False
         self.sent_ms = 0.0
         self.future: asyncio.Future[Result[list[Row], Fault]] = (
             asyncio.get_running_loop().create_future()
@@ -171,6 +172,7 @@
             transaction = _join(batch)
             sent_ms = self._clock.now_ms()
             for write in batch:
+                write.sent = True
                 write.sent_ms = sent_ms
             result = await self._settle(transaction)
             if isinstance(result, Failure):
--- a/carobroute/requests/_ledger_effects.py
+++ b/carobroute/requests/_ledger_effects.py
@@ -178,7 +178,11 @@
         if self._unsettled >= self._parameters.max_unsettled:
             self._on_event("claim_left", level="warning", team=row.team, key=row.key)
             return
-        self._tasks.spawn(self.release(row, version, clock_version), name="release")
+        self._enter()
+        task = self._tasks.spawn(
+            self._release(row, version, clock_version), name="release"
+        )
+        task.add_done_callback(lambda _: self._leave())
 
     async def release(self, row: OrderRow, version: int, clock_version: int) -> None:
         """Make the row say that the claim was not run.
@@ -187,20 +191,21 @@
         then keeps it from landing later.
         """
         with self._counted():
-            released = msgspec.structs.replace(
-                row, state=OrderState.RELEASED, ended_wall_ms=self._clock.wall_ms()
-            )
-            for _ in range(MAX_RELEASE_ROUNDS):
-                against = await self._write(
-                    released, version, self._parameters.tombstone_ms, clock_version
-                )
-                if not against:
-                    return
-                found = await self._read_row(released)
-                found_version = found.version if found else 0
-                if found_version != version and not _is_claim(found, row.claim_id):
-                    return
-                version, clock_version = found_version, self._time.version
+            await self._release(row, version, clock_version)
+
+    async def _release(self, row: OrderRow, version: int, clock_version: int) -> None:
+        released = msgspec.structs.replace(
+            row, state=OrderState.RELEASED, ended_wall_ms=self._clock.wall_ms()
+        )
+        retention_ms = self._parameters.tombstone_ms
+        for _ in range(MAX_RELEASE_ROUNDS):
+            if not await self._write(released, version, retention_ms, clock_version):
+                return
+            found = await self._read_row(released)
+            found_version = found.version if found else 0
+            if found_version != version and not _is_claim(found, row.claim_id):
+                return
+            version, clock_version = found_version, self._time.version
 
     async def _end(self, row: OrderRow, version: int, retention_ms: float) -> None:
         """Write the last state of a claim that was forwarded."""
@@ -271,14 +276,20 @@
     @contextlib.contextmanager
     def _counted(self) -> Iterator[None]:
         """Count one unsettled write while its block runs."""
-        self._unsettled += 1
-        self._idle.clear()
+        self._enter()
         try:
             yield
         finally:
-            self._unsettled -= 1
-            if not self._unsettled:
-                self._idle.set()
+            self._leave()
+
+    def _enter(self) -> None:
+        self._unsettled += 1
+        self._idle.clear()
+
+    def _leave(self) -> None:
+        self._unsettled -= 1
+        if not self._unsettled:
+            self._idle.set()
 
 
 def _is_claim(found: Row | None, claim_id: str) -> bool:
