--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -10,10 +10,13 @@
 from typing import Generic, TypeVar
 
 import msgspec
+import xxhash
 
 from carobroute.utils import Clock
 from carobroute.world import Instance, InstanceRole, InstanceState
 
+BUCKETS = 32
+
 K = TypeVar("K")
 V = TypeVar("V")
 
@@ -65,6 +68,7 @@
         "_callbacks",
         "_clock",
         "_disputed_ms",
+        "_dropped_ms",
         "_heard_ms",
         "_instances",
         "_leaving",
@@ -101,6 +105,9 @@
         self._disputed_ms: BoundedDict[str, float] = BoundedDict(
             most=self._parameters.max_remembered
         )
+        self._dropped_ms: BoundedDict[str, float] = BoundedDict(
+            most=self._parameters.max_remembered
+        )
         self._callbacks: list[Callable[[], None]] = []
         self._updated_ms: float | None = None
 
@@ -169,15 +176,28 @@
         self._updated_ms = self._clock.now_ms()
         for entry in listed:
             self._settle_dispute(entry)
+            self._dropped_ms.pop(entry.incarnation, None)
         changed = [self._admit(entry) for entry in listed]
         dropped = self._drop_absent({entry.name for entry in listed})
         recycled = self._drop_recycled()
         if any(changed) or dropped or recycled:
             self._changed()
 
+    def bucket_hashes(self) -> list[int]:
+        """Return a hash of the known instances for each bucket of names."""
+        hashes = [0] * BUCKETS
+        for entry in self._instances.values():
+            text = f"{entry.incarnation}\0{entry.state}"
+            hashes[bucket_of(entry.name)] ^= xxhash.xxh3_64_intdigest(text.encode())
+        return hashes
+
+    def in_buckets(self, buckets: set[int]) -> list[Instance]:
+        """Return the known instances whose names fall into `buckets`."""
+        return [e for e in self._instances.values() if bucket_of(e.name) in buckets]
+
     def learn(self, instances: Iterable[Instance]) -> list[Instance]:
         """Take over what peers say of some instances; return those that were news."""
-        news = [entry for entry in instances if self._admit(entry)]
+        news = [entry for entry in instances if self._learn_one(entry)]
         if news:
             self._drop_recycled()
             self._changed()
@@ -205,6 +225,17 @@
             self._instances[name] = _as_leaving(known)
             self._changed()
 
+    def _learn_one(self, entry: Instance) -> bool:
+        if self._was_dropped(entry.incarnation):
+            return False
+        known = self._instances.get(entry.name)
+        if known is not None and known.incarnation == entry.incarnation:
+            # All that a peer can add to a known incarnation is that it leaves.
+            if entry.state is not InstanceState.LEAVING:
+                return False
+            entry = _as_leaving(known)
+        return self._admit(entry)
+
     def _admit(self, entry: Instance) -> bool:
         """Take over one entry unless what is known outranks it."""
         if entry.incarnation in self._replaced:
@@ -305,6 +336,7 @@
     def _drop(self, name: str, reason: str) -> None:
         entry = self._instances.pop(name)
         self._absent_since_ms.pop(name, None)
+        self._dropped_ms[entry.incarnation] = self._clock.now_ms()
         self._on_event(
             "instance_dropped",
             name=name,
@@ -312,11 +344,23 @@
             reason=reason,
         )
 
+    def _was_dropped(self, incarnation: str) -> bool:
+        """Whether it was dropped so lately that a peer may not know yet."""
+        dropped_ms = self._dropped_ms.get(incarnation)
+        if dropped_ms is None:
+            return False
+        return self._clock.now_ms() - dropped_ms < self._parameters.mass_absent_ms
+
     def _changed(self) -> None:
         for callback in self._callbacks:
             callback()
 
 
+def bucket_of(name: str) -> int:
+    """Return the bucket that `name` falls into."""
+    return xxhash.xxh3_64_intdigest(name.encode()) % BUCKETS
+
+
 class BoundedDict(dict[K, V], Generic[K, V]):
     """Dictionary that forgets its oldest key when it is full.
 
--- a/carobroute/membership/_overlay.py
+++ b/carobroute/membership/_overlay.py
@@ -36,6 +36,22 @@
     instances: list[Instance]
 
 
+@message
+class InstanceDigest(Message, tag="instance_digest"):
+    """Hashes of the instances that the sender knows.
+
+    Parameters
+    ----------
+    hashes : list of int
+        One for each bucket of names.
+    answered : bool
+        Whether this answers a digest, so that it is not answered again.
+    """
+
+    hashes: list[int]
+    answered: bool = False
+
+
 @message
 class SuspicionNews(Message, tag="suspicion_news"):
     """What the sender itself observed of its neighbours.
@@ -66,6 +82,8 @@
         Processes of a data centre that link to others and read the store often.
     tend_ms : float
         Interval of adjusting links and of looking for silent neighbours.
+    digest_ms : float
+        Mean interval of comparing the known instances with one neighbour.
     silent_ms : float
         Silence of a link at which its peer is suspected.
     """
@@ -73,6 +91,7 @@
     fan_out: int = 4
     bridges: int = 2
     tend_ms: float = 1_000.0
+    digest_ms: float = 30_000.0
     silent_ms: float = 8_000.0
 
 
@@ -147,6 +166,7 @@
     async def start(self) -> None:
         """Begin to keep links and to pass on news."""
         self._endpoint.handle(InstanceNews, self._on_news)
+        self._endpoint.handle(InstanceDigest, self._on_digest)
         self._endpoint.handle(SuspicionNews, self._on_suspicions)
         self._directory.on_change(self._mark_stale)
         self._suspicions.on_change(self._mark_stale)
@@ -179,6 +199,7 @@
             if self._stale:
                 self._tend_links()
             self._greet()
+            self._compare()
             self._observe()
 
     # Links.
@@ -234,6 +255,7 @@
             if address not in self._greeted and peer.up:
                 self._greeted.add(address)
                 peer.send(InstanceNews(instances=[self._directory.own]))
+                peer.send(InstanceDigest(hashes=self._directory.bucket_hashes()))
 
     # News.
 
@@ -249,6 +271,25 @@
             if peer is not but and peer.up and known:
                 peer.send(msgspec.structs.replace(entry))
 
+    def _compare(self) -> None:
+        """Now and then compare with one neighbour, for news that a link lost."""
+        share = self._parameters.tend_ms / self._parameters.digest_ms
+        peers = [peer for peer in self._neighbours.values() if peer.up]
+        if peers and self._random.random() < share:
+            peer = self._random.choice(peers)
+            peer.send(InstanceDigest(hashes=self._directory.bucket_hashes()))
+
+    def _on_digest(self, peer: Peer, entry: InstanceDigest) -> None:
+        own = self._directory.bucket_hashes()
+        pairs = zip(own, entry.hashes, strict=False)
+        different = {i for i, (mine, other) in enumerate(pairs) if mine != other}
+        if not different:
+            return
+        entries = self._directory.in_buckets(different)
+        peer.send(InstanceNews(instances=entries[:MAX_NEWS]))
+        if not entry.answered:
+            peer.send(InstanceDigest(hashes=own, answered=True))
+
     # Suspicions.
 
     def _observe(self) -> None:
--- a/carobroute/testing/_fake_platform.py
+++ b/carobroute/testing/_fake_platform.py
@@ -200,6 +200,9 @@
             del self._entries[instance.name]
         return Success(None)
 
+    async def close(self) -> None:
+        """Hold nothing to close."""
+
 
 def _absent(table: str, key: str) -> Row:
     return Row(table=table, key=key, version=0, value=b"")
@@ -207,6 +210,3 @@
 
 def _unavailable() -> Result:
     return fail(ErrorKind.STORE_UNAVAILABLE, "the fake service does not answer")
-
-    async def close(self) -> None:
-        """Hold nothing to close."""
