--- a/carobroute/cli/__init__.py
+++ b/carobroute/cli/__init__.py
@@ -1,5 +1,5 @@
-"""The operators' command line."""
+"""Command-line tool for operators."""
 
-from carobroute.cli._ticket import ticket_app
+from carobroute.cli._app import app, main
 
-__all__ = ["ticket_app"]
+__all__ = ["app", "main"]
--- a/carobroute/cli/_operator_client.py
+++ b/carobroute/cli/_operator_client.py
@@ -20,7 +20,7 @@
     Parameters
     ----------
     address : str
-        Base URL, as `http://10.0.0.5:7081`.
+        Base URL, or `host:port` for plain HTTP.
     token_file : Path or None, default=None
         File that holds the operator's token.
     timeout_s : float, default=30.0
@@ -32,7 +32,8 @@
     def __init__(
         self, *, address: str, token_file: Path | None = None, timeout_s: float = 30.0
     ):
-        self._address = address.rstrip("/")
+        scheme = "" if "://" in address else "http://"
+        self._address = scheme + address.rstrip("/")
         self._token_file = token_file
         self._timeout_s = timeout_s
 
--- a/carobroute/cli/_ticket.py
+++ b/carobroute/cli/_ticket.py
@@ -309,7 +309,7 @@
     try:
         view = msgspec.json.decode(path.read_bytes(), type=ConfigurationView)
     except (OSError, msgspec.MsgspecError) as error:
-        _stop(Fault(kind=ErrorKind.BAD_REQUEST, detail=f"{path}: {error}"))
+        exit_with(Fault(kind=ErrorKind.BAD_REQUEST, detail=f"{path}: {error}"))
     return configuration_of(view.number, view.objects)
 
 
@@ -317,7 +317,7 @@
     known = configuration.objects.get(key)
     if known is None:
         close = ", ".join(sorted(configuration.objects)[:5])
-        _stop(
+        exit_with(
             Fault(
                 kind=ErrorKind.NOT_FOUND,
                 detail=f"got {key!r}, expected an object in force such as {close}",
@@ -332,11 +332,11 @@
 
 def _value(result: Result[Any, Fault]) -> Any:
     if isinstance(result, Failure):
-        _stop(result.failure())
+        exit_with(result.failure())
     return result.unwrap()
 
 
-def _stop(fault: Fault) -> NoReturn:
+def exit_with(fault: Fault) -> NoReturn:
     typer.echo(f"carobroute: {fault}", err=True)
     raise typer.Exit(EXIT_BY_KIND.get(fault.kind, EXIT_REFUSED))
 
--- a/carobroute/cli/tests/test_ticket.py
+++ b/carobroute/cli/tests/test_ticket.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 from typer.testing import CliRunner
 
-from carobroute.cli import ticket_app
+from carobroute.cli._ticket import ticket_app
 from carobroute.links import Endpoint
 from carobroute.membership import Directory
 from carobroute.testing import (
