Spread it at once when an instance is marked as leaving

The list may expire an entry within seconds, so this instance is announced every 4 s apart from polling, whose interval grows with the length of the list.

--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -72,6 +72,7 @@
         "_heard_ms",
         "_instances",
         "_leaving",
+        "_leaving_callbacks",
         "_on_event",
         "_own",
         "_parameters",
@@ -109,6 +110,7 @@
             most=self._parameters.max_remembered
         )
         self._callbacks: list[Callable[[], None]] = []
+        self._leaving_callbacks: list[Callable[[Instance], None]] = []
         self._updated_ms: float | None = None
 
     @property
@@ -125,6 +127,10 @@
         """Have `callback` called after the known instances changed."""
         self._callbacks.append(callback)
 
+    def on_leaving(self, callback: Callable[[Instance], None]) -> None:
+        """Have `callback` called with each instance that this process marks."""
+        self._leaving_callbacks.append(callback)
+
     def set_own(self, instance: Instance) -> None:
         """Replace the instance of this process, as when it begins to leave."""
         self._own = instance
@@ -221,9 +227,14 @@
             "instance_leaving", name=name, incarnation=incarnation, reason=reason
         )
         known = self._instances.get(name)
-        if known is not None and known.incarnation == incarnation:
-            self._instances[name] = _as_leaving(known)
-            self._changed()
+        if incarnation == self._own.incarnation:
+            known = self._own = _as_leaving(self._own)
+        if known is None or known.incarnation != incarnation:
+            return
+        self._instances[name] = _as_leaving(known)
+        self._changed()
+        for callback in self._leaving_callbacks:
+            callback(self._instances[name])
 
     def _learn_one(self, entry: Instance) -> bool:
         if self._was_dropped(entry.incarnation):
--- a/carobroute/membership/_overlay.py
+++ b/carobroute/membership/_overlay.py
@@ -169,6 +169,7 @@
         self._endpoint.handle(InstanceDigest, self._on_digest)
         self._endpoint.handle(SuspicionNews, self._on_suspicions)
         self._directory.on_change(self._mark_stale)
+        self._directory.on_leaving(lambda instance: self.spread([instance]))
         self._suspicions.on_change(self._mark_stale)
         self._tend_links()
         self._tasks.spawn(self._tend(), name="overlay")
--- a/carobroute/membership/_poller.py
+++ b/carobroute/membership/_poller.py
@@ -25,7 +25,8 @@
         Bytes a second that polling may cost; a longer list is polled more rarely,
         since changes come from peers meanwhile.
     announce_ms : float
-        Interval of announcing this instance again.
+        Mean interval of announcing this instance again, so that the platform does
+        not take it for gone.
     retry_ms, retry_most_ms : float
         First and longest delay after a failure.
     jitter : float
@@ -34,7 +35,7 @@
 
     interval_ms: float = 5_000.0
     bytes_per_s: float = 4_096.0
-    announce_ms: float = 60_000.0
+    announce_ms: float = 4_000.0
     retry_ms: float = 500.0
     retry_most_ms: float = 30_000.0
     jitter: float = 0.3
@@ -60,7 +61,6 @@
     """
 
     __slots__ = (
-        "_announced_ms",
         "_clock",
         "_directory",
         "_failures",
@@ -89,7 +89,6 @@
         self._random = random
         self._parameters = parameters or ListPollerParameters()
         self._on_event = on_event or (lambda *args, **fields: None)
-        self._announced_ms: float | None = None
         self._failures = 0
         self._length = 0
         self._polled = asyncio.Event()
@@ -97,6 +96,7 @@
 
     async def start(self) -> None:
         """Announce this instance and begin to poll."""
+        self._tasks.spawn(self._keep_announced(), name="instance-announce")
         self._tasks.spawn(self._poll(), name="instance-list")
 
     async def stop(self, *, withdraw: bool = True) -> None:
@@ -117,10 +117,7 @@
     async def announce(self) -> bool:
         """Enter this instance as it is now; False if the list did not answer."""
         result = await self._instances.announce(self._directory.own)
-        if isinstance(result, Failure):
-            return False
-        self._announced_ms = self._clock.now_ms()
-        return True
+        return not isinstance(result, Failure)
 
     def delay_ms(self) -> float:
         """Return the delay before the next poll, in milliseconds."""
@@ -133,36 +130,36 @@
         else:
             budget_ms = self._length * ENTRY_BYTES / parameters.bytes_per_s * 1_000
             mean_ms = max(parameters.interval_ms, budget_ms)
-        spread = parameters.jitter * (2 * self._random.random() - 1)
-        return mean_ms * (1 + spread)
-
-    async def _poll(self) -> None:
-        while True:
-            if await self._poll_once():
-                self._failures = 0
-                self._polled.set()
-            else:
-                self._failures += 1
-                if self._failures == 1:
-                    self._on_event("instance_list_unavailable", level="warning")
-            await self._clock.sleep_ms(self.delay_ms())
+        return self._jittered(mean_ms)
 
-    async def _poll_once(self) -> bool:
-        if self._is_announcement_due() and not await self.announce():
-            return False
+    async def poll_once(self) -> bool:
+        """Read the list once; False if it did not answer."""
         found = await self._instances.fetch()
         if isinstance(found, Failure):
+            self._failures += 1
+            if self._failures == 1:
+                self._on_event("instance_list_unavailable", level="warning")
             return False
         listed = found.unwrap()
+        self._failures = 0
         self._length = len(listed)
         self._directory.update_from_list(listed)
+        self._polled.set()
         return True
 
-    def _is_announcement_due(self) -> bool:
-        if self._announced_ms is None:
-            return True
-        age_ms = self._clock.now_ms() - self._announced_ms
-        return age_ms >= self._parameters.announce_ms
+    async def _poll(self) -> None:
+        while True:
+            await self.poll_once()
+            await self._clock.sleep_ms(self.delay_ms())
+
+    async def _keep_announced(self) -> None:
+        while True:
+            await self.announce()
+            await self._clock.sleep_ms(self._jittered(self._parameters.announce_ms))
+
+    def _jittered(self, mean_ms: float) -> float:
+        spread = self._parameters.jitter * (2 * self._random.random() - 1)
+        return mean_ms * (1 + spread)
 
     def _task_failed(self, name: str, error: BaseException) -> None:
         self._on_event("task_failed", level="error", task=name, error=repr(error))
--- a/carobroute/membership/tests/test_overlay.py
+++ b/carobroute/membership/tests/test_overlay.py
@@ -85,9 +85,7 @@
 async def test_leaving_spreads_along_the_links(nodes):
     own = nodes[0].instance
     nodes[0].directory.mark_leaving(own.name, own.incarnation, "hot")
-    gone = nodes[0].directory.by_name(own.name)
-    assert gone.state is InstanceState.LEAVING
-    nodes[0].overlay.spread([gone])
+    assert nodes[0].directory.own.state is InstanceState.LEAVING
     await wait_until(
         lambda: all(n.directory.is_leaving(own.incarnation) for n in nodes)
     )
@@ -172,13 +170,14 @@
         random=random.Random(1),
         parameters=ListPollerParameters(jitter=0.0),
     )
-    assert await poller._poll_once()
+    assert await poller.announce()
+    assert await poller.poll_once()
     assert directory.by_name("entry-0") == own
     assert poller.delay_ms() == 5_000
     for number in range(1_000):
         await listed.announce(make_instance(f"runner-{number}"))
-    await poller._poll_once()
+    await poller.poll_once()
     # 1,001 entries of 250 bytes at 4 KiB/s.
     assert poller.delay_ms() == pytest.approx(61_096, rel=0.001)
     listed.available = False
-    assert not await poller._poll_once()
+    assert not await poller.poll_once()
