Wire in duties, team demand, cache news, moving of streams, order records

Cause: limits summed demand and ledgers expired orders in classes that no process ran; a draining target's streams could be exported but their end raced with the export; routing heard nothing of prefix caches. Conclusion: the parts that several processes share now run in them.

--- a/carobroute/daemon/_entry.py
+++ b/carobroute/daemon/_entry.py
@@ -1,19 +1,25 @@
 """The entry process."""
 
 from aiohttp import web
+from returns.result import Failure
 
+from carobroute.daemon._duties import make_duties
+from carobroute.daemon._operator import operator_error, order_record
 from carobroute.daemon._process import Process, load_tls
 from carobroute.daemon._web import WebSite
 from carobroute.entry import (
     CallerInterface,
     CallerParameters,
     CallParser,
+    DemandExchange,
     ExchangeTable,
     RelayParameters,
     RelayServices,
     TargetFeed,
 )
-from carobroute.requests import Admission, RetryPolicy, Router
+from carobroute.errors import ErrorKind, Fault
+from carobroute.leases import Duties
+from carobroute.requests import Admission, RetryPolicy, Router, read_order
 from carobroute.settings import Settings
 from carobroute.world import Instance, InstanceRole
 
@@ -50,6 +56,7 @@
         self._callers: CallerInterface
         self._feed: TargetFeed
         self._site: WebSite
+        self._duties: Duties
 
     @property
     def in_flight(self) -> int:
@@ -94,7 +101,18 @@
         )
         self._http_address = await self._site.start()
         self.directory.set_own(self.own_instance(self.endpoint.address))
+        demand = DemandExchange(
+            admission=self._admission,
+            endpoint=self.endpoint,
+            directory=self.directory,
+            clock=self.clock,
+            random=self.random,
+        )
+        self.tasks.spawn(demand.run(), name="team-demand")
+        self._duties = make_duties(self)
+        await self._duties.start()
         dump = self.telemetry.dump
+        dump.register("duties", lambda: self._duties.held)
         dump.register("exchanges", self._dump_exchanges)
         dump.register("targets", self._feed.dump)
         dump.register("exchange_counts", lambda: dict(self._exchanges.counts))
@@ -111,6 +129,7 @@
     async def finish(self) -> None:
         """Fail the health check, serve through the balancer's lag, then finish."""
         self._callers.stopping = True
+        await self._duties.stop()
         leaving = self.own_instance(self.endpoint.address)
         self.directory.mark_leaving(leaving.name, leaving.incarnation, "shutdown")
         await self.clock.sleep_ms(self._entry.balancer_lag_ms)
@@ -126,7 +145,26 @@
 
     def operator_routes(self) -> list[web.RouteDef]:
         """Return the operators' routes of an entry."""
-        return [*super().operator_routes(), web.get("/operator/targets", self._targets)]
+        return [
+            *super().operator_routes(),
+            web.get("/operator/targets", self._targets),
+            web.get("/operator/orders/{team}/{key}", self._order),
+        ]
+
+    async def _order(self, request: web.Request) -> web.Response:
+        """Answer with the record of one order, without the caller's text."""
+        team, key = request.match_info["team"], request.match_info["key"]
+        found = await read_order(self.platform.table, team, key)
+        if isinstance(found, Failure):
+            return operator_error(found.failure())
+        row = found.unwrap()
+        if row is None:
+            fault = Fault(
+                kind=ErrorKind.NOT_FOUND,
+                detail=f"team {team!r} has no order with key {key!r}",
+            )
+            return operator_error(fault)
+        return web.json_response(order_record(row))
 
     async def _targets(self, request: web.Request) -> web.Response:
         return web.json_response(self._feed.dump() if self.ready else [])
--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -5,6 +5,7 @@
 from carobroute.daemon._process import Process
 from carobroute.engines import Engine, engine_adapters
 from carobroute.local import (
+    CacheReporter,
     CallRunner,
     CrashWatch,
     LinkAsk,
@@ -108,6 +109,13 @@
         self.directory.on_change(self._follow_list)
         self._follow_ticket()
         self.tasks.spawn(self._watch_load(), name="engine-load")
+        cache = CacheReporter(
+            target=self._local.target,
+            engine=self._engine,
+            endpoint=self.endpoint,
+            clock=self.clock,
+        )
+        self.tasks.spawn(cache.run(), name="engine-cache-events")
 
     async def finish(self) -> None:
         """Take no new work, end what runs and see its answers delivered."""
--- a/carobroute/daemon/_operator.py
+++ b/carobroute/daemon/_operator.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from carobroute.errors import ErrorKind, Fault
+from carobroute.requests import OrderRow
 from carobroute.telemetry import Telemetry
 
 OPEN_PATHS = frozenset({"/healthz", "/readyz"})
@@ -73,9 +74,7 @@
         fault = Fault(
             kind=ErrorKind.UNAUTHENTICATED, detail="expected an operator's token"
         )
-        return web.json_response(
-            {"error": msgspec.to_builtins(fault)}, status=fault.answer.status
-        )
+        return operator_error(fault)
 
     def _accepts(self, request: web.Request) -> bool:
         if not self._tokens:
@@ -109,3 +108,18 @@
         return web.Response(
             body=msgspec.json.encode(found), content_type="application/json"
         )
+
+
+def operator_error(fault: Fault) -> web.Response:
+    """Return the answer that tells an operator of `fault`."""
+    return web.json_response(
+        {"error": msgspec.to_builtins(fault)}, status=fault.answer.status
+    )
+
+
+def order_record(row: OrderRow) -> dict[str, object]:
+    """Return what an operator may see of an order: everything but the answer's body."""
+    record = msgspec.to_builtins(row)
+    record.pop("answer", None)
+    record["answer_status"] = row.answer.status if row.answer is not None else None
+    return record
--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -4,6 +4,7 @@
 import random
 import signal
 import ssl
+from typing import Any
 
 from aiohttp import web
 from returns.result import Failure
@@ -283,6 +284,12 @@
             token=token,
         )
 
+    def record_duty(
+        self, event: str, *, level: str = "info", duty: str = "", **inputs: Any
+    ) -> None:
+        """Keep an event about a duty, so that `explain` finds it."""
+        self.telemetry.decisions.record(event, level=level, duty=duty, **inputs)
+
     def _task_failed(self, name: str, error: BaseException) -> None:
         self.telemetry.log.event(
             "task_failed", level="error", task=name, error=repr(error)
--- a/carobroute/entry/__init__.py
+++ b/carobroute/entry/__init__.py
@@ -2,6 +2,7 @@
 
 from carobroute.entry._app import CallerInterface, CallerParameters
 from carobroute.entry._call import Call
+from carobroute.entry._demand import DemandExchange
 from carobroute.entry._exchange import Exchange, ExchangeParameters, ExchangeTable
 from carobroute.entry._feed import TargetFeed
 from carobroute.entry._parse import CallParser, call_class_of, key_hash
@@ -16,6 +17,7 @@
     "CallerInterface",
     "CallerParameters",
     "CallerWriter",
+    "DemandExchange",
     "Exchange",
     "ExchangeParameters",
     "ExchangeTable",
--- a/carobroute/entry/_feed.py
+++ b/carobroute/entry/_feed.py
@@ -2,7 +2,9 @@
 
 from collections.abc import Callable
 
+from carobroute.engines import CacheEvent, CacheEvents
 from carobroute.links import Endpoint, LoadReport, Peer
+from carobroute.local import CacheNews
 from carobroute.membership import Directory
 from carobroute.requests import Router, TargetView
 from carobroute.tickets import Configuration, TargetObject
@@ -42,6 +44,7 @@
     def start(self) -> None:
         """Register for load reports and tell the router of all targets."""
         self._endpoint.handle(LoadReport, self._on_report)
+        self._endpoint.handle(CacheNews, self._on_cache_news)
         self.refresh()
 
     def refresh(self) -> None:
@@ -49,9 +52,10 @@
         configuration = self._configuration()
         views = [self._view(configuration, entry) for entry in configuration.targets()]
         self._router.update_targets([view for view in views if view is not None])
-        for service in configuration.services():
+        services = configuration.services()
+        for service in services:
             self._router.set_policy(service.name, service.routing)
-            self._keep_links(service.name)
+        self._keep_links([service.name for service in services])
 
     def dump(self) -> list[dict[str, object]]:
         """Return what is known of each target, in plain data."""
@@ -71,11 +75,19 @@
             for record in self._router.records
         ]
 
-    def _keep_links(self, service: str) -> None:
-        for name in self._router.subset(service):
-            instance = self._directory.by_target(name)
-            if instance is not None:
-                self._endpoint.peer(instance.address)
+    def _keep_links(self, services: list[str]) -> None:
+        """Open the links that routing needs, and close those that it left unused."""
+        wanted = set()
+        for service in services:
+            for name in self._router.subset(service):
+                instance = self._directory.by_target(name)
+                if instance is not None:
+                    wanted.add(instance.address)
+        for address in wanted:
+            self._endpoint.peer(address)
+        for peer in self._endpoint.peers:
+            if peer.address and peer.address not in wanted and not peer.busy:
+                self._endpoint.forget(peer.address)
 
     def _view(
         self, configuration: Configuration, target: TargetObject
@@ -100,6 +112,11 @@
             ticket=in_force.number,
         )
 
+    def _on_cache_news(self, peer: Peer, news: CacheNews) -> None:
+        event = CacheEvent(seq=news.sequence, stored=news.stored, removed=news.removed)
+        events = CacheEvents(incarnation=news.run, events=[event])
+        self._router.note_cache_events(news.target, events)
+
     def _on_report(self, peer: Peer, report: LoadReport) -> None:
         if report.leaving:
             self._router.note_leaving(report.target)
--- a/carobroute/links/_endpoint.py
+++ b/carobroute/links/_endpoint.py
@@ -150,6 +150,11 @@
         """Whether the connection in use has been heard since it was opened."""
         return self._up
 
+    @property
+    def busy(self) -> bool:
+        """Whether calls are in flight on the link."""
+        return self._busy > 0
+
     @property
     def silent_ms(self) -> float:
         """Time since anything was heard from the peer, in milliseconds."""
--- a/carobroute/local/__init__.py
+++ b/carobroute/local/__init__.py
@@ -2,6 +2,7 @@
 
 from carobroute.local._answers import Answer, AnswerHead, Delivery
 from carobroute.local._attempts import Attempt, AttemptKey, AttemptTable
+from carobroute.local._cache_news import CacheNews, CacheReporter
 from carobroute.local._crashes import CrashWatch
 from carobroute.local._held import HeldAnswers
 from carobroute.local._orders import (
@@ -22,6 +23,8 @@
     "Attempt",
     "AttemptKey",
     "AttemptTable",
+    "CacheNews",
+    "CacheReporter",
     "CallRunner",
     "CrashWatch",
     "Delivery",
--- a/carobroute/local/_process.py
+++ b/carobroute/local/_process.py
@@ -176,9 +176,14 @@
 
     async def move_streams(self) -> None:
         """Hand every running stream that can be exported to another target."""
-        for attempt in self._attempts:
-            if not attempt.answer.closed:
-                await self._runner.export(attempt.key.request_id, attempt.answer)
+        running = [entry for entry in self._attempts if not entry.answer.closed]
+        exports = [
+            self._runner.export(entry.key.request_id, entry.answer) for entry in running
+        ]
+        moved = await asyncio.gather(*exports)
+        self._events.event(
+            "streams_moved", target=self._parameters.target, moved=sum(moved)
+        )
 
     def dump(self) -> dict[str, object]:
         """Return the state for a dump, in plain data."""
--- a/carobroute/local/_runner.py
+++ b/carobroute/local/_runner.py
@@ -1,5 +1,6 @@
 """Carrying calls out at the target."""
 
+import asyncio
 from collections.abc import Callable
 
 import msgspec
@@ -19,6 +20,7 @@
 
 DEFAULT_WEIGHT = 1.0
 MAX_ORDER_ANSWER_BYTES = 8 * 1024 * 1024
+MOVED = Fault(kind=ErrorKind.LEAVING, detail="the stream moves to another target")
 
 
 class CallRunner:
@@ -48,6 +50,7 @@
         "_crashes",
         "_engine",
         "_events",
+        "_exports",
         "_orders",
         "_queue",
         "step_ms",
@@ -72,6 +75,7 @@
         self._configuration = configuration
         self._clock = clock
         self._events = events
+        self._exports: dict[str, asyncio.Future] = {}
         self.step_ms = 0.0
         self.tokens_queued = 0
 
@@ -103,8 +107,7 @@
         try:
             await self._run(submit, answer)
         except FaultError as error:
-            crash = await self._crashes.find(error.fault)
-            answer.close(error.fault, crash=crash)
+            await self._close_failed(submit, answer, error.fault)
         except Exception as error:
             self._events.event(
                 "call_failed",
@@ -116,16 +119,35 @@
         finally:
             answer.close(Fault(kind=ErrorKind.CANCELLED, detail="the call was cut"))
 
-    async def export(self, request_id: str, answer: Answer) -> None:
-        """End a running stream with the state from which another target goes on."""
-        exported = await self._engine.export_kv(request_id)
+    async def export(self, request_id: str, answer: Answer) -> bool:
+        """End a running stream with the state from which another target goes on.
+
+        Returns
+        -------
+        moved : bool
+            Whether the target exported the stream; if not, it runs on.
+        """
+        # The target ends the stream as it exports it, so the end must wait for the
+        # exported state to be here.
+        exporting = asyncio.ensure_future(self._engine.export_kv(request_id))
+        self._exports[request_id] = exporting
+        try:
+            exported = await exporting
+        finally:
+            del self._exports[request_id]
         if isinstance(exported, Failure):
-            return
-        handle = exported.unwrap()
-        answer.close(
-            Fault(kind=ErrorKind.LEAVING, detail="the stream moves to another target"),
-            resume_state=handle.data,
-        )
+            return False
+        answer.close(MOVED, resume_state=exported.unwrap().data)
+        return True
+
+    async def _close_failed(self, submit: Submit, answer: Answer, fault: Fault) -> None:
+        exporting = self._exports.get(submit.request_id)
+        if exporting is not None:
+            exported = await exporting
+            if not isinstance(exported, Failure):
+                answer.close(MOVED, resume_state=exported.unwrap().data)
+                return
+        answer.close(fault, crash=await self._crashes.find(fault))
 
     async def _run(self, submit: Submit, answer: Answer) -> None:
         deadline_ms = self._clock.now_ms() + submit.deadline_ms
