--- a/carobroute/local/_orders.py
+++ b/carobroute/local/_orders.py
@@ -26,6 +26,7 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -133,6 +134,7 @@
 
 
 _Ending = Result[OrderOutcome, Fault]
+Recording = Callable[[], Awaitable[None]]
 
 
 class OrderRunner:
@@ -265,7 +267,7 @@
         return running
 
     async def _run_once(self, order: OrderRequest, forward: Forward) -> _Ending:
-        recording: Awaitable[None] | None = None
+        recording: Recording | None = None
         held_bytes = 0
         try:
             claimed = await self._ledger.claim(order)
@@ -283,13 +285,13 @@
             if isinstance(result, Success):
                 answer = result.unwrap()
                 held_bytes = len(answer.body)
-                recording = self._ledger.finish(claim, answer)
+                recording = partial(self._ledger.finish, claim, answer)
                 return Success(OrderDone(answer=answer, replayed=False))
             fault = result.failure()
             if fault.not_run:
-                recording = self._ledger.release(claim)
+                recording = partial(self._ledger.release, claim)
             else:
-                recording = self._ledger.mark_unknown(claim, fault.detail)
+                recording = partial(self._ledger.mark_unknown, claim, fault.detail)
             return Failure(fault)
         finally:
             self._end(order, recording, held_bytes)
@@ -319,7 +321,7 @@
         return result
 
     def _end(
-        self, order: OrderRequest, recording: Awaitable[None] | None, held_bytes: int
+        self, order: OrderRequest, recording: Recording | None, held_bytes: int
     ) -> None:
         """Keep the ending for later submissions until the ledger has it."""
         if recording is None:
@@ -331,10 +333,10 @@
         )
 
     async def _record(
-        self, order: OrderRequest, recording: Awaitable[None], held_bytes: int
+        self, order: OrderRequest, recording: Recording, held_bytes: int
     ) -> None:
         try:
-            await recording
+            await recording()
         finally:
             self._held_bytes -= held_bytes
             self._running.pop(order.row_key, None)
--- a/carobroute/requests/tests/test_ledger.py
+++ b/carobroute/requests/tests/test_ledger.py
@@ -28,8 +28,11 @@
         super().__init__(clock=clock)
         self.holding = False
         self.held = []
+        self.open = asyncio.Event()
+        self.open.set()
 
     async def transact(self, transaction):
+        await self.open.wait()
         if self.holding and any(put.table == "orders" for put in transaction.puts):
             if transaction not in self.held:
                 self.held.append(transaction)
@@ -215,6 +218,17 @@
     assert isinstance((await other.claim(make_order())).unwrap(), ClaimGranted)
 
 
+async def test_a_claim_granted_after_the_deadline_is_released(world):
+    ledger, other = await world.start("a"), await world.start("b")
+    world.table.open.clear()
+    late = await ledger.claim(make_order(deadline_ms=world.clock.now_ms() + 20))
+    assert kind(late) is ErrorKind.DEADLINE
+    world.table.open.set()
+    await wait_until(lambda: not ledger.unsettled)
+    assert (await world.row()).state is OrderState.RELEASED
+    assert isinstance((await other.claim(make_order())).unwrap(), ClaimGranted)
+
+
 async def test_a_claim_that_lands_before_its_release_is_never_run(world):
     ledger, other = await world.start("a"), await world.start("b")
     world.table.holding = True
@@ -234,19 +248,19 @@
 async def test_a_claim_held_up_across_a_clean_up_fails(world):
     """Removal starts versions again; the clock row's version does not go back."""
     first, second = await world.start("a"), await world.start("b")
-    claim = (await first.claim(make_order())).unwrap()
-    await first.release(claim)
+    cleaner = world.cleaner()
+    await cleaner.clean_once()
+    (await second.claim(make_order("key-0"))).unwrap()
     world.table.holding = True
     assert isinstance(await second.claim(make_order()), Failure)
     world.kill("b")
     world.table.holding = False
-    cleaner = world.cleaner()
-    await cleaner.clean_once()
+    claim = (await first.claim(make_order())).unwrap()
+    await first.finish(claim, ANSWER)
     world.clock.advance_ms(4_000_000)
     assert (await cleaner.clean_once()).unwrap() == 1
     assert await world.row() is None
-    running = (await first.claim(make_order())).unwrap()
-    await first.release(running)
+    assert world.table.held
     for held in world.table.held:
         assert not (await world.table.transact(held)).unwrap().committed
 
