--- a/benchmarks/_traffic.py
+++ b/benchmarks/_traffic.py
@@ -3,6 +3,7 @@
 import random
 
 import msgspec
+import xxhash
 
 from benchmarks._fleet import BLOCK_TOKENS, Call
 
@@ -104,7 +105,7 @@
             shift = int(now_ms / 1_000 / desk.drift_s)
             family = (family + 5 * shift) % kind.families
             count = kind.prefix // BLOCK_TOKENS
-            blocks = [hash((index, family, n)) for n in range(count)]
+            blocks = [xxhash.xxh3_64_intdigest(f"{index} {family} {n}".encode()) for n in range(count)]
         own = source.randint(*kind.own)
         blocks += [source.getrandbits(62) for _ in range(own // BLOCK_TOKENS)]
         if not team:
--- a/carobroute/requests/_carob.py
+++ b/carobroute/requests/_carob.py
@@ -12,6 +12,7 @@
 from carobroute.requests._views import CandidateInputs, RouteQuery
 from carobroute.utils import rendezvous_winner
 
+FIRST_STEP_MS = 20.0
 BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
 
 
@@ -50,7 +51,10 @@
 
 
 class Learned:
-    """Times that the policy learns from its own traffic.
+    """Costs that the policy learns from its own traffic, in steps of a group.
+
+    Steps carry over from one group to another where times do not: a slow group needs
+    as many, and each takes longer.
 
     Parameters
     ----------
@@ -58,25 +62,25 @@
         Weight of a new sample.
     """
 
-    __slots__ = ("_smoothing", "prefill_ms", "stay_ms")
+    __slots__ = ("_smoothing", "prefill_steps", "stay_steps")
 
-    MIN_PREFILL_MS = 0.001
-    MAX_PREFILL_MS = 2.0
+    MIN_PREFILL_STEPS = 1e-5
+    MAX_PREFILL_STEPS = 0.1
 
     def __init__(self, *, smoothing: float):
         self._smoothing = smoothing
-        self.prefill_ms = 0.05
-        self.stay_ms = 1_000.0
+        self.prefill_steps = 0.005
+        self.stay_steps = 60.0
 
-    def note_prefill(self, elapsed_ms: float, tokens: int) -> None:
-        """Take the time that `tokens` tokens took to their first answer token."""
-        sample = elapsed_ms / max(1, tokens)
-        sample = min(self.MAX_PREFILL_MS, max(self.MIN_PREFILL_MS, sample))
-        self.prefill_ms += self._smoothing * (sample - self.prefill_ms)
+    def note_prefill(self, steps: float, tokens: int) -> None:
+        """Take the steps that `tokens` tokens took to their first answer token."""
+        sample = steps / max(1, tokens)
+        sample = min(self.MAX_PREFILL_STEPS, max(self.MIN_PREFILL_STEPS, sample))
+        self.prefill_steps += self._smoothing * (sample - self.prefill_steps)
 
-    def note_stay(self, duration_ms: float) -> None:
-        """Take the duration of a whole call."""
-        self.stay_ms += self._smoothing * (duration_ms - self.stay_ms)
+    def note_stay(self, steps: float) -> None:
+        """Take the steps of a whole call."""
+        self.stay_steps += self._smoothing * (steps - self.stay_steps)
 
 
 @routing_policies.register("carob")
@@ -87,8 +91,8 @@
     that holds most of the prompt's prefix, and the one that a hash of the prefix
     names, so that entries agree on a home for a new prefix without a message. Each
     is charged its expected wait and prefill, its load, and the lag of its group.
-    Another data centre is chosen only where the own ones miss the first-token target
-    and the other still makes it.
+    Another data centre is chosen only where it saves more than the call between them
+    costs, and still makes the first-token target.
 
     Parameters
     ----------
@@ -136,7 +140,7 @@
         weighed = self._weigh(near or far, query, scene)
         best = min(weighed, key=_cost)
         reason = "least_cost" if not best[1].cached_blocks else "prefix"
-        if near and far and best[1].first_ms > query.first_token_ms:
+        if near and far:
             other = min(self._weigh(far, query, scene), key=_cost)
             weighed = [*weighed, other]
             makes_it = other[1].first_ms <= query.first_token_ms
@@ -152,11 +156,12 @@
     ) -> None:
         """Learn the prefill time from a call that did not wait for a slot."""
         if not sent.waited and sent.tokens_ahead > 0:
-            self._learned.note_prefill(elapsed_ms - record.step_ms, sent.tokens_ahead)
+            steps = elapsed_ms / (record.step_ms or FIRST_STEP_MS) - 1.0
+            self._learned.note_prefill(steps, sent.tokens_ahead)
 
     def note_end(self, record: TargetRecord, duration_ms: float) -> None:
         """Learn how long calls stay."""
-        self._learned.note_stay(duration_ms)
+        self._learned.note_stay(duration_ms / (record.step_ms or FIRST_STEP_MS))
 
     def _by_key(self, records: list[TargetRecord], query: RouteQuery) -> Pick:
         names = {record.name: record for record in records}
@@ -196,10 +201,10 @@
             cached = 0
         step_ms = scene.step_ms(record)
         waiting = max(0.0, load - record.concurrency)
-        wait_ms = waiting / record.concurrency * self._learned.stay_ms
         uncached = max(0, query.tokens - cached * BLOCK_TOKENS)
-        prefill_ms = self._learned.prefill_ms * (record.tokens_ahead + uncached)
-        first_ms = wait_ms + prefill_ms + step_ms + self._link_ms(record, scene)
+        steps = 1.0 + waiting / record.concurrency * self._learned.stay_steps
+        steps += self._learned.prefill_steps * (record.tokens_ahead + uncached)
+        first_ms = steps * step_ms + self._link_ms(record, scene)
         cost_ms = first_ms + parameters.load_ms * load / record.concurrency
         cost_ms += self._pace_ms(step_ms, query, scene)
         return CandidateInputs(
@@ -248,8 +253,7 @@
             if group:
                 known = self._groups.get(group, 0.0)
                 self._groups[group] = max(known, record.step_ms)
-        steps = [step for step in map(self.step_ms, records) if step > 0]
-        self.median_step_ms = statistics.median(steps) if steps else 0.0
+        self.median_step_ms = statistics.median(map(self.step_ms, records))
         self.mean_load = sum(record.load for record in records) / len(records)
         self.data_centre = query.data_centre
         regions = [
@@ -259,7 +263,8 @@
 
     def step_ms(self, record: TargetRecord) -> float:
         """Return the pace of a target: its slowest group member sets it."""
-        return max(record.step_ms, self._groups.get(record.view.group, 0.0))
+        step_ms = max(record.step_ms, self._groups.get(record.view.group, 0.0))
+        return step_ms or FIRST_STEP_MS
 
 
 def _cost(weighed: tuple[TargetRecord, CandidateInputs]) -> float:
