Keep marks of leaving, end entries gracefully, and measure both

(1) An event with a field 'name' clashed with the event's own parameter, so that marking an instance as leaving raised, and SIGTERM of an entry cut its streams. (2) A process put its own entry in place of the listed one and never saw that it was listed as leaving; others told peers of such a mark only at the next comparison. (3) After an outage the list was polled after up to 30 s.

--- a/benchmarks/_callers.py
+++ b/benchmarks/_callers.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from carobroute.engines import prompt_text
+from carobroute.standins._engine_batch import answer_token
 from carobroute.testing import Fleet
 
 END_OF_STREAM = b"data: [DONE]\n\n"
@@ -64,3 +66,20 @@
         pieces = [piece async for piece in response.content.iter_any()]
         names = {name.lower(): value for name, value in response.headers.items()}
         return CallerAnswer(status=response.status, headers=names, pieces=pieces)
+
+
+def expected_text(request: dict[str, Any], tokens: int) -> str:
+    """Return the whole text that the stand-in engine answers to `request`."""
+    prompt = prompt_text(msgspec.json.encode(request["body"]))
+    return "".join(answer_token(prompt, index) for index in range(tokens))
+
+
+def streamed_text(answer: CallerAnswer) -> str:
+    """Return the text in the events of a streamed chat answer."""
+    text = []
+    for line in answer.body.split(b"\n\n"):
+        if line.startswith(b"data: {"):
+            event = msgspec.json.decode(line[len(b"data: ") :])
+            for choice in event.get("choices", []):
+                text.append(choice["delta"].get("content", ""))
+    return "".join(text)
--- a/carobroute/daemon/_command.py
+++ b/carobroute/daemon/_command.py
@@ -18,6 +18,7 @@
     name="carobrouted",
     help="Run one process of a carobroute fleet.",
     no_args_is_help=True,
+    pretty_exceptions_enable=False,
 )
 
 SettingsFile = Annotated[
--- a/carobroute/daemon/_entry.py
+++ b/carobroute/daemon/_entry.py
@@ -1,5 +1,7 @@
 """The entry process."""
 
+import asyncio
+
 from aiohttp import web
 from returns.result import Failure
 
@@ -23,6 +25,8 @@
 from carobroute.settings import Settings
 from carobroute.world import Instance, InstanceRole
 
+DRAIN_CHECK_MS = 20.0
+GIVE_BACK_TIMEOUT_S = 5.0
 MAX_LINE_BYTES = 8 * 1024
 
 
@@ -129,14 +133,16 @@
     async def finish(self) -> None:
         """Fail the health check, serve through the balancer's lag, then finish."""
         self._callers.stopping = True
-        await self._duties.stop()
-        leaving = self.own_instance(self.endpoint.address)
-        self.directory.mark_leaving(leaving.name, leaving.incarnation, "shutdown")
+        own = self.own_instance(self.endpoint.address)
+        self.directory.mark_leaving(own.name, own.incarnation, "shutdown")
+        # Giving leases back must not keep callers waiting, nor fail their answers.
+        giving_back = self.tasks.spawn(self._duties.stop(), name="duties-stop")
         await self.clock.sleep_ms(self._entry.balancer_lag_ms)
         await self._site.stop_accepting()
         while self._callers.in_flight:
-            await self.clock.sleep_ms(20)
+            await self.clock.sleep_ms(DRAIN_CHECK_MS)
         await self._site.stop()
+        await asyncio.wait([giving_back], timeout=GIVE_BACK_TIMEOUT_S)
         await self.poller.stop(withdraw=True)
 
     def ready_line(self) -> str:
--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -143,6 +143,7 @@
             directory=self.directory,
             clock=self.clock,
             random=self.random,
+            on_event=self.telemetry.log.event,
         )
         self._register_dump()
         await self._start_operator_site()
@@ -285,7 +286,7 @@
         )
 
     def record_duty(
-        self, event: str, *, level: str = "info", duty: str = "", **inputs: Any
+        self, event: str, /, *, level: str = "info", duty: str = "", **inputs: Any
     ) -> None:
         """Keep an event about a duty, so that `explain` finds it."""
         self.telemetry.decisions.record(event, level=level, duty=duty, **inputs)
--- a/carobroute/entry/_app.py
+++ b/carobroute/entry/_app.py
@@ -254,6 +254,7 @@
             request=request,
             request_id=call.request_id,
             write_ms=self._parameters.write_timeout_ms,
+            closing=lambda: self.stopping,
         )
         self._events.event(
             "call_received",
--- a/carobroute/entry/_writer.py
+++ b/carobroute/entry/_writer.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import math
+from collections.abc import Callable
 
 import msgspec
 from aiohttp import web
@@ -98,6 +99,8 @@
         Identifier of the call.
     write_ms : float
         Longest time that a caller may take to accept one chunk.
+    closing : callable
+        Tells whether the entry is shutting down.
     clock : Clock or None, default=None
         Source of time.
     """
@@ -105,6 +108,7 @@
     __slots__ = (
         "_chunks",
         "_clock",
+        "_closing",
         "_request",
         "_request_id",
         "_response",
@@ -118,6 +122,7 @@
         request: web.Request,
         request_id: str,
         write_ms: float,
+        closing: Callable[[], bool],
         clock: Clock | None = None,
     ):
         self._clock = clock or Clock()
@@ -125,6 +130,7 @@
         self._request = request
         self._request_id = request_id
         self._write_ms = write_ms
+        self._closing = closing
         self._response: web.StreamResponse | None = None
         self._chunks = 0
 
@@ -145,6 +151,9 @@
             response.headers[name] = value
         response.headers[REQUEST_ID_HEADER] = self._request_id
         response.headers[OUTCOME_HEADER] = Outcome.DONE.value
+        if self._closing():
+            # A caller that keeps its connection must not find it closed by shutdown.
+            response.force_close()
         if self._is_stream(response):
             response.headers["Cache-Control"] = "no-cache"
         await response.prepare(self._request)
--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -183,7 +183,9 @@
         for entry in listed:
             self._settle_dispute(entry)
             self._dropped_ms.pop(entry.incarnation, None)
+        leaving_before = set(self._leaving)
         changed = [self._admit(entry) for entry in listed]
+        self._tell_leaving(leaving_before)
         dropped = self._drop_absent({entry.name for entry in listed})
         recycled = self._drop_recycled()
         if any(changed) or dropped or recycled:
@@ -236,6 +238,24 @@
         for callback in self._leaving_callbacks:
             callback(self._instances[name])
 
+    def _tell_leaving(self, before: set[str]) -> None:
+        """Tell of instances that the list has just shown as leaving."""
+        for incarnation in set(self._leaving) - before:
+            known = next(
+                (e for e in self._instances.values() if e.incarnation == incarnation),
+                None,
+            )
+            if known is None:
+                continue
+            self._on_event(
+                "instance_leaving",
+                name=known.name,
+                incarnation=incarnation,
+                reason="list",
+            )
+            for callback in self._leaving_callbacks:
+                callback(known)
+
     def _learn_one(self, entry: Instance) -> bool:
         if self._was_dropped(entry.incarnation):
             return False
@@ -255,6 +275,8 @@
             if entry.incarnation != self._own.incarnation:
                 self._name_taken(entry)
                 return False
+            if entry.state is InstanceState.LEAVING:
+                self._own = _as_leaving(self._own)
             entry = self._own
         if entry.state is InstanceState.LEAVING:
             self._leaving.setdefault(entry.incarnation, "listed as leaving")
--- a/carobroute/membership/_poller.py
+++ b/carobroute/membership/_poller.py
@@ -33,11 +33,11 @@
         Share by which each delay varies either way.
     """
 
-    interval_ms: float = 5_000.0
+    interval_ms: float = 1_500.0
     bytes_per_s: float = 4_096.0
     announce_ms: float = 4_000.0
     retry_ms: float = 500.0
-    retry_most_ms: float = 30_000.0
+    retry_most_ms: float = 3_000.0
     jitter: float = 0.3
 
 
@@ -122,15 +122,17 @@
     def delay_ms(self) -> float:
         """Return the delay before the next poll, in milliseconds."""
         parameters = self._parameters
+        mean_ms = parameters.interval_ms
         if self._failures:
             mean_ms = min(
                 parameters.retry_ms * 2 ** min(self._failures - 1, 16),
                 parameters.retry_most_ms,
             )
-        else:
-            budget_ms = self._length * ENTRY_BYTES / parameters.bytes_per_s * 1_000
-            mean_ms = max(parameters.interval_ms, budget_ms)
-        return self._jittered(mean_ms)
+        # The budget grows with the fleet, so that the processes of a large one do not
+        # fall upon a list that has just come back, and those of a small one need not
+        # wait for it.
+        budget_ms = self._length * ENTRY_BYTES / parameters.bytes_per_s * 1_000
+        return self._jittered(max(mean_ms, budget_ms))
 
     async def poll_once(self) -> bool:
         """Read the list once; False if it did not answer."""
--- a/carobroute/membership/tests/test_directory.py
+++ b/carobroute/membership/tests/test_directory.py
@@ -97,3 +97,21 @@
     assert directory.by_name("entry-0") is None
     assert [e.incarnation for e in directory.live()] == ["entry-0~1"]
     assert directory.is_leaving("entry-0~0")
+
+
+def test_own_instance_learns_from_the_list_that_it_is_leaving(directory):
+    """The own entry took the place of the listed one, and the mark was lost."""
+    leaving = make_instance("entry-0", state=InstanceState.LEAVING)
+    directory.update_from_list([leaving])
+    assert directory.own.state is InstanceState.LEAVING
+    assert directory.by_name("entry-0").state is InstanceState.LEAVING
+
+
+def test_mark_in_the_list_is_told_at_once(directory):
+    """Peers heard of a mark in the list only with the next comparison."""
+    told = []
+    directory.on_leaving(told.append)
+    directory.update_from_list([runner(1)])
+    directory.update_from_list([runner(1, state=InstanceState.LEAVING)])
+    directory.update_from_list([runner(1, state=InstanceState.LEAVING)])
+    assert [entry.name for entry in told] == ["local-1"]
--- a/carobroute/telemetry/tests/test_telemetry.py
+++ b/carobroute/telemetry/tests/test_telemetry.py
@@ -71,3 +71,11 @@
     collected = dump.collect()
     assert collected["good"] == {"1": "x"}
     assert "ZeroDivisionError" in collected["bad"]["dump_error"]
+
+
+def test_field_called_name_does_not_clash_with_the_event():
+    """Marking an instance as leaving failed on an event with a field `name`."""
+    stream = io.StringIO()
+    log = EventLog(name="e", stream=stream)
+    log.event("instance_leaving", name="runner-1", reason="list")
+    assert "runner-1" in stream.getvalue()
--- a/carobroute/testing/_fleet.py
+++ b/carobroute/testing/_fleet.py
@@ -17,6 +17,7 @@
 
 REGION_OF_EXAMPLES = "region"
 START_AT_A_TIME = 10
+GROUP_FIELDS = frozenset({"group", "ranks"})
 PLAIN_STAND_IN = "orders"
 MODEL_STAND_IN = "engine"
 
@@ -293,31 +294,28 @@
             if left[kind] != 0:
                 left[kind] -= 1
                 fields = {**entry, **self.shape.target_fields}
+                if self._cut_down:
+                    fields = {k: v for k, v in fields.items() if k not in GROUP_FIELDS}
                 chosen.append(FleetTarget(fields=fields, kind=kind))
         return chosen
 
     def _first_ticket(self) -> dict[str, Any]:
-        """Return the desk's first ticket, cut down to the targets of this fleet."""
-        kept = {target.name for target in self.targets}
-        everything = len(kept) == sum(
-            entry["type"] == "target" for entry in self.ticket["objects"]
-        )
-        objects = []
+        """Return the desk's first ticket with the targets and teams of this fleet."""
+        kept = {"service"} if self._cut_down else {"service", "group"}
+        objects: list[dict[str, Any]] = []
         for entry in self.ticket["objects"]:
-            if entry["type"] == "target" and entry["name"] not in kept:
-                continue
-            if entry["type"] == "target":
-                entry = self.target(entry["name"]).fields
             if entry["type"] == "team":
-                entry = {**entry, **self.shape.team_fields}
-            if not everything and entry["type"] == "group":
-                continue
-            if not everything and entry["type"] == "target":
-                dropped = ("group", "ranks")
-                entry = {k: v for k, v in entry.items() if k not in dropped}
-            objects.append(entry)
+                objects.append({**entry, **self.shape.team_fields})
+            elif entry["type"] in kept:
+                objects.append(entry)
+        objects += [target.fields for target in self.targets]
         return {**self.ticket, "objects": objects}
 
+    @property
+    def _cut_down(self) -> bool:
+        """Whether targets are left out, so that groups of ranks are not whole."""
+        return self.shape.models >= 0
+
     def _instance(self, name: str, role: str, data_centre: str) -> dict[str, str]:
         return {
             "name": name,
