--- a/carobroute/standins/_faults.py
+++ b/carobroute/standins/_faults.py
@@ -55,7 +55,7 @@
         application.router.add_post("/_admin/faults", self._change)
 
     async def _show(self, request: web.Request) -> web.Response:
-        return web.Response(body=msgspec.json.encode(self.faults))
+        return json_response(self.faults)
 
     async def _change(self, request: web.Request) -> web.Response:
         self.faults = msgspec.json.decode(await request.read(), type=Faults)
@@ -87,3 +87,10 @@
     if request.transport is not None:
         request.transport.abort()
     raise asyncio.CancelledError
+
+
+def json_response(value: object, *, status: int = 200) -> web.Response:
+    """Return `value` as a JSON answer."""
+    return web.Response(
+        body=msgspec.json.encode(value), status=status, content_type="application/json"
+    )
--- a/carobroute/standins/_orders.py
+++ b/carobroute/standins/_orders.py
@@ -10,7 +10,7 @@
 from aiohttp import web
 
 from carobroute.standins._command import MAX_BODY_BYTES, serve, stand_ins
-from carobroute.standins._faults import FaultControl
+from carobroute.standins._faults import FaultControl, json_response
 from carobroute.utils import content_hash
 
 FENCE_HEADER = "X-Carobroute-Fence"
@@ -112,31 +112,25 @@
         )
         if self._honours_fencing and run.fence < self._fence:
             self.record.refused.append(run)
-            return _json(run, status=STALE_FENCE_STATUS)
+            return json_response(run, status=STALE_FENCE_STATUS)
         self._fence = max(self._fence, run.fence)
         self.record.runs.append(run)
         await asyncio.sleep(self._behaviour.after_ms / 1_000)
-        return _json(run)
+        return json_response(run)
 
     async def _stock(self, request: web.Request) -> web.Response:
         await asyncio.sleep(self._behaviour.before_ms / 1_000)
-        return _json({"sku": request.match_info["sku"], "on_hand": 7})
+        return json_response({"sku": request.match_info["sku"], "on_hand": 7})
 
     async def _health(self, request: web.Request) -> web.Response:
-        return _json({"status": "ok"})
+        return json_response({"status": "ok"})
 
     async def _show_record(self, request: web.Request) -> web.Response:
-        return _json(self.record)
+        return json_response(self.record)
 
     async def _change_behaviour(self, request: web.Request) -> web.Response:
         self._behaviour = msgspec.json.decode(await request.read(), type=Behaviour)
-        return _json(self._behaviour)
-
-
-def _json(value: object, *, status: int = 200) -> web.Response:
-    return web.Response(
-        body=msgspec.json.encode(value), status=status, content_type="application/json"
-    )
+        return json_response(self._behaviour)
 
 
 @stand_ins.register("orders")
--- a/carobroute/standins/_platform.py
+++ b/carobroute/standins/_platform.py
@@ -4,13 +4,12 @@
 import random as random_module
 from typing import Annotated
 
-import msgspec
 import typer
 from aiohttp import web
 
 from carobroute.platform import _wire
 from carobroute.standins._command import MAX_BODY_BYTES, serve, stand_ins
-from carobroute.standins._faults import FaultControl
+from carobroute.standins._faults import FaultControl, json_response
 from carobroute.standins._state import InstanceListState, TableState
 from carobroute.utils import Clock
 
@@ -171,11 +170,11 @@
         return response
 
     async def _record_writes(self, request: web.Request) -> web.Response:
-        return web.Response(body=msgspec.json.encode(list(self.tables.record)))
+        return json_response(list(self.tables.record))
 
     async def _record_counts(self, request: web.Request) -> web.Response:
         counts = {**self.counts, "weights_sent": self.weights_sent}
-        return web.Response(body=msgspec.json.encode(counts))
+        return json_response(counts)
 
 
 def weight_bytes(weight: str, offset: int, length: int) -> bytes:
