--- a/benchmarks/_order_record.py
+++ b/benchmarks/_order_record.py
@@ -20,8 +20,8 @@
         `done`, `not_run`, `unknown`, or `no_answer`.
     request_id : str
         Identifier in the answer's head.
-    kind : str
-        Error kind, or the HTTP status of a finished order.
+    kind, detail : str
+        Error kind, and its text.
     body : bytes
         Body of a finished order's answer.
     """
@@ -30,6 +30,7 @@
     told: str
     request_id: str = ""
     kind: str = ""
+    detail: str = ""
     body: bytes = b""
 
 
--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -140,6 +140,7 @@
         error_body = await response.json()
         submission.told = error_body["error"]["outcome"]
         submission.kind = error_body["error"]["type"]
+        submission.detail = error_body["error"]["message"]
 
 
 async def run(seed: int, orders: int, phases: list[str], directory: Path) -> int:
--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -147,7 +147,7 @@
             clock=self.clock,
             target=self._local.target,
             incarnation=self.incarnation,
-            address=self.endpoint.address,
+            address=self.instance.address,
             parameters=LedgerParameters(longest_call_ms=self._local.longest_call_ms),
             honours_fencing=honours,
             ask=LinkAsk(endpoint=self.endpoint),
--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -111,7 +111,8 @@
         return self.ticket_routes()
 
     async def _start(self) -> None:
-        address = await self.endpoint.start(self.settings.links.bind)
+        bound = await self.endpoint.start(self.settings.links.bind)
+        address = self.settings.links.announce or bound
         self.instance = self.own_instance(address)
         self.directory = Directory(
             clock=self.clock, own=self.instance, on_event=self.telemetry.log.event
--- a/carobroute/entry/_run.py
+++ b/carobroute/entry/_run.py
@@ -256,6 +256,12 @@
         return self._call.deadline_ms - self._services.clock.now_ms()
 
     async def _fail(self, fault: Fault) -> web.StreamResponse:
+        if self._redirects and fault.not_run:
+            # A target that said who holds the order knows that it may have run.
+            fault = Fault(
+                kind=ErrorKind.OUTCOME_UNKNOWN,
+                detail=f"the order is held elsewhere: {fault.detail}",
+            )
         self._services.decisions.record(
             "call_failed",
             level="info",
--- a/carobroute/requests/_ledger_fence.py
+++ b/carobroute/requests/_ledger_fence.py
@@ -120,9 +120,8 @@
         wait_ms = self._ready_ms - self._clock.now_ms()
         if wait_ms > 0:
             detail = f"calls of an earlier process may run for {wait_ms:.0f} ms yet"
-            return Fault(
-                kind=ErrorKind.NO_TARGET, detail=detail, retry_after_ms=wait_ms
-            )
+            # As from a target that leaves: another one is tried, at no cost.
+            return Fault(kind=ErrorKind.LEAVING, detail=detail, retry_after_ms=wait_ms)
         return None
 
     def learn(self, row: Row) -> None:
--- a/carobroute/telemetry/_events.py
+++ b/carobroute/telemetry/_events.py
@@ -131,7 +131,7 @@
         self._clock = clock or Clock()
         self._windows: dict[str, _Window] = {}
 
-    def event(self, name: str, *, level: str = "info", **fields: Any) -> None:
+    def event(self, name: str, /, *, level: str = "info", **fields: Any) -> None:
         """Write the event `name` with `fields`, unless its rate is too high."""
         if LEVELS.get(level, LEVELS["error"]) < LEVELS[self._level]:
             return
