--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -224,7 +224,7 @@
             return
         self._leaving[incarnation] = reason
         self._on_event(
-            "instance_leaving", name=name, incarnation=incarnation, reason=reason
+            "instance_leaving", instance=name, incarnation=incarnation, reason=reason
         )
         known = self._instances.get(name)
         if incarnation == self._own.incarnation:
@@ -267,7 +267,7 @@
             self._replaced[known.incarnation] = entry.incarnation
             self._on_event(
                 "instance_replaced",
-                name=entry.name,
+                instance=entry.name,
                 was=known.incarnation,
                 now=entry.incarnation,
             )
@@ -298,7 +298,7 @@
             self._on_event(
                 "name_shared",
                 level="warning",
-                name=entry.name,
+                instance=entry.name,
                 other=entry.incarnation,
                 own=self._own.incarnation,
             )
@@ -350,7 +350,7 @@
         self._dropped_ms[entry.incarnation] = self._clock.now_ms()
         self._on_event(
             "instance_dropped",
-            name=name,
+            instance=name,
             incarnation=entry.incarnation,
             reason=reason,
         )
--- a/carobroute/membership/_overlay.py
+++ b/carobroute/membership/_overlay.py
@@ -59,7 +59,9 @@
     Parameters
     ----------
     observer : str
-        Name of the process that observed.
+        Incarnation that observed.
+    sequence : int
+        Number of its report, so that each is passed on once.
     silent : list of str
         Incarnations that it calls without an answer.
     heard : list of str
@@ -67,6 +69,7 @@
     """
 
     observer: str
+    sequence: int
     silent: list[str]
     heard: list[str]
 
@@ -84,6 +87,8 @@
         Interval of adjusting links and of looking for silent neighbours.
     digest_ms : float
         Mean interval of comparing the known instances with one neighbour.
+    report_ms : float
+        Shortest interval of reporting the same silent neighbours again.
     silent_ms : float
         Silence of a link at which its peer is suspected.
     """
@@ -92,6 +97,7 @@
     bridges: int = 2
     tend_ms: float = 1_000.0
     digest_ms: float = 30_000.0
+    report_ms: float = 8_000.0
     silent_ms: float = 8_000.0
 
 
@@ -137,6 +143,8 @@
         self._neighbours: dict[str, Peer] = {}
         self._wanted: dict[str, Instance] = {}
         self._reported: set[str] = set()
+        self._reported_ms = 0.0
+        self._sequence = 0
         self._stale = True
         self._greeted: set[str] = set()
         self._tasks = TaskSet(on_failure=self._task_failed)
@@ -146,6 +154,10 @@
         """What observers say of instances."""
         return self._suspicions
 
+    @property
+    def _own(self) -> str:
+        return self._directory.own.incarnation
+
     @property
     def neighbours(self) -> list[Peer]:
         """Peers that this process keeps control links to."""
@@ -294,35 +306,48 @@
     # Suspicions.
 
     def _observe(self) -> None:
-        silent, heard = set(), []
+        """Report which neighbours are silent, when that changes and now and then."""
+        silent, heard = self._look()
+        cleared = (self._reported - silent) | heard
+        new = silent - self._reported
+        now_ms = self._clock.now_ms()
+        again = silent and now_ms - self._reported_ms >= self._parameters.report_ms
+        if new or cleared or again:
+            self._report(sorted(silent), sorted(cleared))
+            self._reported_ms = now_ms
+        self._reported = silent
+
+    def _look(self) -> tuple[set[str], set[str]]:
+        """Return the neighbours that are silent, and those accused that are heard."""
+        silent, heard = set(), set()
         for address, peer in self._neighbours.items():
-            instance = self._wanted[address]
+            expected = self._wanted[address].incarnation
             if peer.up and peer.silent_ms < self._parameters.silent_ms:
-                if peer.incarnation == instance.incarnation:
-                    self._directory.heard(peer.incarnation)
-                    if self._suspicions.is_accused(peer.incarnation):
-                        heard.append(peer.incarnation)
+                if peer.incarnation != expected:
+                    continue
+                self._directory.heard(expected)
+                if self._suspicions.is_accused(expected, but=self._own):
+                    heard.add(expected)
             elif peer.silent_ms >= self._parameters.silent_ms:
-                silent.add(instance.incarnation)
-        cleared = (self._reported - silent) | set(heard)
-        if silent or cleared:
-            self._tell_suspicions(sorted(silent), sorted(cleared))
-        self._reported = silent
+                silent.add(expected)
+        return silent, heard
 
-    def _tell_suspicions(self, silent: list[str], heard: list[str]) -> None:
+    def _report(self, silent: list[str], heard: list[str]) -> None:
+        self._sequence += 1
         news = SuspicionNews(
-            observer=self._directory.own.name, silent=silent, heard=heard
+            observer=self._own, sequence=self._sequence, silent=silent, heard=heard
         )
-        if self._suspicions.note(news.observer, silent, heard):
-            self._send_to_all(news)
+        self._suspicions.note(self._own, self._sequence, silent, heard)
+        self._send_to_all(news)
 
     def _on_suspicions(self, peer: Peer, entry: SuspicionNews) -> None:
-        own = self._directory.own
-        if self._suspicions.note(entry.observer, entry.silent, entry.heard):
+        if self._suspicions.note(
+            entry.observer, entry.sequence, entry.silent, entry.heard
+        ):
             self._send_to_all(entry, but=peer)
-        if own.incarnation in entry.silent:
-            # Whoever hears this itself clears us: the path was at fault.
-            self._on_event("suspected", level="warning", observer=entry.observer)
+            if self._own in entry.silent:
+                # Whoever hears this process clears it: the path was at fault.
+                self._on_event("suspected", level="warning", observer=entry.observer)
 
     def _task_failed(self, name: str, error: BaseException) -> None:
         self._on_event("task_failed", level="error", task=name, error=repr(error))
--- a/carobroute/membership/_suspicion.py
+++ b/carobroute/membership/_suspicion.py
@@ -53,17 +53,17 @@
     --------
     >>> from carobroute.utils import ManualClock
     >>> suspicions = Suspicions(clock=ManualClock())
-    >>> suspicions.note("entry-1", ["runner-1~1"], [])
+    >>> suspicions.note("entry-1~1", 1, ["runner-1~1"], [])
     True
     >>> suspicions.is_suspected("runner-1~1")
     False
-    >>> suspicions.note("entry-2", ["runner-1~1"], [])
+    >>> suspicions.note("entry-2~1", 1, ["runner-1~1"], [])
     True
     >>> suspicions.is_suspected("runner-1~1")
     True
     """
 
-    __slots__ = ("_callbacks", "_clock", "_parameters", "_reports")
+    __slots__ = ("_callbacks", "_clock", "_parameters", "_reports", "_sequences")
 
     def __init__(self, *, clock: Clock, parameters: SuspicionParameters | None = None):
         self._clock = clock
@@ -73,18 +73,41 @@
             most=self._parameters.max_accused
         )
 
+        self._sequences: BoundedDict[str, int] = BoundedDict(
+            most=self._parameters.max_accused
+        )
+
     def on_change(self, callback: Callable[[], None]) -> None:
         """Have `callback` called after an instance became suspected or cleared."""
         self._callbacks.append(callback)
 
-    def note(self, observer: str, silent: Iterable[str], heard: Iterable[str]) -> bool:
-        """Take in one observer's words; return whether any was news."""
-        news = False
+    def note(
+        self, observer: str, sequence: int, silent: Iterable[str], heard: Iterable[str]
+    ) -> bool:
+        """Take in one observer's words.
+
+        Parameters
+        ----------
+        observer : str
+            Incarnation of the observer.
+        sequence : int
+            Number of its report; an older one, or the same again, changes nothing.
+        silent, heard : iterable of str
+            Incarnations that it calls without an answer, and that it hears.
+
+        Returns
+        -------
+        news : bool
+            Whether the report is to be passed on.
+        """
+        if sequence <= self._sequences.get(observer, 0):
+            return False
+        self._sequences[observer] = sequence
         for incarnation in silent:
-            news |= self._note(observer, incarnation, True)
+            self._note(observer, incarnation, True)
         for incarnation in heard:
-            news |= self._note(observer, incarnation, False)
-        return news
+            self._note(observer, incarnation, False)
+        return True
 
     def is_suspected(self, incarnation: str) -> bool:
         """Whether enough observers call it silent, and more than hear it."""
@@ -93,8 +116,13 @@
         heard = len(valid) - silent
         return silent >= self._parameters.observers and silent > heard
 
-    def is_accused(self, incarnation: str) -> bool:
-        """Whether any observer calls this incarnation silent."""
+    def is_accused(self, incarnation: str, *, but: str = "") -> bool:
+        """Whether an observer calls it silent, and `but` has not yet said otherwise."""
+        reports = self._reports.get(incarnation)
+        own = reports.get(but) if reports is not None else None
+        half_ms = self._parameters.valid_ms / 2
+        if own is not None and self._clock.now_ms() - own.since_ms < half_ms:
+            return own.silent
         return any(report.silent for report in self._valid(incarnation))
 
     def _valid(self, incarnation: str) -> list[Report]:
@@ -104,22 +132,16 @@
             return []
         return [report for report in reports.values() if report.since_ms >= limit_ms]
 
-    def _note(self, observer: str, incarnation: str, silent: bool) -> bool:
+    def _note(self, observer: str, incarnation: str, silent: bool) -> None:
         reports = self._reports.get(incarnation)
         if reports is None:
             if not silent:
-                return False
+                return
             reports = BoundedDict(most=self._parameters.max_observers)
             self._reports[incarnation] = reports
-        known = reports.get(observer)
-        now_ms = self._clock.now_ms()
-        half_ms = self._parameters.valid_ms / 2
-        if known and known.silent == silent and now_ms - known.since_ms < half_ms:
-            return False
         before = self.is_suspected(incarnation)
         reports.pop(observer, None)
-        reports[observer] = Report(silent, now_ms)
+        reports[observer] = Report(silent, self._clock.now_ms())
         if self.is_suspected(incarnation) != before:
             for callback in self._callbacks:
                 callback()
-        return True
--- a/carobroute/membership/tests/test_overlay.py
+++ b/carobroute/membership/tests/test_overlay.py
@@ -123,13 +123,13 @@
     clock = ManualClock()
     suspicions = Suspicions(clock=clock)
     for observer in ("a", "b"):
-        suspicions.note(observer, ["x~1"], [])
+        suspicions.note(observer, 1, ["x~1"], [])
     assert suspicions.is_suspected("x~1")
-    suspicions.note("c", [], ["x~1"])
+    suspicions.note("c", 1, [], ["x~1"])
     assert suspicions.is_suspected("x~1")
-    suspicions.note("d", [], ["x~1"])
+    suspicions.note("d", 1, [], ["x~1"])
     assert not suspicions.is_suspected("x~1")
-    suspicions.note("e", ["x~1"], [])
+    suspicions.note("e", 1, ["x~1"], [])
     assert suspicions.is_suspected("x~1")
     clock.advance_ms(20_001)
     assert not suspicions.is_suspected("x~1")
@@ -181,3 +181,32 @@
     assert poller.delay_ms() == pytest.approx(61_096, rel=0.001)
     listed.available = False
     assert not await poller.poll_once()
+
+
+def test_older_report_of_an_observer_changes_nothing():
+    suspicions = Suspicions(clock=ManualClock())
+    assert suspicions.note("a", 2, [], ["x~1"])
+    assert not suspicions.note("a", 1, ["x~1"], [])
+    assert not suspicions.note("a", 2, ["x~1"], [])
+    assert not suspicions.is_accused("x~1")
+
+
+async def test_reports_do_not_circle(nodes):
+    """A report and its withdrawal overtake each other on different ways."""
+    observer = nodes[0].overlay
+    for _ in range(5):
+        observer._report(["x~1"], [])
+        observer._report([], ["x~1"])
+    await wait_until(
+        lambda: all(
+            n.overlay.suspicions.note(nodes[0].incarnation, observer._sequence, [], [])
+            is False
+            for n in nodes
+        )
+    )
+    handled = sum(n.endpoint.counts["frames_received"] for n in nodes)
+    quiet = OverlayParameters(tend_ms=20).tend_ms
+    await nodes[0].overlay._clock.sleep_ms(quiet * 10)
+    grown = sum(n.endpoint.counts["frames_received"] for n in nodes) - handled
+    # Pings go on; a report that circles makes thousands of frames in this time.
+    assert grown < 1_000
--- a/carobroute/standins/_state.py
+++ b/carobroute/standins/_state.py
@@ -14,12 +14,13 @@
 
 
 class WriteRecord(msgspec.Struct, kw_only=True):
-    """How often one transaction arrived, and what became of it."""
+    """How often one transaction arrived, what became of it, and when at first."""
 
     token: str
     committed: bool
     arrivals: int
     keys: list[str]
+    wall_ms: float = 0.0
 
 
 class TableState:
@@ -59,6 +60,7 @@
             committed=outcome.committed,
             arrivals=1,
             keys=[f"{put.table}/{put.key}" for put in transaction.puts],
+            wall_ms=Clock().wall_ms(),
         )
         self._record[transaction.token] = entry
         self.record.append(entry)
