--- a/carobroute/requests/__init__.py
+++ b/carobroute/requests/__init__.py
@@ -7,37 +7,14 @@
     TeamTotals,
 )
 from carobroute.requests._blame_spreader import BlameSpreader
-from carobroute.requests._blames import (
-    BlameEntry,
-)
-from carobroute.requests._carob import (
-    CarobParameters,
-    CarobPolicy,
-)
-from carobroute.requests._fair_queue import (
-    FairQueue,
-    FairQueueParameters,
-    Slot,
-)
-from carobroute.requests._health import (
-    HealthParameters,
-)
-from carobroute.requests._ledger import (
-    Ledger,
-    read_order,
-)
-from carobroute.requests._ledger_claims import (
-    Ask,
-)
-from carobroute.requests._ledger_clean import (
-    CleanParameters,
-    LedgerCleaner,
-)
-from carobroute.requests._ledger_messages import (
-    AskClaim,
-    ClaimState,
-    ClaimStatus,
-)
+from carobroute.requests._blames import BlameEntry
+from carobroute.requests._carob import CarobParameters, CarobPolicy
+from carobroute.requests._fair_queue import FairQueue, FairQueueParameters, Slot
+from carobroute.requests._health import HealthParameters
+from carobroute.requests._ledger import Ledger, read_order
+from carobroute.requests._ledger_claims import Ask
+from carobroute.requests._ledger_clean import CleanParameters, LedgerCleaner
+from carobroute.requests._ledger_messages import AskClaim, ClaimState, ClaimStatus
 from carobroute.requests._ledger_types import (
     ClaimElsewhere,
     ClaimFinished,
@@ -50,13 +27,8 @@
     StoredAnswer,
     order_fingerprint,
 )
-from carobroute.requests._policies import (
-    RoutingPolicy,
-    routing_policies,
-)
-from carobroute.requests._prefix import (
-    PrefixIndex,
-)
+from carobroute.requests._policies import RoutingPolicy, routing_policies
+from carobroute.requests._prefix import PrefixIndex
 from carobroute.requests._quarantine import (
     Blame,
     Quarantine,
@@ -64,26 +36,11 @@
     Verdict,
     request_fingerprint,
 )
-from carobroute.requests._retries import (
-    RetryDecision,
-    RetryParameters,
-    RetryPolicy,
-)
-from carobroute.requests._router import (
-    Router,
-)
-from carobroute.requests._spread import (
-    spread_retry_after_ms,
-)
-from carobroute.requests._subset import (
-    choose_subset,
-)
-from carobroute.requests._views import (
-    CandidateInputs,
-    Choice,
-    RouteQuery,
-    TargetView,
-)
+from carobroute.requests._retries import RetryDecision, RetryParameters, RetryPolicy
+from carobroute.requests._router import Router
+from carobroute.requests._spread import spread_retry_after_ms
+from carobroute.requests._subset import choose_subset
+from carobroute.requests._views import CandidateInputs, Choice, RouteQuery, TargetView
 
 __all__ = [
     "Admission",
--- a/carobroute/requests/_ledger_claims.py
+++ b/carobroute/requests/_ledger_claims.py
@@ -190,7 +190,7 @@
             definite = not write.future.cancelled() and isinstance(
                 write.future.result(), Success
             )
-            if write.sent_ms and not definite:
+            if write.sent and not definite:
                 self._effects.resolve(row, version, clock_version)
         if definite:
             return write.future.result()
--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -3,6 +3,7 @@
 from carobroute.testing._fake_platform import FakeInstanceList, FakeTable
 from carobroute.testing._fault_proxy import FaultProxy, Faults, ProxiedPort
 from carobroute.testing._fleet import Fleet, FleetShape, FleetTarget
+from carobroute.testing._order_data import FakeObjects, make_order, make_submit
 from carobroute.testing._processes import Child, ProcessGroup
 from carobroute.testing._ticket_data import (
     make_instance,
@@ -16,6 +17,7 @@
 __all__ = [
     "Child",
     "FakeInstanceList",
+    "FakeObjects",
     "FakeTable",
     "FaultProxy",
     "Faults",
@@ -25,7 +27,9 @@
     "ProcessGroup",
     "ProxiedPort",
     "make_instance",
+    "make_order",
     "make_service",
+    "make_submit",
     "make_target",
     "make_team",
     "make_ticket",
