Stop the busy loop of a link whose peer has not answered

Cause: the time of the next ping was moved on only once the peer had been heard, so a link to a dead address looped without waiting for a second at each attempt (16,800 loop turns a second seen with strace). Now it waits between pings; a test counts the waits.

--- a/carobroute/links/_endpoint.py
+++ b/carobroute/links/_endpoint.py
@@ -468,11 +468,11 @@
             next_ping_ms = min(next_ping_ms, now_ms + interval_ms)
             await self._wait(peer, next_ping_ms - now_ms)
             now_ms = self.clock.now_ms()
-            if now_ms >= next_ping_ms and peer._up:
-                peer._queue.append(Ping())
-                if not peer._ping_sent_ms:
-                    peer._ping_sent_ms = now_ms
+            if now_ms >= next_ping_ms:
                 next_ping_ms = now_ms + interval_ms
+                if peer._up:
+                    peer._queue.append(Ping())
+                    peer._ping_sent_ms = peer._ping_sent_ms or now_ms
             await self._flush(peer)
             if self._is_silent(peer, now_ms):
                 return
--- a/carobroute/links/tests/test_endpoint.py
+++ b/carobroute/links/tests/test_endpoint.py
@@ -68,3 +68,26 @@
             ids.add((await mute.recv_multipart())[0])
     assert peer.reopened >= 2
     context.destroy(linger=0)
+
+
+async def test_a_peer_that_does_not_answer_costs_no_busy_loop(pair, monkeypatch):
+    """The link waits between its pings, also before the peer was first heard."""
+    first, _ = pair
+    waits = []
+    wait = Endpoint._wait
+
+    async def count(self, peer, timeout_ms):
+        waits.append(timeout_ms)
+        await wait(self, peer, timeout_ms)
+
+    monkeypatch.setattr(Endpoint, "_wait", count)
+    context = zmq.asyncio.Context()
+    mute = context.socket(zmq.ROUTER)
+    port = mute.bind_to_random_port("tcp://127.0.0.1")
+    peer = first.peer(f"tcp://127.0.0.1:{port}")
+    async with asyncio.timeout(20):
+        while peer.reopened < 3:
+            await asyncio.wait_for(mute.recv_multipart(), 20)
+    context.destroy(linger=0)
+    # Three attempts of 80 ms with a ping interval of 20 ms.
+    assert len(waits) < 100
