--- a/benchmarks/_control_node.py
+++ b/benchmarks/_control_node.py
@@ -14,6 +14,7 @@
 import uvloop
 from aiohttp import web
 
+from carobroute.leases import Duties, Lease, LeaseKeeper
 from carobroute.links import Endpoint
 from carobroute.membership import Directory, ListPoller, Overlay
 from carobroute.platform import http_platform
@@ -21,9 +22,11 @@
 from carobroute.utils import Clock, new_incarnation
 from carobroute.world import Instance, InstanceRole
 
+FLEET_DUTIES = ("orders/expire", "tickets/compact")
+
 
 class ControlNode:
-    """Links, directory, overlay and keeper of one process."""
+    """Links, directory, overlay, keeper and duties of one process."""
 
     def __init__(self, arguments: argparse.Namespace):
         self.arguments = arguments
@@ -63,6 +66,7 @@
         await self.poller.wait_polled(2_000)
         await self.overlay.start()
         await self.keeper.start()
+        await self._start_duties()
         operator = await self._serve_operators() if self.arguments.operator else "-"
         while not stop.is_set():
             if (await self.keeper.wait_ready(1_000)).value_or(None) is not None:
@@ -101,6 +105,31 @@
         )
         self.keeper.on_change(self._print_in_force)
 
+    async def _start_duties(self) -> None:
+        """Take part in the duties that any process of the fleet may hold."""
+        leases = LeaseKeeper(
+            table=self.platform.table,
+            clock=self.clock,
+            incarnation=self.incarnation,
+            on_event=self._event,
+        )
+        self.duties = Duties(
+            leases=leases,
+            name=self.arguments.name,
+            clock=self.clock,
+            random=self.random,
+            on_event=self._event,
+        )
+        for name in FLEET_DUTIES:
+            self.duties.add(name, self._hold, self._candidates)
+        await self.duties.start()
+
+    async def _hold(self, lease: Lease) -> None:
+        await asyncio.Event().wait()
+
+    def _candidates(self) -> list[str]:
+        return [entry.name for entry in self.directory.live()]
+
     async def _serve_operators(self) -> str:
         application = web.Application()
         application.add_routes(ticket_routes(self.keeper, self.log, self.directory))
--- a/benchmarks/tickets.py
+++ b/benchmarks/tickets.py
@@ -65,7 +65,7 @@
         ticket = make_ticket(
             make_service(), make_target(), make_target("runner-2"), make_team("till")
         )
-        assert await self._file(ticket)
+        assert await self.file(ticket)
 
     async def race(self) -> None:
         """File two tickets against the same state and wait for both answers."""
@@ -80,20 +80,27 @@
         ]
         race = Race(tokens=[ticket.token for ticket in tickets], numbers=[])
         self.races.append(race)
-        answers = await asyncio.gather(*map(self._file, tickets))
+        answers = await asyncio.gather(*map(self.file, tickets))
         race.numbers = [number for number in answers if number]
         self._last = max([self._last, *race.numbers])
 
+    async def change_one(self) -> None:
+        """File one ticket of one object."""
+        based_on = await self._read_number(at_least=self._last)
+        weight = 1.0 + self._random.random()
+        team = make_team("till", weight=weight)
+        self._last = await self.file(make_ticket(team, based_on=based_on))
+
     async def _read_number(self, *, at_least: int) -> int:
         """Read the number in force at some entry that is not behind."""
         while True:
-            status, body = await self._call("GET", "/operator/configuration")
+            status, body = await self._call("GET", "/operator/configuration?objects=0")
             number = msgspec.json.decode(body)["number"] if status == 200 else 0
             if number >= at_least:
                 return number
             await asyncio.sleep(0.05)
 
-    async def _file(self, ticket: Ticket) -> int:
+    async def file(self, ticket: Ticket) -> int:
         """File until the answer is definite; return the number, or 0 if refused."""
         data = msgspec.json.encode(ticket)
         while True:
--- a/carobroute/cli/_ticket.py
+++ b/carobroute/cli/_ticket.py
@@ -295,7 +295,9 @@
 
 
 def _view(client: OperatorClient) -> ConfigurationView:
-    return _value(client.get("/operator/configuration", ConfigurationView))
+    """Return the state of the entry's configuration without its objects."""
+    path = "/operator/configuration"
+    return _value(client.get(path, ConfigurationView, objects=0))
 
 
 def _configuration(client: OperatorClient, **query: Any) -> Configuration:
--- a/carobroute/testing/_ticket_data.py
+++ b/carobroute/testing/_ticket_data.py
@@ -35,8 +35,8 @@
 
 
 def make_team(name: str = "counter", **fields) -> TeamObject:
-    """Return a team without keys."""
-    return TeamObject(name=name, key_hashes=[], **fields)
+    """Return a team, without keys unless they are given."""
+    return TeamObject(name=name, **{"key_hashes": [], **fields})
 
 
 def make_instance(
--- a/carobroute/tickets/_operator_api.py
+++ b/carobroute/tickets/_operator_api.py
@@ -111,13 +111,16 @@
         ]
 
     async def configuration(self, request: web.Request) -> web.Response:
-        """Answer the configuration in force here, or as it was at ticket `at`."""
+        """Answer the configuration in force here, or as it was at ticket `at`.
+
+        With `objects=0` its objects are left out, which can be a megabyte.
+        """
         at = request.query.get("at")
         if at is None:
             found = self._keeper.current
         else:
             found = _value(await self._log.configuration_at(_number(at, "at")))
-        return _json(self._view(found))
+        return _json(self._view(found, request.query.get("objects") != "0"))
 
     async def tickets(self, request: web.Request) -> web.Response:
         """Answer the tickets above `after`."""
@@ -168,13 +171,13 @@
             )
         )
 
-    def _view(self, configuration: Configuration) -> ConfigurationView:
+    def _view(self, configuration: Configuration, whole: bool) -> ConfigurationView:
         return ConfigurationView(
             number=configuration.number,
             chain=configuration.chain,
             ready=self._keeper.ready,
             explain=self._keeper.explain(),
-            objects=configuration.objects,
+            objects=configuration.objects if whole else {},
         )
 
 
