Time tickets only in processes that were ready when they came

A process that started after a ticket was filed reported its start as the ticket's time to in force (9.2 s for the first ticket of the example desk). Names with a slash are quoted by `carobroute explain`.

--- a/carobroute/cli/_app.py
+++ b/carobroute/cli/_app.py
@@ -2,6 +2,7 @@
 
 from pathlib import Path
 from typing import Annotated, Any
+from urllib.parse import quote
 
 import typer
 from returns.result import Failure
@@ -76,7 +77,7 @@
     """Print every decision about a request, ticket, target or duty, with its inputs."""
     rows: list[dict[str, Any]] = []
     for one in address:
-        found = _read(one, f"/operator/explain/{subject}", token_file)
+        found = _read(one, f"/operator/explain/{quote(subject, safe='')}", token_file)
         rows += [{"process": one, **_decision_row(row)} for row in found]
     rows.sort(key=lambda row: row["wall_ms"])
     print_result(rows, output=output)
--- a/carobroute/tickets/_forward.py
+++ b/carobroute/tickets/_forward.py
@@ -40,6 +40,7 @@
         "_image",
         "_on_event",
         "_reported_chain",
+        "_timing",
     )
 
     def __init__(self, *, clock: Clock, on_event: Callable[..., None]):
@@ -51,6 +52,7 @@
         self._callbacks: list[Callable[[Configuration], None]] = []
         self._advanced = asyncio.Event()
         self._reported_chain = ""
+        self._timing = False
 
     @property
     def current(self) -> Configuration:
@@ -67,6 +69,10 @@
         """The last tickets and when they came into force here."""
         return self._history
 
+    def begin_timing(self) -> None:
+        """Note from now on when tickets come into force; what came before is old."""
+        self._timing = True
+
     def on_change(self, callback: Callable[[Configuration], None]) -> None:
         """Have `callback` called with each new configuration, in order."""
         self._callbacks.append(callback)
@@ -95,7 +101,8 @@
                 self._mismatch(ticket.number, ticket.chain, "ticket")
                 break
             configuration = configuration.with_ticket(ticket)
-            self._history.append(ticket, in_force_ms=self._clock.wall_ms())
+            in_force_ms = self._clock.wall_ms() if self._timing else 0.0
+            self._history.append(ticket, in_force_ms=in_force_ms)
         return self._put_in_force(configuration)
 
     def adopt(self, configuration: Configuration) -> bool:
--- a/carobroute/tickets/_history.py
+++ b/carobroute/tickets/_history.py
@@ -13,7 +13,7 @@
 
 
 class HistoryEntry(msgspec.Struct, frozen=True):
-    """One ticket as it is sent, and when it came into force here."""
+    """One ticket as it is sent, and when it came into force here, or 0 if unknown."""
 
     number: int
     data: bytes
--- a/carobroute/tickets/_status.py
+++ b/carobroute/tickets/_status.py
@@ -85,7 +85,7 @@
             )
             return StatusAnswer(in_force=0, laggards=[laggard])
         entry = self._forward.history.find(number)
-        if entry is None or not entry.filed_ms:
+        if entry is None or not entry.filed_ms or not entry.in_force_ms:
             return StatusAnswer(in_force=1, laggards=[])
         took_ms = max(0.0, entry.in_force_ms - entry.filed_ms)
         return StatusAnswer(in_force=1, laggards=[], slowest_ms=took_ms, slowest=name)
