--- /dev/null
+++ b/carobroute/placement/_coordinator.py
@@ -0,0 +1,283 @@
+"""The coordinator of a group's switches.
+
+The names of states and transitions are those of `spec/expert_map.py`.
+"""
+
+import asyncio
+import math
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.links import Message
+from carobroute.placement._interface import GroupMember, GroupPeers
+from carobroute.placement._map import Attempt, ExpertMap
+from carobroute.placement._messages import (
+    Decide,
+    LoadMap,
+    LoadReply,
+    Prepare,
+    PrepareReply,
+    Probe,
+    ProbeReply,
+)
+from carobroute.utils import Clock, TaskSet
+
+R = TypeVar("R")
+
+
+class CoordinatorParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Times of a coordinator.
+
+    Parameters
+    ----------
+    call_ms : float
+        Wait for one reply before the call is sent again.
+    retry_ms : float
+        Pause before a call is sent again.
+    probe_ms : float
+        Longest time to read the state of all members.
+    load_ms : float
+        Longest time in which all members load a map.
+    promise_ms : float
+        Longest time to gather the promises; the switch step is chosen this far ahead.
+    decide_ms : float
+        Longest time in which a decision is sent again; members that it does not reach
+        settle among themselves.
+    """
+
+    call_ms: float = 60.0
+    retry_ms: float = 10.0
+    probe_ms: float = 2_000.0
+    load_ms: float = 60_000.0
+    promise_ms: float = 250.0
+    decide_ms: float = 1_000.0
+
+
+class SwitchReport(msgspec.Struct, frozen=True, kw_only=True):
+    """What an attempt came to.
+
+    Parameters
+    ----------
+    attempt : Attempt
+        The attempt.
+    step : int
+        First step with the new map.
+    promise_ms : float
+        Time from the first question to the last promise, in milliseconds.
+    """
+
+    attempt: Attempt
+    step: int
+    promise_ms: float
+
+
+class SwitchCoordinator:
+    """Switches one group to new maps.
+
+    Parameters
+    ----------
+    group : str
+        Name of the group.
+    incarnation : str
+        Run of this process.
+    fence : callable
+        Returns the fencing number of the lease under which it acts.
+    may_act : callable
+        Returns whether that lease is held now.
+    peers : GroupPeers
+        Calls to the members.
+    clock : Clock
+        Source of time.
+    parameters : CoordinatorParameters, default=None
+        Times.
+    on_event : callable, default=None
+        Called with an event name and fields, for the log.
+
+    Notes
+    -----
+    Safety does not rest on the lease: any number of coordinators may run at once.
+    The lease spares the members the work of refusing all but one.
+    """
+
+    def __init__(
+        self,
+        *,
+        group: str,
+        incarnation: str,
+        fence: Callable[[], int],
+        may_act: Callable[[], bool],
+        peers: GroupPeers,
+        clock: Clock,
+        parameters: CoordinatorParameters | None = None,
+        on_event: Callable[..., None] | None = None,
+    ):
+        self._group = group
+        self._incarnation = incarnation
+        self._fence = fence
+        self._may_act = may_act
+        self._peers = peers
+        self._clock = clock
+        self._parameters = parameters or CoordinatorParameters()
+        self._on_event = on_event or (lambda *args, **fields: None)
+        self._number = 0
+        self._tasks = TaskSet(on_failure=self._task_failed)
+
+    async def stop(self) -> None:
+        """Give up what is under way."""
+        await self._tasks.close()
+
+    async def probe(self) -> Result[list[ProbeReply], Fault]:
+        """Return the state of all members, if all are joined in one epoch."""
+        deadline_ms = self._clock.now_ms() + self._parameters.probe_ms
+        replies = await self._ask_all(
+            lambda: Probe(group=self._group), ProbeReply, deadline_ms
+        )
+        if isinstance(replies, Failure):
+            return replies
+        states = replies.unwrap()
+        epochs = sorted({state.epoch for state in states})
+        if len(epochs) != 1 or not all(state.joined for state in states):
+            return fail(ErrorKind.CONFLICT, f"members are entering epoch {epochs[-1]}")
+        return replies
+
+    async def switch(self, expert_map: ExpertMap) -> Result[SwitchReport, Fault]:
+        """Load a map at all members and switch to it in one step.
+
+        Returns
+        -------
+        report : Result
+            A fault means that this attempt was aborted and the old map stays.
+        """
+        states = await self.probe()
+        if isinstance(states, Failure):
+            return states
+        epoch = states.unwrap()[0].epoch
+        loaded = await self._load(expert_map, epoch)
+        if isinstance(loaded, Failure):
+            return loaded
+        if not self._may_act():
+            return fail(ErrorKind.STALE_FENCE, f"no lease on group {self._group!r}")
+        attempt = self._next_attempt(states.unwrap())
+        step = self._switch_step(loaded.unwrap())
+        start_ms = self._clock.now_ms()
+        refusal = await self._gather_promises(expert_map, epoch, attempt, step)
+        took_ms = self._clock.now_ms() - start_ms
+        self._tasks.spawn(
+            self._send_decision(epoch, attempt, not refusal), name="send decision"
+        )
+        self._on_event(
+            "map_decision", group=self._group, step=step, refusal=refusal or "none"
+        )
+        if refusal:
+            return fail(ErrorKind.CONFLICT, f"aborted: {refusal}")
+        return Success(SwitchReport(attempt=attempt, step=step, promise_ms=took_ms))
+
+    def _next_attempt(self, states: list[ProbeReply]) -> Attempt:
+        fence = self._fence()
+        seen = max(state.high_water for state in states)
+        if seen.fence == fence:
+            self._number = max(self._number, seen.number)
+        self._number += 1
+        return Attempt(fence, self._number, self._incarnation)
+
+    def _switch_step(self, replies: list[LoadReply]) -> int:
+        """Return a step that no rank begins before the promises are gathered."""
+        step_ms = max(1.0, min(reply.step_ms for reply in replies))
+        ahead = math.ceil(self._parameters.promise_ms / step_ms)
+        return max(reply.step for reply in replies) + ahead + 1
+
+    async def _load(
+        self, expert_map: ExpertMap, epoch: int
+    ) -> Result[list[LoadReply], Fault]:
+        deadline_ms = self._clock.now_ms() + self._parameters.load_ms
+        while True:
+            replies = await self._ask_all(
+                lambda: LoadMap(group=self._group, epoch=epoch, expert_map=expert_map),
+                LoadReply,
+                deadline_ms,
+            )
+            if isinstance(replies, Failure):
+                return replies
+            for reply in replies.unwrap():
+                if reply.refusal:
+                    detail = f"{reply.incarnation}: {reply.refusal}"
+                    return fail(ErrorKind.CONFLICT, detail)
+            if all(reply.loaded for reply in replies.unwrap()):
+                return replies
+            if self._clock.now_ms() >= deadline_ms:
+                return fail(ErrorKind.DEADLINE, "members are still loading")
+            await self._clock.sleep_ms(self._parameters.retry_ms)
+
+    async def _gather_promises(
+        self, expert_map: ExpertMap, epoch: int, attempt: Attempt, step: int
+    ) -> str:
+        """Return why the attempt has to be aborted, or an empty string."""
+        replies = await self._ask_all(
+            lambda: Prepare(
+                group=self._group,
+                epoch=epoch,
+                attempt=attempt,
+                version=expert_map.version,
+                step=step,
+            ),
+            PrepareReply,
+            self._clock.now_ms() + self._parameters.promise_ms,
+        )
+        if isinstance(replies, Failure):
+            return str(replies.failure())
+        for reply in replies.unwrap():
+            if not reply.promised or reply.attempt != attempt or reply.epoch != epoch:
+                return f"{reply.incarnation}: {reply.refusal}"
+        return ""
+
+    async def _send_decision(self, epoch: int, attempt: Attempt, switch: bool) -> None:
+        await self._ask_all(
+            lambda: Decide(
+                group=self._group, epoch=epoch, attempt=attempt, switch=switch
+            ),
+            Message,
+            self._clock.now_ms() + self._parameters.decide_ms,
+        )
+
+    async def _ask_all(
+        self,
+        question: Callable[[], Message],
+        expected: type[R],
+        deadline_ms: float,
+    ) -> Result[list[R], Fault]:
+        """Ask every member, again after a loss, until all answer or time is up."""
+        results = await asyncio.gather(
+            *(
+                self._ask(member, question, expected, deadline_ms)
+                for member in self._peers.members()
+            )
+        )
+        for result in results:
+            if isinstance(result, Failure):
+                return result
+        return Success([result.unwrap() for result in results])
+
+    async def _ask(
+        self,
+        member: GroupMember,
+        question: Callable[[], Message],
+        expected: type[R],
+        deadline_ms: float,
+    ) -> Result[R, Fault]:
+        while True:
+            left_ms = deadline_ms - self._clock.now_ms()
+            if left_ms <= 0:
+                return fail(ErrorKind.DEADLINE, f"no answer from {member.name} in time")
+            result = await self._peers.call(
+                member, question(), timeout_ms=min(left_ms, self._parameters.call_ms)
+            )
+            if isinstance(result, Success) and isinstance(result.unwrap(), expected):
+                return result
+            await self._clock.sleep_ms(self._parameters.retry_ms)
+
+    def _task_failed(self, name: str, error: BaseException) -> None:
+        self._on_event("task_failed", level="error", task=name, error=repr(error))
