--- a/carobroute/tickets/__init__.py
+++ b/carobroute/tickets/__init__.py
@@ -1,5 +1,17 @@
 """Change tickets: schema, validation, acceptance, spreading."""
 
+from carobroute.tickets import _check_groups  # noqa: F401  (registers its checks)
+from carobroute.tickets._check import (
+    TicketFault,
+    check_ticket,
+    describe_faults,
+    ticket_checks,
+)
+from carobroute.tickets._compact import TicketCompactor
+from carobroute.tickets._file import dump_ticket, load_ticket_file, parse_ticket
+from carobroute.tickets._keeper import ConfigurationKeeper, KeeperParameters
+from carobroute.tickets._log import TicketLog
+from carobroute.tickets._operator_api import ticket_routes
 from carobroute.tickets._schema import (
     CallRule,
     Configuration,
@@ -15,6 +27,9 @@
 )
 
 __all__ = [
+    "TicketCompactor",
+    "ConfigurationKeeper",
+    "KeeperParameters",
     "CallRule",
     "Configuration",
     "ExpertPlacement",
@@ -24,6 +39,15 @@
     "TargetObject",
     "TeamObject",
     "Ticket",
+    "TicketFault",
+    "TicketLog",
     "TicketObject",
+    "check_ticket",
+    "describe_faults",
+    "dump_ticket",
+    "load_ticket_file",
     "object_key",
+    "parse_ticket",
+    "ticket_checks",
+    "ticket_routes",
 ]
