--- /dev/null
+++ b/carobroute/testing/_placement_data.py
@@ -0,0 +1,239 @@
+"""A rank group, a lossy network and members in one process, for tests."""
+
+import asyncio
+import random as random_module
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+from returns.result import Result, Success
+
+from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.links import Message, Nack
+from carobroute.placement import (
+    EngineStatus,
+    ExpertMap,
+    GroupMember,
+    GroupPeers,
+    MapVersion,
+    RankEngine,
+    RankMember,
+    make_map,
+)
+from carobroute.placement._service import dispatch
+from carobroute.standins._rank_state import GroupState, RankState
+from carobroute.utils import Clock
+
+GROUP = "bell"
+LOST = "lost"
+
+
+class Weather(msgspec.Struct, kw_only=True):
+    """Faults of the fake network and of orders to the fake engines."""
+
+    loss: float = 0.0
+    duplicates: float = 0.0
+    delay_ms: float = 1.0
+    order_loss: float = 0.0
+
+
+def make_expert_map(*, ranks: int, revision: int, experts: int = 4) -> ExpertMap:
+    """Return a one-layer map that differs for each revision."""
+    layer = [[(expert + revision) % ranks] for expert in range(experts)]
+    return make_map([layer], ticket=1, revision=revision)
+
+
+class FakeRankGroup:
+    """Steps a `GroupState` in the loop's time."""
+
+    def __init__(self, *, state: GroupState, clock: Clock):
+        self.state = state
+        self.clock = clock
+
+    async def run(self) -> None:
+        """Step for ever."""
+        state = self.state
+        ended_ms = self.clock.now_ms()
+        while True:
+            if not state.begin(self.clock.now_ms()):
+                await self.clock.sleep_ms(1)
+                continue
+            epoch = state.epoch
+            waited_ms = self.clock.now_ms() - ended_ms
+            await self.clock.sleep_ms(state.step_ms)
+            ended_ms = self.clock.now_ms()
+            if state.epoch == epoch:
+                state.end(waited_ms=waited_ms, work_ms=[state.step_ms])
+
+
+class FakeRankEngine(RankEngine):
+    """Orders to a `FakeRankGroup`, of which some are lost before or after."""
+
+    def __init__(
+        self,
+        *,
+        group: FakeRankGroup,
+        ranks: Sequence[int],
+        owner: str,
+        weather: Weather,
+        random: random_module.Random,
+        load_ms: float = 20.0,
+    ):
+        self._group = group
+        self._ranks = list(ranks)
+        self._owner = owner
+        self._weather = weather
+        self._random = random
+        self._load_ms = load_ms
+        self.loads = 0
+
+    @property
+    def _state(self) -> GroupState:
+        return self._group.state
+
+    async def status(self) -> Result[EngineStatus, Fault]:
+        """Return the state of the ranks hosted here."""
+        if await self._lost():
+            return self._gone()
+        own = [self._state.ranks[rank] for rank in self._ranks]
+        return Success(
+            EngineStatus(
+                epoch=self._state.epoch,
+                step=self._state.step,
+                step_ms=self._state.step_ms,
+                roster=self._state.roster,
+                joined=all(s.joined_epoch == self._state.epoch for s in own),
+                held=any(s.hold is not None for s in own),
+            )
+        )
+
+    async def attach(self) -> Result[int, Fault]:
+        """Replace the ranks."""
+        return Success(self._state.attach(self._ranks, self._owner))
+
+    async def load(self, expert_map: ExpertMap) -> Result[None, Fault]:
+        """Load after a while."""
+        self.loads += 1
+        await self._group.clock.sleep_ms(self._load_ms)
+        experts = [
+            [list(p) for p in sorted(expert_map.experts_of(r))] for r in self._ranks
+        ]
+        refusal = self._state.load(self._own(), key(expert_map.version), experts)
+        return fail(ErrorKind.CONFLICT, refusal) if refusal else Success(None)
+
+    async def unload(self, kept: Sequence[MapVersion]) -> Result[None, Fault]:
+        """Free what is not kept."""
+        self._state.unload(self._own(), [key(v) for v in kept])
+        return Success(None)
+
+    async def hold_before(
+        self, *, epoch: int, step: int, order: int
+    ) -> Result[bool, Fault]:
+        """Hold the ranks."""
+        if await self._lost() or not self._fresh(epoch, order):
+            return self._gone()
+        held = self._state.hold_before(self._own(), step, order)
+        return self._gone() if await self._lost() else Success(held)
+
+    async def set_map(
+        self, version: MapVersion, *, epoch: int, step: int, order: int
+    ) -> Result[None, Fault]:
+        """Set the map."""
+        if await self._lost() or not self._fresh(epoch, order):
+            return self._gone()
+        done = self._state.set_map(self._own(), key(version), step, order)
+        return self._gone() if await self._lost() or not done else Success(None)
+
+    async def release_hold(self, *, epoch: int, order: int) -> Result[None, Fault]:
+        """Release the ranks."""
+        if await self._lost() or not self._fresh(epoch, order):
+            return self._gone()
+        self._state.release(self._own(), order)
+        return self._gone() if await self._lost() else Success(None)
+
+    async def join(
+        self, version: MapVersion, *, epoch: int, order: int
+    ) -> Result[None, Fault]:
+        """Join the epoch."""
+        if await self._lost() or not self._fresh(epoch, order):
+            return self._gone()
+        done = self._state.join(self._own(), key(version), order)
+        return self._gone() if await self._lost() or not done else Success(None)
+
+    def _own(self) -> list[RankState]:
+        return self._state.owned(self._ranks, self._owner)
+
+    def _fresh(self, epoch: int, order: int) -> bool:
+        return self._state.fresh_order(self._own(), epoch, order)
+
+    async def _lost(self) -> bool:
+        await self._group.clock.sleep_ms(self._random.uniform(0, 1))
+        return self._random.random() < self._weather.order_loss
+
+    def _gone(self) -> Result[Any, Fault]:
+        return fail(ErrorKind.PEER_LOST, LOST)
+
+
+def key(version: MapVersion) -> tuple[int, int, str]:
+    """Return the version as a rank group records it."""
+    return (version.ticket, version.revision, version.digest)
+
+
+class FakeNetwork(GroupPeers):
+    """Calls between members that may be lost, late, repeated or out of order.
+
+    A member in `paused` gets its messages when it wakes.
+    """
+
+    def __init__(self, *, weather: Weather, clock: Clock, random: random_module.Random):
+        self.weather = weather
+        self.paused: set[str] = set()
+        self._clock = clock
+        self._random = random
+        self._members: dict[str, RankMember] = {}
+        self._tasks: set[asyncio.Task] = set()
+
+    def place(self, member: RankMember) -> None:
+        """Put `member` in its slot, in place of the one there."""
+        self._members[member.name] = member
+
+    def members(self) -> list[GroupMember]:
+        """Return all members of the group."""
+        return [
+            GroupMember(name=name, address=name, ranks=member.ranks)
+            for name, member in sorted(self._members.items())
+        ]
+
+    async def call(
+        self, member: GroupMember, entry: Message, *, timeout_ms: float
+    ) -> Result[Any, Fault]:
+        """Deliver `entry` and its reply, each subject to the weather."""
+        future: asyncio.Future = asyncio.get_running_loop().create_future()
+        copies = 1 + (self._random.random() < self.weather.duplicates)
+        for _ in range(copies):
+            task = asyncio.create_task(self._deliver(member.name, entry, future))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+        try:
+            async with asyncio.timeout(timeout_ms / 1_000):
+                reply = await future
+        except TimeoutError:
+            return fail(ErrorKind.PEER_LOST, LOST)
+        if isinstance(reply, Nack):
+            return fail(reply.fault.kind, reply.fault.detail)
+        return Success(reply)
+
+    async def _deliver(self, name: str, entry: Message, reply: asyncio.Future) -> None:
+        if not await self._travels():
+            return
+        while name in self.paused:
+            await self._clock.sleep_ms(1)
+        answer = dispatch(self._members[name], entry)
+        if asyncio.iscoroutine(answer):
+            answer = await answer
+        if await self._travels() and not reply.done():
+            reply.set_result(answer)
+
+    async def _travels(self) -> bool:
+        await self._clock.sleep_ms(self._random.uniform(0, 2 * self.weather.delay_ms))
+        return self._random.random() >= self.weather.loss
