--- a/carobroute/placement/__init__.py
+++ b/carobroute/placement/__init__.py
@@ -5,6 +5,7 @@
     SwitchCoordinator,
     SwitchReport,
 )
+from carobroute.placement._http_engine import HttpRankEngine
 from carobroute.placement._interface import (
     EngineStatus,
     GroupMember,
@@ -21,6 +22,17 @@
 )
 from carobroute.placement._member import MemberParameters, RankMember
 from carobroute.placement._service import LinkPeers, SwitchService
+from carobroute.placement._weights import (
+    HttpWeightSource,
+    PeerWeightSource,
+    ReadWeight,
+    TrafficBudget,
+    WeightMover,
+    WeightObject,
+    WeightPiece,
+    WeightSource,
+    answer_read,
+)
 
 __all__ = [
     "Attempt",
@@ -29,14 +41,24 @@
     "ExpertMap",
     "GroupMember",
     "GroupPeers",
+    "HttpRankEngine",
+    "HttpWeightSource",
     "LinkPeers",
     "MapVersion",
     "MemberParameters",
+    "PeerWeightSource",
     "RankEngine",
     "RankMember",
+    "ReadWeight",
     "SwitchCoordinator",
     "SwitchReport",
     "SwitchService",
+    "TrafficBudget",
+    "WeightMover",
+    "WeightObject",
+    "WeightPiece",
+    "WeightSource",
+    "answer_read",
     "initial_map",
     "make_map",
     "map_error",
--- a/carobroute/placement/_coordinator.py
+++ b/carobroute/placement/_coordinator.py
@@ -43,7 +43,10 @@
     load_ms : float
         Longest time in which all members load a map.
     promise_ms : float
-        Longest time to gather the promises; the switch step is chosen this far ahead.
+        Longest time to gather the promises.
+    lead_ms : float
+        How far ahead the switch step is chosen; longer than it takes to gather the
+        promises and to settle, so that ranks seldom wait for an outcome.
     decide_ms : float
         Longest time in which a decision is sent again; members that it does not reach
         settle among themselves.
@@ -53,7 +56,8 @@
     retry_ms: float = 10.0
     probe_ms: float = 2_000.0
     load_ms: float = 60_000.0
-    promise_ms: float = 250.0
+    promise_ms: float = 150.0
+    lead_ms: float = 300.0
     decide_ms: float = 1_000.0
 
 
@@ -187,7 +191,7 @@
     def _switch_step(self, replies: list[LoadReply]) -> int:
         """Return a step that no rank begins before the promises are gathered."""
         step_ms = max(1.0, min(reply.step_ms for reply in replies))
-        ahead = math.ceil(self._parameters.promise_ms / step_ms)
+        ahead = math.ceil(self._parameters.lead_ms / step_ms)
         return max(reply.step for reply in replies) + ahead + 1
 
     async def _load(
--- a/carobroute/placement/_member.py
+++ b/carobroute/placement/_member.py
@@ -52,7 +52,7 @@
 
     poll_ms: float = 50.0
     call_ms: float = 150.0
-    settle_after_ms: float = 250.0
+    settle_after_ms: float = 180.0
     retry_ms: float = 20.0
 
 
--- a/spec/expert_map.py
+++ b/spec/expert_map.py
@@ -6,7 +6,8 @@
 the step runs once all have begun it in the same epoch. Whatever was once sent stays
 readable for ever and may never be read, which covers loss, delay, duplicates,
 reordering and a process that pauses and wakes. A member may be replaced, which loses
-its memory and starts a new epoch of the rank group. A transition `calm` ends all faults and silences
+its memory and starts a new epoch of the rank group. A transition `calm` ends all
+faults and silences
 both coordinators for good, so that a state from which only a coordinator or a further
 replacement could lead out counts as a hang.
 
