--- a/carobroute/placement/__init__.py
+++ b/carobroute/placement/__init__.py
@@ -1,5 +1,6 @@
 """Expert maps of groups: the switch from map to map, popularity and planners."""
 
+from carobroute.placement import _baselines, _incremental  # noqa: F401
 from carobroute.placement._coordinator import (
     CoordinatorParameters,
     SwitchCoordinator,
@@ -21,6 +22,18 @@
     map_error,
 )
 from carobroute.placement._member import MemberParameters, RankMember
+from carobroute.placement._planning import (
+    EMPTY,
+    Planner,
+    PlanningInput,
+    initial_slots,
+    layers_of,
+    moved_copies,
+    planners,
+    slots_of,
+    step_skew,
+)
+from carobroute.placement._popularity import Popularity
 from carobroute.placement._service import LinkPeers, SwitchService
 from carobroute.placement._weights import (
     HttpWeightSource,
@@ -35,6 +48,7 @@
 )
 
 __all__ = [
+    "EMPTY",
     "Attempt",
     "CoordinatorParameters",
     "EngineStatus",
@@ -47,6 +61,9 @@
     "MapVersion",
     "MemberParameters",
     "PeerWeightSource",
+    "Planner",
+    "PlanningInput",
+    "Popularity",
     "RankEngine",
     "RankMember",
     "ReadWeight",
@@ -60,6 +77,12 @@
     "WeightSource",
     "answer_read",
     "initial_map",
+    "initial_slots",
+    "layers_of",
     "make_map",
     "map_error",
+    "moved_copies",
+    "planners",
+    "slots_of",
+    "step_skew",
 ]
