--- /dev/null
+++ b/carobroute/placement/__init__.py
@@ -0,0 +1,88 @@
+"""Expert maps of groups: the switch from map to map, popularity and planners."""
+
+from carobroute.placement import _baselines, _incremental  # noqa: F401
+from carobroute.placement._coordinator import (
+    CoordinatorParameters,
+    SwitchCoordinator,
+    SwitchReport,
+)
+from carobroute.placement._http_engine import HttpRankEngine
+from carobroute.placement._interface import (
+    EngineStatus,
+    GroupMember,
+    GroupPeers,
+    RankEngine,
+)
+from carobroute.placement._map import (
+    Attempt,
+    ExpertMap,
+    MapVersion,
+    initial_map,
+    make_map,
+    map_error,
+)
+from carobroute.placement._member import MemberParameters, RankMember
+from carobroute.placement._planning import (
+    EMPTY,
+    Planner,
+    PlanningInput,
+    initial_slots,
+    layers_of,
+    moved_copies,
+    planners,
+    slots_of,
+    step_skew,
+)
+from carobroute.placement._popularity import Popularity
+from carobroute.placement._service import LinkPeers, SwitchService
+from carobroute.placement._weights import (
+    HttpWeightSource,
+    PeerWeightSource,
+    ReadWeight,
+    TrafficBudget,
+    WeightMover,
+    WeightObject,
+    WeightPiece,
+    WeightSource,
+    answer_read,
+)
+
+__all__ = [
+    "EMPTY",
+    "Attempt",
+    "CoordinatorParameters",
+    "EngineStatus",
+    "ExpertMap",
+    "GroupMember",
+    "GroupPeers",
+    "HttpRankEngine",
+    "HttpWeightSource",
+    "LinkPeers",
+    "MapVersion",
+    "MemberParameters",
+    "PeerWeightSource",
+    "Planner",
+    "PlanningInput",
+    "Popularity",
+    "RankEngine",
+    "RankMember",
+    "ReadWeight",
+    "SwitchCoordinator",
+    "SwitchReport",
+    "SwitchService",
+    "TrafficBudget",
+    "WeightMover",
+    "WeightObject",
+    "WeightPiece",
+    "WeightSource",
+    "answer_read",
+    "initial_map",
+    "initial_slots",
+    "layers_of",
+    "make_map",
+    "map_error",
+    "moved_copies",
+    "planners",
+    "slots_of",
+    "step_skew",
+]
