--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -57,7 +57,11 @@
             on_event=self.telemetry.log.event,
         )
         self.platform = self._make_platform()
-        self.log = TicketLog(table=self.platform.table, clock=self.clock)
+        self.log = TicketLog(
+            table=self.platform.table,
+            clock=self.clock,
+            on_event=self.telemetry.decisions.record,
+        )
         self.ready = False
         self.stopping = False
         self.instance: Instance
@@ -132,7 +136,7 @@
             random=self.random,
             name=self.settings.instance.name,
             overlay=self.overlay,
-            on_event=self.telemetry.log.event,
+            on_event=self.telemetry.decisions.record,
         )
         self.blames = BlameSpreader(
             quarantine=self.quarantine,
--- a/carobroute/tickets/_compact.py
+++ b/carobroute/tickets/_compact.py
@@ -93,7 +93,7 @@
         )
         if isinstance(moved, Failure):
             return moved
-        self._on_event("tickets_compacted", number=configuration.number)
+        self._on_event("tickets_compacted", ticket=configuration.number)
         return await self._delete_old(moved.unwrap(), deadline_ms)
 
     async def _write_rows(
--- a/carobroute/tickets/_forward.py
+++ b/carobroute/tickets/_forward.py
@@ -112,7 +112,7 @@
             self._on_event(
                 "configuration_refused",
                 level="error",
-                number=configuration.number,
+                ticket=configuration.number,
                 before=self.number,
                 object=back,
             )
@@ -156,7 +156,7 @@
         if configuration.number <= before:
             return False
         self._current = configuration
-        self._on_event("in_force", number=configuration.number, before=before)
+        self._on_event("in_force", ticket=configuration.number, before=before)
         self._advanced.set()
         for callback in self._callbacks:
             try:
@@ -176,7 +176,7 @@
             "ticket_mismatch",
             level="error",
             what=what,
-            number=number,
+            ticket=number,
             got=chain,
             expected=self._current.chain,
         )
--- a/carobroute/tickets/_keeper.py
+++ b/carobroute/tickets/_keeper.py
@@ -222,7 +222,7 @@
     def _become_ready(self, source: str) -> None:
         self._ready.set()
         self._forward.begin_timing()
-        self._on_event("configuration_ready", number=self.current.number, by=source)
+        self._on_event("configuration_ready", ticket=self.current.number, by=source)
 
     async def _ask_peers(self) -> bool:
         """Take over the highest configuration of some peers that are ready."""
--- a/carobroute/tickets/_log.py
+++ b/carobroute/tickets/_log.py
@@ -317,10 +317,10 @@
         self._on_event(
             "ticket_lost",
             level="warning",
+            ticket=max(changed.values()),
             token=ticket.token,
             author=ticket.author,
             based_on=ticket.based_on,
-            against=sorted(set(changed.values())),
             objects=sorted(changed),
         )
         named = ", ".join(f"{k} by ticket {n}" for k, n in sorted(changed.items()))
@@ -349,7 +349,7 @@
             return None
         self._on_event(
             "ticket_accepted",
-            number=accepted.number,
+            ticket=accepted.number,
             author=accepted.author,
             based_on=ticket.based_on,
             token=ticket.token,
--- a/carobroute/tickets/_table_reader.py
+++ b/carobroute/tickets/_table_reader.py
@@ -91,8 +91,8 @@
             self._on_event(
                 "table_behind",
                 level="error",
+                ticket=forward.number,
                 head=head.number,
-                in_force=forward.number,
             )
         forward.compare_chain(head.number, head.chain)
         if head.number <= forward.number:
