--- a/carobroute/settings/_load.py
+++ b/carobroute/settings/_load.py
@@ -173,6 +173,9 @@
         found = file.is_dir() if wanted == "directory" else file.is_file()
     except (OSError, ValueError):
         found = False
+    if found and key.endswith("token_file") and not read_secret(file).value_or([]):
+        got = "a file without a token"
+        return [SettingFault(path=at, got=got, expected="one token a line")]
     if found:
         data[key] = str(file)
         return []
--- a/carobroute/settings/_schema.py
+++ b/carobroute/settings/_schema.py
@@ -46,20 +46,23 @@
 class CurveSettings(
     msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
 ):
-    """CURVE keys of the links; certificates as `zmq.auth` writes them.
+    """CURVE keys of the links, as certificate files that `zmq.auth` writes.
+
+    A key ring that a ticket puts in force takes the place of the accepted directory
+    and of the order of keys; the secrets themselves only ever come from files.
 
     Parameters
     ----------
-    certificate_file : str
-        Secret certificate of this process.
-    server_certificate_file : str
-        Secret certificate that every listening socket of the fleet uses.
+    own_directory : str
+        Secret certificates of this process.
+    servers_directory : str
+        Secret certificates of the fleet's listening sockets.
     accepted_directory : str
-        Directory of the public certificates of peers that may connect.
+        Public certificates of peers that may connect.
     """
 
-    certificate_file: FilePath
-    server_certificate_file: FilePath
+    own_directory: FilePath
+    servers_directory: FilePath
     accepted_directory: FilePath
 
 
--- a/carobroute/settings/tests/test_settings.py
+++ b/carobroute/settings/tests/test_settings.py
@@ -67,6 +67,9 @@
     file.write_text(ENTRY + "operator: {token_file: tokens}\n")
     (fault,) = load_settings(file).failure().faults
     assert fault.path == "operator.token_file"
+    (tmp_path / "tokens").write_text("# none yet\n")
+    (fault,) = load_settings(file).failure().faults
+    assert fault.expected == "one token a line"
 
 
 def test_missing_or_binary_file_is_a_fault(tmp_path):
