--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -7,10 +7,12 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.engines._interface import EngineParameters
+from carobroute.engines._once import Guard, OnceBody
 from carobroute.errors import ErrorKind, Fault, fail
 
 MS_PER_S = 1_000
 PIECE_BYTES = 64 * 1024
+STALE_FENCE_STATUS = 409
 
 HOP_HEADERS = frozenset(
     {
@@ -93,6 +95,7 @@
         body: bytes = b"",
         first_byte_ms: float,
         fresh: bool,
+        guard: Guard | None = None,
     ) -> Result[aiohttp.ClientResponse, Fault]:
         """Send a request and return the response once its headers are there.
 
@@ -108,14 +111,40 @@
             Longest wait for the response's headers.
         fresh : bool
             Whether to use a new connection. A kept one may have gone silent
-            unnoticed, and a request lost on it has an unknown outcome.
+            unnoticed, and a request lost on it has an unknown outcome. Such a request
+            leaves at most once.
+        guard : callable, default=None
+            Asked right before the first byte leaves; its fault keeps the request
+            back.
 
         Returns
         -------
         response : Result
-            A `NO_TARGET` fault promises that nothing was sent; a `TARGET_FAILED`
-            or `PEER_LOST` fault leaves the outcome open.
+            A `NO_TARGET` fault, or the guard's own, promises that nothing was sent;
+            a `TARGET_FAILED` or `PEER_LOST` fault leaves the outcome open.
         """
+        if guard is None and fresh:
+            guard = _no_objection
+        once = OnceBody(body, guard=guard) if guard is not None else None
+        sent = await self._send(
+            method, path, headers, once or body, first_byte_ms, fresh
+        )
+        if once is not None and not once.started and isinstance(sent, Failure):
+            fault = sent.failure()
+            detail = f"nothing was sent: {fault.detail}"
+            unsent = Fault(kind=ErrorKind.NO_TARGET, detail=detail)
+            return Failure(once.refusal or (fault if fault.not_run else unsent))
+        return sent
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        headers: Mapping[str, str] | None,
+        body: bytes | OnceBody,
+        first_byte_ms: float,
+        fresh: bool,
+    ) -> Result[aiohttp.ClientResponse, Fault]:
         session = self._fresh if fresh else self._pooled
         if session is None:
             return fail(ErrorKind.INTERNAL, "the adapter has not been started")
@@ -131,7 +160,7 @@
                     method,
                     self._address + path,
                     headers=headers,
-                    data=body or None,
+                    data=body if body else None,
                     timeout=limit,
                     allow_redirects=False,
                 )
@@ -183,7 +212,7 @@
         detail = f"{path} answered {status}, expected 200: {data[:200]!r}"
         if status == 404:
             return fail(ErrorKind.NOT_FOUND, detail)
-        if status == 412:
+        if status == STALE_FENCE_STATUS:
             return fail(ErrorKind.STALE_FENCE, detail)
         return fail(ErrorKind.TARGET_FAILED, detail)
 
@@ -198,3 +227,7 @@
             read_bufsize=PIECE_BYTES,
             skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
         )
+
+
+def _no_objection() -> None:
+    return None
--- a/carobroute/engines/_interface.py
+++ b/carobroute/engines/_interface.py
@@ -7,6 +7,7 @@
 import msgspec
 from returns.result import Result
 
+from carobroute.engines._once import Guard
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.utils import Clock, Registry
 from carobroute.world import CallClass
@@ -70,6 +71,8 @@
         Exported KV handle for a resumed call, or empty.
     fence : int
         Fencing number of an order; 0 for none.
+    guard : callable or None
+        Asked right before the first byte leaves; a fault keeps the call back.
     """
 
     request_id: str
@@ -83,6 +86,7 @@
     resume_from: int = 0
     resume_state: bytes = b""
     fence: int = 0
+    guard: Guard | None = None
 
 
 class EngineAnswer:
--- a/carobroute/standins/_orders.py
+++ b/carobroute/standins/_orders.py
@@ -17,7 +17,7 @@
 KEY_HEADER = "Idempotency-Key"
 TEAM_HEADER = "X-Carobroute-Team"
 REQUEST_HEADER = "X-Carobroute-Request"
-STALE_FENCE_STATUS = 409
+STALE_FENCE_STATUS = 412
 CRASH_STATUS = 86
 EFFECTS = ("orders", "charges", "holds", "invoices")
 
--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -1,13 +1,37 @@
-"""Test support: real processes, a fault-injecting proxy, builders of test data."""
+"""Test support: processes, a fault-injecting proxy, fakes, builders of test data."""
 
+from carobroute.testing._fake_platform import FakeInstanceList, FakeTable
 from carobroute.testing._fault_proxy import FaultProxy, Faults, ProxiedPort
-from carobroute.testing._processes import Child, ProcessGroup, wait_until
+from carobroute.testing._fleet import Fleet, FleetShape, FleetTarget
+from carobroute.testing._order_data import FakeObjects, make_order, make_submit
+from carobroute.testing._processes import Child, ProcessGroup
+from carobroute.testing._ticket_data import (
+    make_instance,
+    make_service,
+    make_target,
+    make_team,
+    make_ticket,
+)
+from carobroute.testing._waiting import wait_until
 
 __all__ = [
     "Child",
+    "FakeInstanceList",
+    "FakeObjects",
+    "FakeTable",
     "FaultProxy",
     "Faults",
+    "Fleet",
+    "FleetShape",
+    "FleetTarget",
     "ProcessGroup",
     "ProxiedPort",
+    "make_instance",
+    "make_order",
+    "make_service",
+    "make_submit",
+    "make_target",
+    "make_team",
+    "make_ticket",
     "wait_until",
 ]
