Check who opens a link, and keep links up when a peer misbehaves

Cause: found by sending what a stranger could send. A deeply nested message (RecursionError) or one of three parts (ValueError) ended the task that reads the listening socket, so the process was deaf to all its peers for good; so did a handler that raised. A frame under another incarnation renamed the peer, which then never expired, and the number of inbound peers had no bound. With keys set, a peer is admitted only with an accepted key; a key ring can be changed while links are open. A connection known to be broken is not written to any more before it is replaced.

--- a/carobroute/links/__init__.py
+++ b/carobroute/links/__init__.py
@@ -19,6 +19,12 @@
     Start,
     Submit,
 )
+from carobroute.links._security import (
+    KeyPairs,
+    KeyRing,
+    LinkSecurity,
+    load_link_security,
+)
 
 __all__ = [
     "Ack",
@@ -28,7 +34,10 @@
     "End",
     "Endpoint",
     "Frame",
+    "KeyPairs",
+    "KeyRing",
     "LinkParameters",
+    "LinkSecurity",
     "LoadReport",
     "Message",
     "Nack",
@@ -39,6 +48,7 @@
     "decode_body",
     "decode_frame",
     "encode_frame",
+    "load_link_security",
     "message",
     "message_types",
 ]
--- a/carobroute/links/_codec.py
+++ b/carobroute/links/_codec.py
@@ -73,7 +73,10 @@
     msgspec.DecodeError
         If `data` is not a frame.
     """
-    return _frame_decoder.decode(data)
+    try:
+        return _frame_decoder.decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError("nested too deeply") from error
 
 
 def decode_body(raw: msgspec.Raw) -> Message:
--- a/carobroute/links/_endpoint.py
+++ b/carobroute/links/_endpoint.py
@@ -28,6 +28,7 @@
     take_batch,
 )
 from carobroute.links._messages import Hello, Message, Nack, Ok, Ping, Pong, Welcome
+from carobroute.links._security import KeyRing, LinkSecurity
 from carobroute.utils import Clock, TaskSet
 
 MAX_CALL_ID = 1 << 62
@@ -52,6 +53,8 @@
         Messages that may wait for one peer.
     max_bytes : int
         Largest frame accepted, in bytes.
+    max_inbound : int
+        Peers that may have opened a link to this process.
     """
 
     ping_busy_ms: float = 500.0
@@ -61,25 +64,7 @@
     reopen_most_ms: float = 2_000.0
     max_queued: int = 20_000
     max_bytes: int = 32 * 1024 * 1024
-
-
-class CurveKeys(msgspec.Struct, frozen=True, kw_only=True):
-    """CURVE key pair of this process and the public keys it accepts.
-
-    Parameters
-    ----------
-    public, secret : str
-        Own key pair, Z85.
-    server_public : str
-        Public key that peers' listening sockets use.
-    accepted : list of str
-        Public keys of peers that may connect.
-    """
-
-    public: str
-    secret: str
-    server_public: str
-    accepted: list[str]
+    max_inbound: int = 4_096
 
 
 class Peer:
@@ -102,10 +87,12 @@
         "_endpoint",
         "_last_heard_ms",
         "_ping_sent_ms",
+        "_public",
         "_queue",
         "_reopened",
         "_routing_id",
         "_socket",
+        "_unheard",
         "_up",
         "_wake",
         "data_centre",
@@ -128,9 +115,11 @@
         self._closing = False
         self._last_heard_ms = 0.0
         self._ping_sent_ms = 0.0
+        self._public = ""
         self._reopened = 0
         self._routing_id = b""
         self._socket: zmq.asyncio.Socket | None = None
+        self._unheard = 0
         self._up = False
         self.incarnation = ""
         self.name = ""
@@ -267,7 +256,7 @@
         Times and bounds.
     ticket_number : callable
         Returns the highest ticket number in force here; sent with every frame.
-    curve : CurveKeys or None, default=None
+    security : LinkSecurity or None, default=None
         Keys; without them links are plain.
     on_event : callable, default=None
         Called with an event name and fields, for the log.
@@ -283,7 +272,7 @@
         clock: Clock,
         parameters: LinkParameters | None = None,
         ticket_number: Callable[[], int] = lambda: 0,
-        curve: CurveKeys | None = None,
+        security: LinkSecurity | None = None,
         on_event: Callable[..., None] | None = None,
     ):
         self.name = name
@@ -293,7 +282,7 @@
         self.clock = clock
         self.parameters = parameters or LinkParameters()
         self.ticket_number = ticket_number
-        self.curve = curve
+        self.security = security
         self.counts: Counter[str] = Counter()
         self._on_event = on_event or (lambda *args, **fields: None)
         self._context: zmq.asyncio.Context | None = None
@@ -304,6 +293,7 @@
         self._by_routing_id: dict[bytes, Peer] = {}
         self._call_ids = itertools.count(1)
         self._tasks = TaskSet(on_failure=self._task_failed)
+        self._listening = asyncio.Lock()
         self._reopen_hooks: list[Callable[[Peer], None]] = []
         self._ticket_hooks: list[Callable[[Peer, int], None]] = []
         self.address = ""
@@ -348,10 +338,9 @@
         router.setsockopt(zmq.ROUTER_MANDATORY, 1)
         router.setsockopt(zmq.SNDHWM, 0)
         router.setsockopt(zmq.MAXMSGSIZE, self.parameters.max_bytes)
-        if self.curve is not None:
-            router.curve_server = True
-            router.curve_publickey = self.curve.public.encode()
-            router.curve_secretkey = self.curve.secret.encode()
+        if self.security is not None:
+            self.security.start(self._context)
+            self.security.protect_listener(router)
         router.bind(bind)
         self._router = router
         bound = router.getsockopt(zmq.LAST_ENDPOINT)
@@ -389,9 +378,49 @@
     async def stop(self) -> None:
         """Close all links."""
         await self._tasks.close()
+        if self.security is not None:
+            self.security.stop()
         if self._context is not None:
             self._context.destroy(linger=0)
 
+    def use_key_ring(self, ring: KeyRing) -> None:
+        """Put other keys in force.
+
+        Peers whose key is no longer accepted are shut out. Links are opened anew with
+        the preferred keys, and re-attach as after a silence.
+        """
+        if self.security is None or ring == self.security.ring:
+            return
+        if self.security.use_ring(ring):
+            self._tasks.spawn(self._listen_anew(), name="links-listen")
+        for peer in list(self._inbound.values()):
+            if not self.security.accepts(peer._public):
+                self.counts["withdrawn_key"] += 1
+                self._drop_inbound(peer)
+        for peer in self._outbound.values():
+            peer._broken = True
+            peer._wake.set()
+
+    async def _listen_anew(self) -> None:
+        """Listen with another server key; peers open their links anew."""
+        assert self._router is not None and self.security is not None
+        async with self._listening:
+            self._router.unbind(self.address)
+            self.security.protect_listener(self._router)
+            while not self._bind_again():
+                await self.clock.sleep_ms(self.parameters.reopen_ms)
+
+    def _bind_again(self) -> bool:
+        assert self._router is not None
+        try:
+            self._router.bind(self.address)
+        except zmq.ZMQError as error:
+            # The library frees the port a moment after the call that gave it up.
+            if error.errno != zmq.EADDRINUSE:
+                raise
+            return False
+        return True
+
     # Peers that this process calls.
 
     async def _serve_peer(self, peer: Peer) -> None:
@@ -407,6 +436,7 @@
             if peer._closing:
                 break
             heard = peer._up
+            peer._unheard = 0 if heard else peer._unheard + 1
             peer._up = False
             peer._reopened += 1
             self.counts["reopened"] += 1
@@ -426,10 +456,8 @@
         socket.setsockopt(zmq.MAXMSGSIZE, self.parameters.max_bytes)
         # A lost connection is replaced here, with a new Hello, never by the library.
         socket.setsockopt(zmq.RECONNECT_IVL, -1)
-        if self.curve is not None:
-            socket.curve_publickey = self.curve.public.encode()
-            socket.curve_secretkey = self.curve.secret.encode()
-            socket.curve_serverkey = self.curve.server_public.encode()
+        if self.security is not None:
+            self.security.protect_connection(socket, peer._unheard)
         socket.connect(peer.address)
         peer._socket = socket
         peer._broken = False
@@ -473,9 +501,9 @@
                 if not peer._ping_sent_ms:
                     peer._ping_sent_ms = now_ms
                 next_ping_ms = now_ms + interval_ms
-            await self._flush(peer)
             if self._is_silent(peer, now_ms):
                 return
+            await self._flush(peer)
 
     def _ping_interval_ms(self, peer: Peer) -> float:
         if peer._busy or peer._ping_sent_ms:
@@ -545,17 +573,28 @@
     # Peers that opened a link to this process.
 
     async def _read_router(self) -> None:
-        assert self._router is not None
         while True:
-            routing_id, data = await self._router.recv_multipart()
+            parts, public = await self._receive()
+            if len(parts) != 2:
+                self.counts["refused_frame"] += 1
+                continue
+            routing_id, data = parts
             peer = self._by_routing_id.get(routing_id)
             if peer is None:
-                peer = self._admit(routing_id, data)
+                peer = self._admit(routing_id, data, public)
                 if peer is None:
                     continue
             self._dispatch(peer, data)
 
-    def _admit(self, routing_id: bytes, data: bytes) -> Peer | None:
+    async def _receive(self) -> tuple[list[bytes], str]:
+        """Return the parts of the next message and the key of its sender."""
+        assert self._router is not None
+        if self.security is None:
+            return await self._router.recv_multipart(), ""
+        frames = await self._router.recv_multipart(copy=False)
+        return [frame.bytes for frame in frames], str(frames[-1].get("User-Id"))
+
+    def _admit(self, routing_id: bytes, data: bytes, public: str) -> Peer | None:
         """Return the peer behind a new connection, which must begin with Hello."""
         try:
             frame = decode_frame(data)
@@ -566,14 +605,22 @@
         if not isinstance(first, Hello) or first.lowest_version > VERSION:
             self.counts["refused_hello"] += 1
             return None
+        if self.security is not None and not self.security.accepts(public):
+            self.counts["refused_key"] += 1
+            return None
         peer = self._inbound.get(frame.incarnation)
         if peer is None:
+            if len(self._inbound) >= self.parameters.max_inbound:
+                self.counts["refused_inbound"] += 1
+                return None
             peer = Peer(endpoint=self)
             peer.incarnation = frame.incarnation
             self._inbound[frame.incarnation] = peer
             self._tasks.spawn(self._serve_inbound(peer), name=f"peer {first.name}")
         self._by_routing_id.pop(peer._routing_id, None)
         peer._routing_id = routing_id
+        peer._public = public
+        peer._last_heard_ms = self.clock.now_ms()
         peer._up = True
         self._by_routing_id[routing_id] = peer
         return peer
@@ -601,11 +648,14 @@
             await self.clock.sleep_ms(self.parameters.ping_idle_ms)
             for peer in list(self._inbound.values()):
                 if peer.silent_ms > limit_ms:
-                    peer._closing = True
-                    peer._up = False
-                    peer._wake.set()
-                    self._inbound.pop(peer.incarnation, None)
-                    self._by_routing_id.pop(peer._routing_id, None)
+                    self._drop_inbound(peer)
+
+    def _drop_inbound(self, peer: Peer) -> None:
+        peer._closing = True
+        peer._up = False
+        peer._wake.set()
+        self._inbound.pop(peer.incarnation, None)
+        self._by_routing_id.pop(peer._routing_id, None)
 
     # Both.
 
@@ -617,6 +667,9 @@
         except msgspec.DecodeError:
             self.counts["refused_frame"] += 1
             return
+        if not peer.address and frame.incarnation != peer.incarnation:
+            self.counts["refused_frame"] += 1
+            return
         peer._last_heard_ms = self.clock.now_ms()
         peer.incarnation = frame.incarnation
         if frame.ticket != peer.ticket or frame.ticket != self.ticket_number():
@@ -629,7 +682,14 @@
             except msgspec.DecodeError:
                 self.counts["refused_message"] += 1
                 continue
+            self._deliver_safely(peer, entry)
+
+    def _deliver_safely(self, peer: Peer, entry: Message) -> None:
+        """Deliver `entry`; its handler's failure must not end the reading task."""
+        try:
             self._deliver(peer, entry)
+        except Exception as error:
+            self._task_failed(f"handler {type(entry).__name__}", error)
 
     def _deliver(self, peer: Peer, entry: Message) -> None:
         if entry.reply_to:
