Rotate link keys by ticket; announce an address of its own

Cause: keys of links could only change with a restart of everything. A ticket may carry a key ring: ordered lists of the public keys that may connect and of those that listening sockets use. A ticket that would leave a process one ticket behind without a valid key is refused. Secrets stay in files.

--- a/carobroute/daemon/_entry.py
+++ b/carobroute/daemon/_entry.py
@@ -72,7 +72,7 @@
             role=InstanceRole.ENTRY,
             data_centre=instance.data_centre,
             region=instance.region,
-            address=address,
+            address=self.settings.links.announce or address,
             http_address=self._http_address,
         )
 
--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -69,7 +69,7 @@
             role=InstanceRole.LOCAL,
             data_centre=instance.data_centre,
             region=instance.region,
-            address=address,
+            address=self.settings.links.announce or address,
             target=self._local.target,
             service=self._local.service,
         )
--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -11,13 +11,24 @@
 
 from carobroute.daemon._operator import OperatorInterface
 from carobroute.daemon._web import WebSite
-from carobroute.links import Endpoint, LinkParameters
+from carobroute.links import (
+    Endpoint,
+    KeyRing,
+    LinkParameters,
+    LinkSecurity,
+    load_link_security,
+)
 from carobroute.membership import Directory, ListPoller, Overlay
 from carobroute.platform import PlatformClients, platform_adapters
 from carobroute.requests import BlameSpreader, Quarantine
 from carobroute.settings import Settings, read_secret
 from carobroute.telemetry import Telemetry
-from carobroute.tickets import ConfigurationKeeper, TicketLog, ticket_routes
+from carobroute.tickets import (
+    Configuration,
+    ConfigurationKeeper,
+    TicketLog,
+    ticket_routes,
+)
 from carobroute.utils import Clock, TaskSet, new_incarnation
 from carobroute.world import Instance
 
@@ -54,6 +65,7 @@
             clock=self.clock,
             parameters=self._link_parameters(),
             ticket_number=lambda: self.keeper.current.number,
+            security=self._load_security(),
             on_event=self.telemetry.log.event,
         )
         self.platform = self._make_platform()
@@ -144,6 +156,7 @@
             clock=self.clock,
             random=self.random,
         )
+        self.keeper.on_change(self._follow_key_ring)
         self._register_dump()
         await self._start_operator_site()
         await self.poller.start()
@@ -206,6 +219,7 @@
         dump.register("process", self._dump_process)
         dump.register("peers", self._dump_peers)
         dump.register("link_counts", lambda: dict(self.endpoint.counts))
+        dump.register("link_keys", self._dump_link_keys)
         dump.register("configuration", self._dump_configuration)
         dump.register("directory", self._dump_directory)
 
@@ -258,6 +272,28 @@
             for entry in self.directory.instances()
         ]
 
+    def _dump_link_keys(self) -> dict[str, object]:
+        security = self.endpoint.security
+        if security is None:
+            return {"on": False}
+        return {"on": True, "ring": security.ring, "counts": dict(security.counts)}
+
+    def _load_security(self) -> LinkSecurity | None:
+        curve = self.settings.links.curve
+        if curve is None:
+            return None
+        loaded = load_link_security(curve, on_event=self.telemetry.log.event)
+        if isinstance(loaded, Failure):
+            raise SystemExit(str(loaded.failure()))
+        return loaded.unwrap()
+
+    def _follow_key_ring(self, configuration: Configuration) -> None:
+        ring = configuration.key_ring()
+        if ring is not None:
+            self.endpoint.use_key_ring(
+                KeyRing(accepted=ring.accepted, servers=ring.servers)
+            )
+
     def _link_parameters(self) -> LinkParameters:
         links = self.settings.links
         return LinkParameters(
--- a/carobroute/tickets/__init__.py
+++ b/carobroute/tickets/__init__.py
@@ -1,6 +1,9 @@
 """Change tickets: schema, validation, acceptance, spreading."""
 
-from carobroute.tickets import _check_groups  # noqa: F401  (registers its checks)
+from carobroute.tickets import (  # noqa: F401  (they register their checks)
+    _check_groups,
+    _check_keys,
+)
 from carobroute.tickets._check import (
     TicketFault,
     check_ticket,
@@ -17,6 +20,7 @@
     Configuration,
     ExpertPlacement,
     GroupObject,
+    KeyRingObject,
     ObjectInForce,
     ServiceObject,
     TargetObject,
@@ -34,6 +38,7 @@
     "Configuration",
     "ExpertPlacement",
     "GroupObject",
+    "KeyRingObject",
     "ObjectInForce",
     "ServiceObject",
     "TargetObject",
--- a/carobroute/tickets/_check.py
+++ b/carobroute/tickets/_check.py
@@ -136,7 +136,7 @@
             yield from _target_values(entry)
         elif isinstance(entry, TeamObject):
             yield from _team_values(entry)
-        else:
+        elif isinstance(entry, GroupObject):
             yield from _group_values(entry)
 
 
--- a/carobroute/tickets/_schema.py
+++ b/carobroute/tickets/_schema.py
@@ -181,7 +181,31 @@
     pinned: ExpertPlacement | None = None
 
 
-TicketObject = ServiceObject | TargetObject | TeamObject | GroupObject
+class KeyRingObject(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag="key_ring",
+    forbid_unknown_fields=True,
+):
+    """Public keys of the links; the first of each list is preferred.
+
+    Parameters
+    ----------
+    accepted : list of str
+        CURVE keys of processes that may open a link, Z85.
+    servers : list of str
+        CURVE keys of listening sockets, Z85.
+    name : str
+        `links`, the only ring there is.
+    """
+
+    accepted: list[str]
+    servers: list[str]
+    name: str = "links"
+
+
+TicketObject = ServiceObject | TargetObject | TeamObject | GroupObject | KeyRingObject
 
 
 def object_key(entry: TicketObject) -> str:
@@ -211,7 +235,8 @@
         Operator who filed it.
     reason : str
         Why, for those who read the log.
-    objects : list of ServiceObject, TargetObject, TeamObject or GroupObject
+    objects : list of ServiceObject, TargetObject, TeamObject, GroupObject or \
+            KeyRingObject
         New whole states.
     removed : list of str
         Keys of objects that cease to exist.
@@ -310,6 +335,10 @@
         """Return the group called `name`, or None."""
         return self._entry(f"group/{name}", GroupObject)
 
+    def key_ring(self) -> KeyRingObject | None:
+        """Return the key ring of the links, or None if no ticket has set one."""
+        return self._entry("key_ring/links", KeyRingObject)
+
     def services(self) -> list[ServiceObject]:
         """Return all services in key order."""
         return self._entries(ServiceObject)
--- a/carobroute/utils/__init__.py
+++ b/carobroute/utils/__init__.py
@@ -3,6 +3,7 @@
 from carobroute.utils._clock import Clock, ManualClock
 from carobroute.utils._identity import (
     content_hash,
+    is_public_key,
     new_incarnation,
     new_token,
     rendezvous_order,
@@ -17,6 +18,7 @@
     "Registry",
     "TaskSet",
     "content_hash",
+    "is_public_key",
     "new_incarnation",
     "new_token",
     "rendezvous_order",
--- a/carobroute/utils/_identity.py
+++ b/carobroute/utils/_identity.py
@@ -1,12 +1,15 @@
 """Identifiers, content hashes and rendezvous hashing."""
 
 import secrets
+import string
 from collections.abc import Iterable
 
 import xxhash
 
 TOKEN_BYTES = 16
 INCARNATION_BYTES = 8
+PUBLIC_KEY_DIGITS = 40
+Z85_DIGITS = frozenset(string.ascii_letters + string.digits + ".-:+=^!/*?&<>()[]{}@%$#")
 
 
 def new_token() -> str:
@@ -36,6 +39,17 @@
     return xxhash.xxh3_128_hexdigest(data)
 
 
+def is_public_key(text: str) -> bool:
+    """Return whether `text` has the form of a CURVE public key in Z85.
+
+    Examples
+    --------
+    >>> is_public_key("rq:rM>}U?@Lns47E1%kR.o@n%FcmmsL/@{H8]yf7")
+    True
+    """
+    return len(text) == PUBLIC_KEY_DIGITS and set(text) <= Z85_DIGITS
+
+
 def rendezvous_order(key: str, names: Iterable[str]) -> list[str]:
     """Return `names` by falling rendezvous weight for `key`.
 
