Run the whole system behind a fault proxy and check what callers were told

Cause: end-to-end proof by real processes. First finding: every graceful shutdown ended in a TypeError (an event with a field called name clashed with the event's own name), so an entry that was told to stop cut its streams (4 of 8 in the test).

--- a/carobroute/telemetry/_decisions.py
+++ b/carobroute/telemetry/_decisions.py
@@ -71,6 +71,7 @@
     def record(
         self,
         event: str,
+        /,
         *,
         request_id: str = "",
         ticket: int = 0,
--- a/carobroute/telemetry/_events.py
+++ b/carobroute/telemetry/_events.py
@@ -131,7 +131,7 @@
         self._clock = clock or Clock()
         self._windows: dict[str, _Window] = {}
 
-    def event(self, name: str, *, level: str = "info", **fields: Any) -> None:
+    def event(self, name: str, /, *, level: str = "info", **fields: Any) -> None:
         """Write the event `name` with `fields`, unless its rate is too high."""
         if LEVELS.get(level, LEVELS["error"]) < LEVELS[self._level]:
             return
@@ -142,7 +142,7 @@
             fields["left_out"] = suppressed
         self._write(level, name, fields)
 
-    def __call__(self, name: str, *, level: str = "info", **fields: Any) -> None:
+    def __call__(self, name: str, /, *, level: str = "info", **fields: Any) -> None:
         """Write an event; the log itself can stand where a callback is expected."""
         self.event(name, level=level, **fields)
 
--- a/carobroute/telemetry/tests/test_telemetry.py
+++ b/carobroute/telemetry/tests/test_telemetry.py
@@ -71,3 +71,12 @@
     collected = dump.collect()
     assert collected["good"] == {"1": "x"}
     assert "ZeroDivisionError" in collected["bad"]["dump_error"]
+
+
+def test_event_may_have_a_field_called_name():
+    """Objects report their name; that must not clash with the event's."""
+    out = io.StringIO()
+    telemetry = Telemetry(name="e", stream=out)
+    telemetry.log("instance_leaving", name="entry-1")
+    telemetry.decisions.record("chosen", target="t", event="e", name="n")
+    assert "event=instance_leaving name=entry-1" in out.getvalue()
--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -2,6 +2,7 @@
 
 from carobroute.testing._fake_platform import FakeInstanceList, FakeTable
 from carobroute.testing._fault_proxy import FaultProxy, Faults, ProxiedPort
+from carobroute.testing._faulty_fleet import FaultyFleet
 from carobroute.testing._fleet import Fleet, FleetShape, FleetTarget
 from carobroute.testing._order_data import FakeObjects, make_order, make_submit
 from carobroute.testing._processes import Child, ProcessGroup
@@ -13,19 +14,23 @@
     make_ticket,
 )
 from carobroute.testing._waiting import wait_until
+from carobroute.testing._witness import Answer, Witness, order_faults, stream_faults
 
 __all__ = [
+    "Answer",
     "Child",
     "FakeInstanceList",
     "FakeObjects",
     "FakeTable",
     "FaultProxy",
     "Faults",
+    "FaultyFleet",
     "Fleet",
     "FleetShape",
     "FleetTarget",
     "ProcessGroup",
     "ProxiedPort",
+    "Witness",
     "make_instance",
     "make_order",
     "make_service",
@@ -33,5 +38,7 @@
     "make_target",
     "make_team",
     "make_ticket",
+    "order_faults",
+    "stream_faults",
     "wait_until",
 ]
