Stop at the ticket before one that this version cannot read

Cause: decoding such a row raised and ended the task that polls the table. The tickets before it are applied now, and ticket status gives the reason.

--- a/carobroute/tickets/_forward.py
+++ b/carobroute/tickets/_forward.py
@@ -124,13 +124,20 @@
 
     def adopt_range(self, entry: TicketRange) -> bool:
         """Apply what a peer sent; return whether the configuration moved."""
+        tickets = []
         try:
             if entry.image:
                 return self.adopt(decode_configuration(entry.image))
-            tickets = [decode_ticket(data) for data in entry.tickets]
+            for data in entry.tickets:
+                tickets.append(decode_ticket(data))
         except (ValueError, msgspec.MsgspecError) as error:
-            self._on_event("ticket_damaged", level="error", error=repr(error))
-            return False
+            # Damaged, or of a later version; the tickets before it still count.
+            self._on_event(
+                "ticket_damaged",
+                level="error",
+                ticket=self.number + len(tickets) + 1,
+                error=str(error),
+            )
         return self.offer(tickets)
 
     def range_after(self, after: int, *, ready: bool) -> TicketRange:
--- a/carobroute/tickets/_log.py
+++ b/carobroute/tickets/_log.py
@@ -113,12 +113,20 @@
         )
         if isinstance(found, Failure):
             return found
-        tickets = [decode_ticket(row.value) for row in found.unwrap()]
-        if tickets and tickets[0].number != after + 1:
+        tickets: list[Ticket] = []
+        for row in found.unwrap():
+            if row.key != ticket_row_key(after + len(tickets) + 1):
+                break
+            ticket = _decode(row)
+            if isinstance(ticket, Failure):
+                # The tickets before it still count.
+                return Success(tickets) if tickets else ticket
+            tickets.append(ticket.unwrap())
+        if found.unwrap() and not tickets:
             return fail(
                 ErrorKind.NOT_FOUND,
                 f"ticket {after + 1} is compacted, the log starts at"
-                f" {tickets[0].number}",
+                f" {found.unwrap()[0].key}",
             )
         return Success(tickets)
 
@@ -132,7 +140,7 @@
             return fail(
                 ErrorKind.NOT_FOUND, f"ticket {number} is unknown or compacted away"
             )
-        return Success(decode_ticket(row.value))
+        return _decode(row)
 
     async def load_configuration(
         self, known: Configuration | None = None
@@ -175,7 +183,8 @@
         found = await self._table.scan(TABLE, "n/", limit=READ_LIMIT)
         if isinstance(found, Failure):
             return found
-        tickets = [decode_ticket(row.value) for row in found.unwrap()]
+        decoded = [_decode(row) for row in found.unwrap()]
+        tickets = [t.unwrap() for t in decoded if isinstance(t, Success)]
         return Success([t for t in tickets if t.number <= floor])
 
     async def load_to(
@@ -409,4 +418,17 @@
                     f" {head.snapshot_rows}",
                 )
             rows.extend(found.unwrap())
-        return Success(decode_configuration(b"".join(row.value for row in rows)))
+        try:
+            return Success(decode_configuration(b"".join(row.value for row in rows)))
+        except ValueError as error:
+            return fail(ErrorKind.INVALID_TICKET, f"snapshot {head.snapshot}: {error}")
+
+
+def _decode(row: Row) -> Result[Ticket, Fault]:
+    try:
+        return Success(decode_ticket(row.value))
+    except msgspec.MsgspecError as error:
+        return fail(
+            ErrorKind.INVALID_TICKET,
+            f"row {row.key} cannot be read by this version: {error}",
+        )
--- a/carobroute/tickets/_table_reader.py
+++ b/carobroute/tickets/_table_reader.py
@@ -30,6 +30,7 @@
         "_answered_ms",
         "_clock",
         "_failures",
+        "_fault",
         "_forward",
         "_lock",
         "_log",
@@ -50,6 +51,7 @@
         self._on_event = on_event
         self._lock = asyncio.Lock()
         self._failures = 0
+        self._fault: Fault | None = None
         self._answered_ms: float | None = None
 
     @property
@@ -59,8 +61,10 @@
 
     def explain(self) -> str:
         """Return in a few words whether the table answers."""
-        if not self._failures:
+        if not self._failures or self._fault is None:
             return "the table answers"
+        if self._fault.kind is not ErrorKind.STORE_UNAVAILABLE:
+            return str(self._fault)
         if self._answered_ms is None:
             return "the table has not answered since the start"
         silent_s = (self._clock.now_ms() - self._answered_ms) / 1_000
@@ -72,8 +76,11 @@
             result = await self._read()
         if isinstance(result, Failure):
             self._failures += 1
+            self._fault = result.failure()
             if self._failures == 1:
-                self._on_event("table_unavailable", level="warning")
+                self._on_event(
+                    "table_unavailable", level="warning", reason=str(self._fault)
+                )
             return result
         if self._failures:
             self._on_event("table_available", failures=self._failures)
--- a/carobroute/tickets/tests/test_keeper.py
+++ b/carobroute/tickets/tests/test_keeper.py
@@ -232,3 +232,26 @@
     table.available = True
     await keeper.refresh()
     assert 500 <= keeper.poll_delay_ms() <= 1_500
+
+
+async def test_ticket_of_a_later_version_stops_a_process_at_the_one_before(
+    nodes, table
+):
+    """Neither its peers nor the table can make it apply a part of that ticket."""
+    node, other = nodes[:2]
+    await node.keeper.wait_ready(WAIT_MS)
+    for based_on in (0, 1):
+        await file_at(
+            other, make_ticket(make_service(f"s{based_on}"), based_on=based_on)
+        )
+    row = table.row("tickets", "n/000000000002")
+    later = row.value.replace(b"author", b"editor")
+    put = Put(table="tickets", key=row.key, value=later)
+    await table.transact(Transaction(token="later", conditions=[], puts=[put]))
+    fault = (await node.keeper.refresh()).failure()
+    assert "row n/000000000002 cannot be read by this version" in fault.detail
+    assert node.keeper.current.number == 1
+    assert "cannot be read by this version" in node.keeper.explain()
+    status = await node.keeper.status(2, 2_000)
+    own = next(e for e in status.laggards if e.name == node.name)
+    assert own.number == 1 and "this version" in own.reason
