--- a/carobroute/membership/__init__.py
+++ b/carobroute/membership/__init__.py
@@ -1,16 +1,13 @@
 """Which instances there are, which are leaving, and which are suspected."""
 
-from carobroute.membership._directory import (
-    BoundedDict,
-    Directory,
-    DirectoryParameters,
-)
-from carobroute.membership._overlay import (
+from carobroute.membership._bounded import BoundedDict
+from carobroute.membership._directory import Directory, DirectoryParameters
+from carobroute.membership._messages import (
+    InstanceDigest,
     InstanceNews,
-    Overlay,
-    OverlayParameters,
     SuspicionNews,
 )
+from carobroute.membership._overlay import Overlay, OverlayParameters
 from carobroute.membership._poller import ListPoller, ListPollerParameters
 from carobroute.membership._suspicion import SuspicionParameters, Suspicions
 
@@ -18,6 +15,7 @@
     "BoundedDict",
     "Directory",
     "DirectoryParameters",
+    "InstanceDigest",
     "InstanceNews",
     "ListPoller",
     "ListPollerParameters",
--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -7,19 +7,16 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Generic, TypeVar
 
 import msgspec
 import xxhash
 
+from carobroute.membership._bounded import BoundedDict
 from carobroute.utils import Clock
 from carobroute.world import Instance, InstanceRole, InstanceState
 
 BUCKETS = 32
 
-K = TypeVar("K")
-V = TypeVar("V")
-
 
 class DirectoryParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Times and bounds of a directory.
@@ -400,41 +397,5 @@
     return xxhash.xxh3_64_intdigest(name.encode()) % BUCKETS
 
 
-class BoundedDict(dict[K, V], Generic[K, V]):
-    """Dictionary that forgets its oldest key when it is full.
-
-    Parameters
-    ----------
-    most : int
-        Number of keys held.
-
-    Examples
-    --------
-    >>> names = BoundedDict(most=2)
-    >>> for name in "abc":
-    ...     names[name] = 1
-    >>> list(names)
-    ['b', 'c']
-    """
-
-    __slots__ = ("_most",)
-
-    def __init__(self, *, most: int):
-        super().__init__()
-        self._most = most
-
-    def __setitem__(self, key: K, value: V) -> None:
-        """Set a key, forgetting the oldest one if there are too many."""
-        super().__setitem__(key, value)
-        if len(self) > self._most:
-            del self[next(iter(self))]
-
-    def setdefault(self, key: K, default: V) -> V:  # type: ignore[override]
-        """Return the value of `key`, set to `default` if it is missing."""
-        if key not in self:
-            self[key] = default
-        return self[key]
-
-
 def _as_leaving(entry: Instance) -> Instance:
     return msgspec.structs.replace(entry, state=InstanceState.LEAVING)
--- a/carobroute/membership/_overlay.py
+++ b/carobroute/membership/_overlay.py
@@ -13,8 +13,13 @@
 
 import msgspec
 
-from carobroute.links import Endpoint, Message, Peer, message
+from carobroute.links import Endpoint, Message, Peer
 from carobroute.membership._directory import Directory
+from carobroute.membership._messages import (
+    InstanceDigest,
+    InstanceNews,
+    SuspicionNews,
+)
 from carobroute.membership._suspicion import Suspicions
 from carobroute.utils import Clock, TaskSet, rendezvous_order, rendezvous_winner
 from carobroute.world import Instance
@@ -23,57 +28,6 @@
 MAX_NEWS = 2_000
 
 
-@message
-class InstanceNews(Message, tag="instance_news"):
-    """Instances that came, changed or began to leave.
-
-    Parameters
-    ----------
-    instances : list of Instance
-        Their newest state as the sender knows it.
-    """
-
-    instances: list[Instance]
-
-
-@message
-class InstanceDigest(Message, tag="instance_digest"):
-    """Hashes of the instances that the sender knows.
-
-    Parameters
-    ----------
-    hashes : list of int
-        One for each bucket of names.
-    answered : bool
-        Whether this answers a digest, so that it is not answered again.
-    """
-
-    hashes: list[int]
-    answered: bool = False
-
-
-@message
-class SuspicionNews(Message, tag="suspicion_news"):
-    """What the sender itself observed of its neighbours.
-
-    Parameters
-    ----------
-    observer : str
-        Incarnation that observed.
-    sequence : int
-        Number of its report, so that each is passed on once.
-    silent : list of str
-        Incarnations that it calls without an answer.
-    heard : list of str
-        Incarnations that it hears again, or that others suspect and it hears.
-    """
-
-    observer: str
-    sequence: int
-    silent: list[str]
-    heard: list[str]
-
-
 class OverlayParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Sizes and intervals of the overlay.
 
--- a/carobroute/membership/_suspicion.py
+++ b/carobroute/membership/_suspicion.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-from carobroute.membership._directory import BoundedDict
+from carobroute.membership._bounded import BoundedDict
 from carobroute.utils import Clock
 
 
--- a/carobroute/tickets/_log.py
+++ b/carobroute/tickets/_log.py
@@ -12,13 +12,11 @@
 head, so two tickets that are right one by one cannot be wrong together.
 """
 
-from collections.abc import Callable
-
 import msgspec
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import Condition, Put, Row, TableClient, Transaction
+from carobroute.platform import Condition, Put, Transaction
 from carobroute.tickets._check import check_ticket, describe_faults
 from carobroute.tickets._codec import (
     MAX_TICKET_BYTES,
@@ -26,33 +24,22 @@
     TokenRow,
     body_hash,
     chain_hash,
-    decode_configuration,
-    decode_head,
-    decode_ticket,
     decode_token,
     encode_row,
 )
+from carobroute.tickets._log_reader import (
+    HEAD_KEY,
+    TABLE,
+    LogReader,
+    ticket_row_key,
+)
 from carobroute.tickets._schema import Configuration, Ticket, object_key
-from carobroute.utils import Clock, new_token
+from carobroute.utils import new_token
 
-TABLE = "tickets"
-HEAD_KEY = "head"
-READ_LIMIT = 200
-MAX_LOAD_ATTEMPTS = 5
 MAX_HEAD_RACES = 50
 
 
-def ticket_row_key(number: int) -> str:
-    """Return the key of the row that holds ticket `number`."""
-    return f"n/{number:012d}"
-
-
-def snapshot_row_key(name: str, index: int) -> str:
-    """Return the key of one row of the snapshot called `name`."""
-    return f"s/{name}/{index:04d}"
-
-
-class TicketLog:
+class TicketLog(LogReader):
     """Reads and extends the log of accepted tickets.
 
     Parameters
@@ -65,170 +52,7 @@
         Called with an event name and fields.
     """
 
-    __slots__ = ("_clock", "_known", "_on_event", "_table")
-
-    def __init__(
-        self,
-        *,
-        table: TableClient,
-        clock: Clock,
-        on_event: Callable[..., None] | None = None,
-    ):
-        self._table = table
-        self._clock = clock
-        self._on_event = on_event or (lambda *args, **fields: None)
-        self._known = Configuration()
-
-    @property
-    def table(self) -> TableClient:
-        """The table service."""
-        return self._table
-
-    async def head(self) -> Result[int, Fault]:
-        """Return the number of the last accepted ticket, or 0 without any."""
-        found = await self.read_head()
-        return found.map(lambda entry: entry[0].number)
-
-    async def read_head(self) -> Result[tuple[Head, int], Fault]:
-        """Return the head and the version of its row."""
-        found = await self._table.read(TABLE, HEAD_KEY)
-        if isinstance(found, Failure):
-            return found
-        row = found.unwrap()
-        return Success((decode_head(row.value), row.version) if row else (Head(), 0))
-
-    async def read(
-        self, after: int, limit: int = READ_LIMIT
-    ) -> Result[list[Ticket], Fault]:
-        """Return up to `limit` tickets above `after`, in order and without a gap.
-
-        Returns
-        -------
-        tickets : Result
-            A `NOT_FOUND` fault means that the next ticket was compacted away; load
-            the whole configuration instead.
-        """
-        found = await self._table.scan(
-            TABLE, "n/", after=ticket_row_key(after), limit=limit
-        )
-        if isinstance(found, Failure):
-            return found
-        tickets: list[Ticket] = []
-        for row in found.unwrap():
-            if row.key != ticket_row_key(after + len(tickets) + 1):
-                break
-            ticket = _decode(row)
-            if isinstance(ticket, Failure):
-                # The tickets before it still count.
-                return Success(tickets) if tickets else ticket
-            tickets.append(ticket.unwrap())
-        if found.unwrap() and not tickets:
-            return fail(
-                ErrorKind.NOT_FOUND,
-                f"ticket {after + 1} is compacted, the log starts at"
-                f" {found.unwrap()[0].key}",
-            )
-        return Success(tickets)
-
-    async def ticket(self, number: int) -> Result[Ticket, Fault]:
-        """Return one ticket, or a `NOT_FOUND` fault."""
-        found = await self._table.read(TABLE, ticket_row_key(number))
-        if isinstance(found, Failure):
-            return found
-        row = found.unwrap()
-        if row is None:
-            return fail(
-                ErrorKind.NOT_FOUND, f"ticket {number} is unknown or compacted away"
-            )
-        return _decode(row)
-
-    async def load_configuration(
-        self, known: Configuration | None = None
-    ) -> Result[Configuration, Fault]:
-        """Return the configuration of the head, reading on from `known`."""
-        for _ in range(MAX_LOAD_ATTEMPTS):
-            found = await self.read_head()
-            if isinstance(found, Failure):
-                return found
-            head, _version = found.unwrap()
-            loaded = await self.load_to(head, known or self._known)
-            if isinstance(loaded, Success):
-                return loaded
-            if loaded.failure().kind is not ErrorKind.NOT_FOUND:
-                return loaded
-        return fail(
-            ErrorKind.STORE_UNAVAILABLE,
-            f"the snapshot moved during each of {MAX_LOAD_ATTEMPTS} reads",
-        )
-
-    async def configuration_at(self, number: int) -> Result[Configuration, Fault]:
-        """Return the configuration as it was at ticket `number`.
-
-        A `NOT_FOUND` fault means that it is ahead of the head or compacted away.
-        """
-        found = await self.read_head()
-        if isinstance(found, Failure):
-            return found
-        head, _version = found.unwrap()
-        if not head.floor <= number <= head.number:
-            return fail(
-                ErrorKind.NOT_FOUND,
-                f"configuration {number} is not kept, expected {head.floor} to"
-                f" {head.number}",
-            )
-        return await self._read_from_snapshot(head, number)
-
-    async def read_kept(self, floor: int) -> Result[list[Ticket], Fault]:
-        """Return some of the tickets that lie at or below `floor`."""
-        found = await self._table.scan(TABLE, "n/", limit=READ_LIMIT)
-        if isinstance(found, Failure):
-            return found
-        decoded = [_decode(row) for row in found.unwrap()]
-        tickets = [t.unwrap() for t in decoded if isinstance(t, Success)]
-        return Success([t for t in tickets if t.number <= floor])
-
-    async def load_to(
-        self, head: Head, known: Configuration
-    ) -> Result[Configuration, Fault]:
-        """Return the configuration of `head`.
-
-        A `NOT_FOUND` fault means that a compaction moved the rows meanwhile.
-        """
-        if known.number < head.floor:
-            loaded = await self._read_from_snapshot(head, head.number)
-        else:
-            loaded = await self._read_on(known, head.number)
-        if isinstance(loaded, Success):
-            self._known = loaded.unwrap()
-        return loaded
-
-    async def _read_from_snapshot(
-        self, head: Head, number: int
-    ) -> Result[Configuration, Fault]:
-        if not head.floor:
-            return await self._read_on(Configuration(), number)
-        snapshot = await self._read_snapshot(head)
-        if isinstance(snapshot, Failure):
-            return snapshot
-        return await self._read_on(snapshot.unwrap(), number)
-
-    async def _read_on(
-        self, known: Configuration, number: int
-    ) -> Result[Configuration, Fault]:
-        """Return `known` with the tickets up to `number` applied."""
-        while known.number < number:
-            found = await self.read(known.number)
-            if isinstance(found, Failure):
-                return found
-            tickets = [t for t in found.unwrap() if t.number <= number]
-            if not tickets:
-                return fail(
-                    ErrorKind.NOT_FOUND,
-                    f"the log ends at {known.number}, expected {number}",
-                )
-            for ticket in tickets:
-                known = known.with_ticket(ticket)
-        return Success(known)
+    __slots__ = ()
 
     async def file(self, ticket: Ticket, deadline_ms: float) -> Result[Ticket, Fault]:
         """Have `ticket` accepted.
@@ -402,33 +226,3 @@
                 " another content",
             )
         return await self.ticket(token.number)
-
-    async def _read_snapshot(self, head: Head) -> Result[Configuration, Fault]:
-        prefix = f"s/{head.snapshot}/"
-        rows: list[Row] = []
-        while len(rows) < head.snapshot_rows:
-            after = rows[-1].key if rows else ""
-            found = await self._table.scan(TABLE, prefix, after=after, limit=READ_LIMIT)
-            if isinstance(found, Failure):
-                return found
-            if not found.unwrap():
-                return fail(
-                    ErrorKind.NOT_FOUND,
-                    f"snapshot {head.snapshot} has {len(rows)} rows, expected"
-                    f" {head.snapshot_rows}",
-                )
-            rows.extend(found.unwrap())
-        try:
-            return Success(decode_configuration(b"".join(row.value for row in rows)))
-        except ValueError as error:
-            return fail(ErrorKind.INVALID_TICKET, f"snapshot {head.snapshot}: {error}")
-
-
-def _decode(row: Row) -> Result[Ticket, Fault]:
-    try:
-        return Success(decode_ticket(row.value))
-    except msgspec.MsgspecError as error:
-        return fail(
-            ErrorKind.INVALID_TICKET,
-            f"row {row.key} cannot be read by this version: {error}",
-        )
--- a/carobroute/tickets/_operator_api.py
+++ b/carobroute/tickets/_operator_api.py
@@ -12,7 +12,8 @@
 from carobroute.tickets._check import TicketFault, check_ticket
 from carobroute.tickets._file import MAX_FILE_BYTES
 from carobroute.tickets._keeper import ConfigurationKeeper
-from carobroute.tickets._log import READ_LIMIT, TicketLog
+from carobroute.tickets._log import TicketLog
+from carobroute.tickets._log_reader import READ_LIMIT
 from carobroute.tickets._messages import Laggard
 from carobroute.tickets._schema import Configuration, ObjectInForce, Ticket
 from carobroute.utils import Clock
