--- a/carobroute/placement/_incremental.py
+++ b/carobroute/placement/_incremental.py
@@ -295,8 +295,8 @@
         best_swap, best_replica = by_swap.argmax(axis=1), by_replica.argmax(axis=1)
         is_swap = by_swap[rows, best_swap] > by_replica[rows, best_replica]
         best = np.where(is_swap, best_swap, best_replica)
-        slot, rest = np.divmod(best, ranks * each)
-        other_rank, other_slot = np.divmod(rest, each)
+        slot, rest = best // (ranks * each), best % (ranks * each)
+        other_rank, other_slot = rest // each, rest % each
         gain = np.where(is_swap, by_swap[rows, best], by_replica[rows, best])
         cost = np.where(is_swap, moves.reshape(layers, -1)[rows, best], REPLICA_MOVES)
         turned = ~is_swap & to_pivot
