--- a/carobroute/leases/tests/test_lease.py
+++ b/carobroute/leases/tests/test_lease.py
@@ -189,3 +189,45 @@
     await wait_until(lambda: second.duties.held)
     assert second.runs[-1] == first.runs[-1] + 1
     assert not first.duties.held
+
+
+async def test_work_that_fails_gives_the_duty_up_and_is_tried_again():
+    failures = []
+    table = FakeTable(clock=Clock())
+
+    async def fail_work(lease):
+        raise RuntimeError(f"broken with fence {lease.fence}")
+
+    duties = Duties(
+        leases=LeaseKeeper(table=table, clock=Clock(), incarnation="a~1"),
+        name="a",
+        clock=Clock(),
+        random=random.Random(1),
+        parameters=FAST,
+        on_event=lambda name, **fields: failures.append((name, fields)),
+    )
+    duties.add("plan", fail_work, lambda: ["a"])
+    await duties.start()
+    await wait_until(
+        lambda: (
+            "RuntimeError('broken with fence 2')"
+            in [fields.get("error") for _, fields in failures]
+        )
+    )
+    await duties.stop()
+    ended = [fields for name, fields in failures if name == "duty_ended"]
+    assert ended[0]["reason"] == "its work ended"
+    assert not duties.held
+
+
+async def test_work_is_cancelled_when_the_lease_lapses_in_an_outage():
+    table = FakeTable(clock=Clock())
+    member = Member("a", table, ["a"])
+    await member.duties.start()
+    await wait_until(lambda: member.duties.held)
+    table.available = False
+    await wait_until(lambda: not member.duties.held)
+    table.available = True
+    await wait_until(lambda: member.runs == [1, 2])
+    assert member.duties.held == {"plan": 2}
+    await member.duties.stop()
--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -151,15 +151,16 @@
         ]
 
     def live(self, data_centre: str | None = None) -> list[Instance]:
-        """Return this instance and the others that are not leaving."""
-        others = [
+        """Return the instances that are not leaving, this one among them."""
+        found = [
             entry
             for entry in self.instances(data_centre=data_centre)
             if entry.state is InstanceState.LIVE and entry.name != self._own.name
         ]
-        if data_centre is None or data_centre == self._own.data_centre:
-            others.append(self._own)
-        return others
+        here = data_centre is None or data_centre == self._own.data_centre
+        if here and self._own.state is InstanceState.LIVE:
+            found.append(self._own)
+        return found
 
     def by_name(self, name: str) -> Instance | None:
         """Return the instance called `name`, or None."""
--- a/carobroute/tickets/tests/test_log.py
+++ b/carobroute/tickets/tests/test_log.py
@@ -203,3 +203,27 @@
     at = (await log.configuration_at(2)).unwrap()
     assert at.team("a") is not None and at.team("b") is None
     assert (await log.configuration_at(9)).failure().kind is ErrorKind.NOT_FOUND
+
+
+async def test_rows_stay_small_with_as_many_teams_as_expected(log, table, clock):
+    """4,900 teams with two keys each, filed in parts and then compacted."""
+    hashes = ["ab" * 32, "cd" * 32]
+    await file_start(log)
+    for start in range(0, 4_900, 1_400):
+        names = range(start, min(start + 1_400, 4_900))
+        teams = [make_team(f"team-{i}", key_hashes=hashes) for i in names]
+        (await log.file(make_ticket(*teams, based_on=1), LATE_MS)).unwrap()
+    (await compactor_of(log, clock).compact(LATE_MS)).unwrap()
+    sizes = [len(table.row("tickets", key).value) for key in table.keys("tickets")]
+    assert max(sizes) <= 512 * 1024
+    snapshots = [k for k in table.keys("tickets") if k.startswith("s/")]
+    assert all(len(table.row("tickets", k).value) <= 128 * 1024 for k in snapshots)
+    fresh = TicketLog(table=table, clock=clock)
+    assert len((await fresh.load_configuration()).unwrap().teams()) == 4_900
+
+
+async def test_too_large_ticket_is_refused(log):
+    await file_start(log)
+    teams = [make_team(f"team-{i}", key_hashes=["ab" * 32] * 2) for i in range(4_900)]
+    refused = await log.file(make_ticket(*teams, based_on=1), LATE_MS)
+    assert refused.failure().kind is ErrorKind.TOO_LARGE
