Ping an idle link at the idle interval

Cause: the interval of an unanswered ping was kept after its answer, so idle links pinged every 500 ms in place of 5 s.

--- a/carobroute/links/_endpoint.py
+++ b/carobroute/links/_endpoint.py
@@ -489,15 +489,14 @@
 
     async def _use_connection(self, peer: Peer) -> None:
         """Send, ping and watch one connection until it is silent or closed."""
-        next_ping_ms = self.clock.now_ms() + self.parameters.ping_busy_ms
+        last_ping_ms = self.clock.now_ms()
         while not peer._closing:
-            interval_ms = self._ping_interval_ms(peer)
+            next_ping_ms = last_ping_ms + self._ping_interval_ms(peer)
+            await self._wait(peer, next_ping_ms - self.clock.now_ms())
             now_ms = self.clock.now_ms()
-            next_ping_ms = min(next_ping_ms, now_ms + interval_ms)
-            await self._wait(peer, next_ping_ms - now_ms)
-            now_ms = self.clock.now_ms()
-            if now_ms >= next_ping_ms:
-                next_ping_ms = now_ms + interval_ms
+            # The interval is longer again if an answer came meanwhile.
+            if now_ms >= last_ping_ms + self._ping_interval_ms(peer):
+                last_ping_ms = now_ms
                 if peer._up:
                     peer._queue.append(Ping())
                     peer._ping_sent_ms = peer._ping_sent_ms or now_ms
--- a/carobroute/links/tests/test_endpoint.py
+++ b/carobroute/links/tests/test_endpoint.py
@@ -91,3 +91,18 @@
     context.destroy(linger=0)
     # Three attempts of 80 ms with a ping interval of 20 ms.
     assert len(waits) < 100
+
+
+async def test_idle_link_pings_at_the_idle_interval(pair):
+    """An answered ping does not leave the link at the interval of busy ones."""
+    first, second = pair
+    peer = first.peer(second.address)
+    async with asyncio.timeout(20):
+        while not peer.up:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+        sent = first.counts["frames_sent"]
+        start_ms = first.clock.now_ms()
+        while first.counts["frames_sent"] < sent + 8:  # noqa: ASYNC110
+            await asyncio.sleep(0.005)
+    # Eight pings take at least seven idle intervals of 50 ms, not busy ones of 20.
+    assert first.clock.now_ms() - start_ms >= 7 * FAST.ping_idle_ms * 0.9
