--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -1,5 +1,13 @@
 """Test support: processes, a fault-injecting proxy, fakes, builders of test data."""
 
+from carobroute.testing._call_data import (
+    FakeEndpoint,
+    FakePeer,
+    FakeRouter,
+    FakeWriter,
+    make_call,
+    make_relay_services,
+)
 from carobroute.testing._fake_platform import FakeInstanceList, FakeTable
 from carobroute.testing._fault_proxy import FaultProxy, Faults, ProxiedPort
 from carobroute.testing._faulty_fleet import FaultyFleet
@@ -17,6 +25,12 @@
 from carobroute.testing._witness import Answer, Witness, order_faults, stream_faults
 
 __all__ = [
+    "FakeEndpoint",
+    "FakePeer",
+    "FakeRouter",
+    "FakeWriter",
+    "make_call",
+    "make_relay_services",
     "Answer",
     "Child",
     "FakeInstanceList",
