--- a/carobroute/requests/_ledger_claims.py
+++ b/carobroute/requests/_ledger_claims.py
@@ -17,6 +17,7 @@
 from carobroute.requests._ledger_types import (
     CLOCK_TABLE,
     FENCES_TABLE,
+    MIN_RETENTION_MS,
     ORDERS_TABLE,
     ClaimElsewhere,
     ClaimFinished,
@@ -127,6 +128,7 @@
         round takes in what the round before has shown.
         """
         version = 0
+        began_ms, ledger_began_ms = self._clock.now_ms(), self._time.now_ms()
         for _ in range(MAX_CLAIM_ROUNDS):
             clock_version = self._time.version
             write = self._claim_write(row, order, version)
@@ -137,7 +139,7 @@
             if not against:
                 return Success(self._grant(order, row, version, clock_version, write))
             found = self._learn(against)
-            refusal = self._fence.check()
+            refusal = self._fence.check() or self._overdue(began_ms, ledger_began_ms)
             if refusal is not None:
                 return Failure(refusal)
             if found is None:
@@ -152,6 +154,20 @@
             retry_after_ms=self._parameters.refuse_ms,
         )
 
+    def _overdue(self, began_ms: float, ledger_began_ms: float) -> Fault | None:
+        """Return a fault if the claim has taken so long that no other round is safe.
+
+        A claim that was held up while an order's record expired would find no record
+        and run the order again. The ledger's time also shows a suspension of the
+        machine, during which the monotonic clock stands still.
+        """
+        took_ms = max(
+            self._clock.now_ms() - began_ms, self._time.now_ms() - ledger_began_ms
+        )
+        if took_ms < MIN_RETENTION_MS / 2:
+            return None
+        return self._store_fault(f"the claim was held up for {took_ms:.0f} ms")
+
     def _claim_write(
         self, row: OrderRow, order: OrderRequest, version: int
     ) -> RowWrite:
@@ -224,7 +240,7 @@
             clock_version=clock_version,
             fence=self._fence.fence,
             forward_before_ms=min(lease_end_ms, order.deadline_ms),
-            retention_ms=order.retention_ms,
+            retention_ms=max(order.retention_ms, MIN_RETENTION_MS),
         )
 
     def _learn(self, against: list[Row]) -> Row | None:
--- a/carobroute/requests/_ledger_effects.py
+++ b/carobroute/requests/_ledger_effects.py
@@ -202,10 +202,11 @@
             if not await self._write(released, version, retention_ms, clock_version):
                 return
             found = await self._read_row(released)
-            found_version = found.version if found else 0
-            if found_version != version and not _is_claim(found, row.claim_id):
+            if found is None or not _is_claim(found, row.claim_id):
+                # The claim stands nowhere, and it can land no more: the version or
+                # the clean-up that it required has passed.
                 return
-            version, clock_version = found_version, self._time.version
+            version, clock_version = found.version, self._time.version
 
     async def _end(self, row: OrderRow, version: int, retention_ms: float) -> None:
         """Write the last state of a claim that was forwarded."""
@@ -292,8 +293,6 @@
             self._idle.set()
 
 
-def _is_claim(found: Row | None, claim_id: str) -> bool:
-    if found is None:
-        return False
+def _is_claim(found: Row, claim_id: str) -> bool:
     row = order_row_decoder.decode(found.value)
     return row.claim_id == claim_id and row.state is OrderState.CLAIMED
--- a/carobroute/requests/_ledger_types.py
+++ b/carobroute/requests/_ledger_types.py
@@ -13,6 +13,7 @@
 CLOCK_KEY = "clock"
 FENCES_TABLE = "fences"
 MAX_KEY_BYTES = 255
+MIN_RETENTION_MS = 60_000.0
 MS_PER_S = 1_000
 
 
@@ -32,7 +33,7 @@
     service : str
         Service called.
     retention_ms : float
-        How long the answer is kept, in milliseconds.
+        How long the answer is kept, in milliseconds; at least `MIN_RETENTION_MS`.
     deadline_ms : float
         Monotonic time after which the call must not be forwarded.
     """
--- /dev/null
+++ b/spec/__init__.py
@@ -0,0 +1,1 @@
+"""Specifications of the core protocols, checked with minicheck."""
