--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -65,6 +65,7 @@
 
     __slots__ = (
         "_absent_since_ms",
+        "_by_target",
         "_callbacks",
         "_clock",
         "_disputed_ms",
@@ -93,6 +94,7 @@
         self._parameters = parameters or DirectoryParameters()
         self._on_event = on_event or (lambda *args, **fields: None)
         self._instances: dict[str, Instance] = {}
+        self._by_target: dict[str, Instance] | None = None
         self._absent_since_ms: dict[str, float] = {}
         self._heard_ms: BoundedDict[str, float] = BoundedDict(
             most=self._parameters.max_remembered
@@ -168,10 +170,13 @@
 
     def by_target(self, name: str) -> Instance | None:
         """Return the local process beside the target called `name`, or None."""
-        for entry in self._instances.values():
-            if entry.target == name and entry.role is InstanceRole.LOCAL:
-                return entry
-        return None
+        if self._by_target is None:
+            self._by_target = {
+                entry.target: entry
+                for entry in self._instances.values()
+                if entry.target and entry.role is InstanceRole.LOCAL
+            }
+        return self._by_target.get(name)
 
     def is_leaving(self, incarnation: str) -> bool:
         """Whether this incarnation was ever marked as leaving."""
@@ -183,7 +188,9 @@
         for entry in listed:
             self._settle_dispute(entry)
             self._dropped_ms.pop(entry.incarnation, None)
+        leaving_before = set(self._leaving)
         changed = [self._admit(entry) for entry in listed]
+        self._tell_leaving(leaving_before)
         dropped = self._drop_absent({entry.name for entry in listed})
         recycled = self._drop_recycled()
         if any(changed) or dropped or recycled:
@@ -224,7 +231,7 @@
             return
         self._leaving[incarnation] = reason
         self._on_event(
-            "instance_leaving", name=name, incarnation=incarnation, reason=reason
+            "instance_leaving", instance=name, incarnation=incarnation, reason=reason
         )
         known = self._instances.get(name)
         if incarnation == self._own.incarnation:
@@ -236,6 +243,24 @@
         for callback in self._leaving_callbacks:
             callback(self._instances[name])
 
+    def _tell_leaving(self, before: set[str]) -> None:
+        """Tell of instances that the list has just shown as leaving."""
+        for incarnation in set(self._leaving) - before:
+            known = next(
+                (e for e in self._instances.values() if e.incarnation == incarnation),
+                None,
+            )
+            if known is None:
+                continue
+            self._on_event(
+                "instance_leaving",
+                name=known.name,
+                incarnation=incarnation,
+                reason="list",
+            )
+            for callback in self._leaving_callbacks:
+                callback(known)
+
     def _learn_one(self, entry: Instance) -> bool:
         if self._was_dropped(entry.incarnation):
             return False
@@ -255,6 +280,8 @@
             if entry.incarnation != self._own.incarnation:
                 self._name_taken(entry)
                 return False
+            if entry.state is InstanceState.LEAVING:
+                self._own = _as_leaving(self._own)
             entry = self._own
         if entry.state is InstanceState.LEAVING:
             self._leaving.setdefault(entry.incarnation, "listed as leaving")
@@ -267,7 +294,7 @@
             self._replaced[known.incarnation] = entry.incarnation
             self._on_event(
                 "instance_replaced",
-                name=entry.name,
+                instance=entry.name,
                 was=known.incarnation,
                 now=entry.incarnation,
             )
@@ -298,7 +325,7 @@
             self._on_event(
                 "name_shared",
                 level="warning",
-                name=entry.name,
+                instance=entry.name,
                 other=entry.incarnation,
                 own=self._own.incarnation,
             )
@@ -350,7 +377,7 @@
         self._dropped_ms[entry.incarnation] = self._clock.now_ms()
         self._on_event(
             "instance_dropped",
-            name=name,
+            instance=name,
             incarnation=entry.incarnation,
             reason=reason,
         )
@@ -363,6 +390,7 @@
         return self._clock.now_ms() - dropped_ms < self._parameters.mass_absent_ms
 
     def _changed(self) -> None:
+        self._by_target = None
         for callback in self._callbacks:
             callback()
 
--- a/carobroute/telemetry/_events.py
+++ b/carobroute/telemetry/_events.py
@@ -142,7 +142,7 @@
             fields["left_out"] = suppressed
         self._write(level, name, fields)
 
-    def __call__(self, name: str, *, level: str = "info", **fields: Any) -> None:
+    def __call__(self, name: str, /, *, level: str = "info", **fields: Any) -> None:
         """Write an event; the log itself can stand where a callback is expected."""
         self.event(name, level=level, **fields)
 
--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -1,1 +1,1 @@
-"""Specifications of the core protocols, checked with minicheck."""
+"""Small specifications of the core protocols, checked exhaustively within bounds."""
