--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -105,6 +105,7 @@
         )
         self._process.start()
         self.telemetry.dump.register("local", self._process.dump)
+        self.telemetry.dump.register("orders", self._orders.dump)
         self.keeper.on_change(lambda _: self._follow_ticket())
         self.directory.on_change(self._follow_list)
         self._follow_ticket()
--- a/carobroute/local/_orders.py
+++ b/carobroute/local/_orders.py
@@ -27,6 +27,7 @@
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from functools import partial
+from typing import Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -182,6 +183,18 @@
         """Orders that run, or whose ending is not recorded yet."""
         return len(self._running)
 
+    def dump(self) -> dict[str, Any]:
+        """Return the state for the operators' dump."""
+        return {
+            "fence": self._ledger.fence,
+            "ready": self._ledger.ready,
+            "superseded": self._ledger.superseded,
+            "running": len(self._running),
+            "unsettled": self._ledger.unsettled,
+            "transactions": self._ledger.transactions,
+            "ended": dict(self.counts),
+        }
+
     def start(self, endpoint: Endpoint | None = None) -> None:
         """Start the ledger and, with `endpoint`, answer `AskClaim`."""
         self._ledger.start()
