Let a small team through a flood: caps, engine priority, budgets by team

Cause: under a flood at twice the capacity a small team's calls waited for the end of another team's, were prefilled behind the flood's and, refused, found the retry budget used up by the flood. A flooding team now leaves free the slots that others needed lately and one more, calls of a team within its share get a higher priority at the engine, entries count only running calls against a light team, and each team has its own retry budget.

--- a/benchmarks/_fleet.py
+++ b/benchmarks/_fleet.py
@@ -54,6 +54,7 @@
     blocks: list[int]
     tokens: int
     output: int
+    priority: int = 5
     prefill_left: int = 0
     produced: int = 0
     first_ms: float = 0.0
@@ -130,7 +131,7 @@
     def prefill(self) -> float:
         """Do one step's share of prefill and return the time that it takes."""
         budget = self.shape.prefill_budget
-        for call, _ in self.calls:
+        for call, _ in sorted(self.calls, key=lambda pair: -pair[0].priority):
             part = min(budget, call.prefill_left)
             call.prefill_left -= part
             budget -= part
@@ -288,12 +289,12 @@
             fault = await self._attempt(call, entry, target, query, left_ms)
             if fault is None:
                 call.outcome = "done"
-                self.retries[entry].note_success()
+                self.retries[entry].note_success(call.team)
                 return
             tried.add(target)
             left_ms = FIRST_TOKEN_MS - (self.clock.now_ms() - call.arrived_ms)
             decision = self.retries[entry].decide(
-                fault, CallClass.IDEMPOTENT, len(tried), left_ms
+                fault, CallClass.IDEMPOTENT, len(tried), left_ms, call.team
             )
             if not decision.retry:
                 call.outcome = "refused"
@@ -317,6 +318,7 @@
                 return got.failure()
             slot = got.unwrap()
             call.target = target
+            call.priority = slot.engine_priority
             call.on_first = lambda: router.note_first_byte(
                 target, self.clock.now_ms() - sent_ms
             )
--- a/benchmarks/_traffic.py
+++ b/benchmarks/_traffic.py
@@ -105,7 +105,10 @@
             shift = int(now_ms / 1_000 / desk.drift_s)
             family = (family + 5 * shift) % kind.families
             count = kind.prefix // BLOCK_TOKENS
-            blocks = [xxhash.xxh3_64_intdigest(f"{index} {family} {n}".encode()) for n in range(count)]
+            blocks = [
+                xxhash.xxh3_64_intdigest(f"{index} {family} {n}".encode())
+                for n in range(count)
+            ]
         own = source.randint(*kind.own)
         blocks += [source.getrandbits(62) for _ in range(own // BLOCK_TOKENS)]
         if not team:
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -121,7 +121,12 @@
     counted = [c for c in fleet.calls if from_ms <= c.arrived_ms < to_ms]
     span_s = (to_ms - from_ms) / 1_000
     begun = [c for c in counted if c.first_ms]
-    small = [c.took_ms for c in begun if c.team == SMALL_TEAM]
+    # A refused call counts as one that never had a first token.
+    small = [
+        c.took_ms if c.first_ms else float("inf")
+        for c in counted
+        if c.team == SMALL_TEAM
+    ]
     return Figures(
         first_ms=_p95([c.took_ms for c in begun]),
         between_ms=_p95([gap for c in begun for gap in c.gaps]),
--- a/carobroute/requests/_carob.py
+++ b/carobroute/requests/_carob.py
@@ -39,7 +39,7 @@
         Weight of a new sample in learned times.
     """
 
-    samples: int = 2
+    samples: int = 4
     load_ms: float = 60.0
     load_bound: float = 1.25
     pace_steps: float = 8.0
@@ -195,12 +195,12 @@
     ) -> CandidateInputs:
         parameters = self._parameters
         share = record.health.share
-        load = (record.load + 1.0) / share
+        load = ((record.running if query.light else record.load) + 1.0) / share
         cached = self._prefixes.cached(record.name, query.prompt_blocks)
         if load > parameters.load_bound * scene.mean_load + 1.0:
             cached = 0
         step_ms = scene.step_ms(record)
-        waiting = max(0.0, load - record.concurrency)
+        waiting = self._waiting(record, query)
         uncached = max(0, query.tokens - cached * BLOCK_TOKENS)
         steps = 1.0 + waiting / record.concurrency * self._learned.stay_steps
         steps += self._learned.prefill_steps * (record.tokens_ahead + uncached)
@@ -219,6 +219,15 @@
             share=share,
         )
 
+    def _waiting(self, record: TargetRecord, query: RouteQuery) -> float:
+        """Return how many calls must end before this one gets a slot.
+
+        A light team's call passes by what others have queued.
+        """
+        if query.light:
+            return 1.0 if record.running >= record.concurrency else 0.0
+        return max(0.0, record.load + 1.0 - record.concurrency)
+
     def _link_ms(self, record: TargetRecord, scene: "_Scene") -> float:
         if record.view.data_centre == scene.data_centre:
             return 0.0
--- a/carobroute/requests/_fair_queue.py
+++ b/carobroute/requests/_fair_queue.py
@@ -1,6 +1,7 @@
 """Fair queue by team in front of one target."""
 
 import asyncio
+import math
 import random
 
 import msgspec
@@ -12,6 +13,8 @@
 from carobroute.utils import Clock
 
 MS_PER_S = 1_000
+HIGHEST_PRIORITY = 9
+SHARE_BOOST = 2
 
 
 class FairQueueParameters(msgspec.Struct, frozen=True, kw_only=True):
@@ -23,8 +26,10 @@
         Calls that may wait.
     max_teams : int
         Teams remembered while they have no calls.
-    reserve_share : float
-        Share of the slots that one team cannot take while others are active.
+    spare_slots : int
+        Slots that a flooding team leaves free beyond what the others needed lately.
+    peak_ms : float
+        Time in which that need is halved.
     active_ms : float
         How long a team counts as active after its last call.
     stay_ms : float
@@ -35,7 +40,8 @@
 
     max_queued: int = 256
     max_teams: int = 1_024
-    reserve_share: float = 0.125
+    spare_slots: int = 1
+    peak_ms: float = 5_000.0
     active_ms: float = 10_000.0
     stay_ms: float = 1_000.0
     smoothing: float = 0.05
@@ -52,16 +58,31 @@
         Call that holds it.
     started_ms : float
         When it was given.
+    engine_priority : int
+        Priority that the engine is given.
     """
 
-    __slots__ = ("_held", "_queue", "_started_ms", "_waiting")
+    __slots__ = ("_engine_priority", "_held", "_queue", "_started_ms", "_waiting")
 
-    def __init__(self, *, queue: "FairQueue", waiting: Waiting, started_ms: float):
+    def __init__(
+        self,
+        *,
+        queue: "FairQueue",
+        waiting: Waiting,
+        started_ms: float,
+        engine_priority: int,
+    ):
+        self._engine_priority = engine_priority
         self._queue = queue
         self._waiting = waiting
         self._started_ms = started_ms
         self._held = True
 
+    @property
+    def engine_priority(self) -> int:
+        """Priority to give the engine: higher for a team within its share."""
+        return self._engine_priority
+
     @property
     def waited_ms(self) -> float:
         """How long the call waited for the slot."""
@@ -105,6 +126,8 @@
         "_concurrency",
         "_drained",
         "_flows",
+        "_modest_ms",
+        "_modest_peak",
         "_parameters",
         "_queued",
         "_random",
@@ -127,6 +150,8 @@
         self._random = random
         self._parameters = parameters or FairQueueParameters()
         self._flows: dict[str, Flow] = {}
+        self._modest_ms = clock.now_ms()
+        self._modest_peak = 0.0
         self._queued = 0
         self._running = 0
         self._alone = False
@@ -266,7 +291,12 @@
         self._running += 1
         self._alone = waiting.alone
         now_ms = self._clock.now_ms()
-        slot = Slot(queue=self, waiting=waiting, started_ms=now_ms)
+        slot = Slot(
+            queue=self,
+            waiting=waiting,
+            started_ms=now_ms,
+            engine_priority=self._engine_priority(flow, waiting),
+        )
         waiting.future.set_result(Success(slot))
 
     def _release(self, waiting: Waiting, started_ms: float) -> None:
@@ -283,26 +313,49 @@
 
     def _next_flow(self) -> Flow | None:
         """Return the flow to serve next: the least tag among those below their cap."""
-        cap = self._cap()
         best = None
         for flow in self._flows.values():
-            if flow.waiting and flow.running < cap and flow.before(best):
+            if flow.waiting and flow.before(best) and flow.running < self._cap(flow):
                 best = flow
         return best
 
-    def _cap(self) -> int:
-        """Return the slots that one team may hold.
+    def _cap(self, flow: Flow) -> int:
+        """Return the slots that a team may hold.
 
-        While other teams are active some slots stay out of reach of any one team, so
-        that a call of a small team starts without waiting for the end of another's.
+        A team that asks for much more than it gets leaves free what the others needed
+        at most lately, and one more, so that their calls start without waiting for
+        the end of one of its own.
         """
-        now_ms = self._clock.now_ms()
-        limit_ms = now_ms - self._parameters.active_ms
-        active = sum(flow.active_since(limit_ms) for flow in self._flows.values())
-        if active <= 1:
+        if not flow.flooding:
             return self._concurrency
-        reserved = round(self._concurrency * self._parameters.reserve_share)
-        return max(1, self._concurrency - reserved)
+        self._note_modest()
+        reserved = math.ceil(self._modest_peak) + self._parameters.spare_slots
+        return max(1, int(self._share(flow)), self._concurrency - reserved)
+
+    def _note_modest(self) -> None:
+        """Keep the greatest number of slots that teams held lately without flooding."""
+        now_ms = self._clock.now_ms()
+        elapsed_ms = now_ms - self._modest_ms
+        self._modest_ms = now_ms
+        held = sum(f.running for f in self._flows.values() if not f.flooding)
+        faded = self._modest_peak * 0.5 ** (elapsed_ms / self._parameters.peak_ms)
+        self._modest_peak = max(held, faded)
+
+    def _share(self, flow: Flow) -> float:
+        """Return a team's fair part of the slots among the teams active lately."""
+        limit_ms = self._clock.now_ms() - self._parameters.active_ms
+        flows = self._flows.values()
+        weights = sum(f.weight for f in flows if f.active_since(limit_ms))
+        return self._concurrency * flow.weight / weights
+
+    def _engine_priority(self, flow: Flow, waiting: Waiting) -> int:
+        """Raise the calls of a team that holds no more than its share of slots.
+
+        The engine then prefills them first, so that they wait for none of the work
+        that a team beyond its share has piled up there.
+        """
+        within = flow.running <= max(1.0, self._share(flow))
+        return min(HIGHEST_PRIORITY, waiting.priority + (SHARE_BOOST if within else 0))
 
     def _refuse_early(self, flow: Flow, waiting: Waiting) -> Fault | None:
         if not waiting.deadline_ms:
@@ -321,7 +374,7 @@
         """Return how long a call that arrives now is expected to wait."""
         free = self._concurrency - self._running
         ahead = expected_ahead(self._flows.values(), flow, waiting, self._virtual)
-        if free > ahead and flow.running < self._cap() and not self._alone:
+        if free > ahead and flow.running < self._cap(flow) and not self._alone:
             return 0.0
         return (max(0, ahead - free) + 1) * self._stay_ms / self._concurrency
 
@@ -360,6 +413,7 @@
             flow = self._flows[team] = Flow(team=team)
         flow.weight = weight
         flow.active_ms = self._clock.now_ms()
+        flow.note_asked(flow.active_ms)
         return flow
 
     def _forget_idle(self) -> None:
--- a/carobroute/requests/_flows.py
+++ b/carobroute/requests/_flows.py
@@ -9,6 +9,9 @@
 PRIORITY_BASE = 1.5
 MIDDLE_PRIORITY = 5
 LEAST_WEIGHT = 0.01
+HALF_LIFE_MS = 2_000.0
+FLOOD_LEAST = 3.0
+FLOOD_FACTOR = 1.25
 
 
 class Waiting(msgspec.Struct, kw_only=True, eq=False):
@@ -38,9 +41,22 @@
         Name of the team.
     """
 
-    __slots__ = ("active_ms", "running", "tag", "team", "waiting", "weight")
+    __slots__ = (
+        "_asked",
+        "_halved_ms",
+        "_started",
+        "active_ms",
+        "running",
+        "tag",
+        "team",
+        "waiting",
+        "weight",
+    )
 
     def __init__(self, *, team: str):
+        self._asked = 0.0
+        self._started = 0.0
+        self._halved_ms = 0.0
         self.team = team
         self.weight = 1.0
         self.tag = 0.0
@@ -48,6 +64,19 @@
         self.active_ms = 0.0
         self.waiting: list[Waiting] = []
 
+    @property
+    def flooding(self) -> bool:
+        """Whether the team lately asked for much more than it was given."""
+        excess = self._asked - self._started
+        return excess > FLOOD_LEAST and self._asked > FLOOD_FACTOR * self._started
+
+    def note_asked(self, now_ms: float) -> None:
+        """Count one call that came, whatever became of it."""
+        halvings = (now_ms - self._halved_ms) / HALF_LIFE_MS
+        self._halved_ms = now_ms
+        self._asked = self._asked * 0.5**halvings + 1.0
+        self._started *= 0.5**halvings
+
     def active_since(self, limit_ms: float) -> bool:
         """Whether the team has had a call since `limit_ms`."""
         return bool(self.waiting or self.running) or self.active_ms >= limit_ms
@@ -73,6 +102,7 @@
     def charge(self, waiting: Waiting) -> None:
         """Take out a call that is served, and charge the team for it."""
         self.remove(waiting)
+        self._started += 1.0
         self.tag += self.charged(waiting)
 
     def charged(self, waiting: Waiting) -> float:
--- a/carobroute/requests/_retries.py
+++ b/carobroute/requests/_retries.py
@@ -1,5 +1,7 @@
 """Whether a failed attempt is tried again."""
 
+from collections import OrderedDict
+
 import msgspec
 
 from carobroute.errors import ErrorKind, Fault
@@ -46,10 +48,14 @@
         Attempts of one request where all before were refused without work.
     share : float
         Retries paid for by each success.
+    first : float
+        Retries granted to a team that was not seen lately.
     burst : float
-        Retries that may be saved up.
-    least_per_s : float
-        Retries granted each second whatever the successes, for quiet entries.
+        Retries that a team may save up.
+    refill_ms : float
+        Time in which an empty budget regains `first` without any success.
+    max_teams : int
+        Teams whose budgets are kept; the one unused longest goes first.
     least_left_ms : float
         Time that a retry needs at least, in milliseconds.
     """
@@ -57,8 +63,10 @@
     attempts: int = 3
     redirects: int = 6
     share: float = 0.1
+    first: float = 2.0
     burst: float = 20.0
-    least_per_s: float = 0.2
+    refill_ms: float = 60_000.0
+    max_teams: int = 1_024
     least_left_ms: float = 20.0
 
 
@@ -69,12 +77,20 @@
     reason: str
 
 
+class _Budget(msgspec.Struct, frozen=True, kw_only=True):
+    """Tokens of one team as of a time."""
+
+    tokens: float
+    set_ms: float
+
+
 class RetryPolicy:
     """Decides on retries within a budget.
 
-    Every entry pays for its retries out of its own successes, so the fleet's retries
-    stay within the same share of the fleet's successes without any message. When all
-    targets fail the budget runs dry and retries cannot multiply the load.
+    Every entry pays for a team's retries out of that team's own successes, so the
+    fleet's retries stay within the same share of the fleet's successes without any
+    message, and one team's refusals use up no other team's budget. When all targets
+    fail the budget runs dry and retries cannot multiply the load.
 
     Parameters
     ----------
@@ -93,26 +109,33 @@
     True
     """
 
-    __slots__ = ("_clock", "_filled_ms", "_parameters", "_tokens")
+    __slots__ = ("_budgets", "_clock", "_parameters")
 
     def __init__(self, *, clock: Clock, parameters: RetryParameters | None = None):
         self._clock = clock
         self._parameters = parameters or RetryParameters()
-        self._tokens = self._parameters.burst
-        self._filled_ms = clock.now_ms()
+        self._budgets: OrderedDict[str, _Budget] = OrderedDict()
 
-    @property
-    def tokens(self) -> float:
-        """Retries that the budget allows now."""
-        self._fill()
-        return self._tokens
+    def tokens(self, team: str = "") -> float:
+        """Return the retries that the team's budget allows now."""
+        budget = self._budgets.get(team)
+        if budget is None:
+            return self._parameters.first
+        idle_ms = self._clock.now_ms() - budget.set_ms
+        gained = self._parameters.first * idle_ms / self._parameters.refill_ms
+        return max(budget.tokens, min(self._parameters.first, budget.tokens + gained))
 
-    def note_success(self) -> None:
-        """Take one successful request."""
-        self._add(self._parameters.share)
+    def note_success(self, team: str = "") -> None:
+        """Take one successful request of a team."""
+        self._set(team, self.tokens(team) + self._parameters.share)
 
     def decide(
-        self, fault: Fault, call_class: CallClass, attempt: int, time_left_ms: float
+        self,
+        fault: Fault,
+        call_class: CallClass,
+        attempt: int,
+        time_left_ms: float,
+        team: str = "",
     ) -> RetryDecision:
         """Return whether a request is sent again, to another target.
 
@@ -126,6 +149,8 @@
             Number of attempts so far.
         time_left_ms : float
             Time left to the first byte of the answer; 0 or less for none.
+        team : str, default=""
+            Team that pays for the retry.
         """
         if not fault.not_run and call_class is not CallClass.IDEMPOTENT:
             return _no("outcome_unknown")
@@ -140,18 +165,19 @@
             )
         if attempt >= self._parameters.attempts:
             return _no("attempts")
-        if self.tokens < 1.0:
+        tokens = self.tokens(team)
+        if tokens < 1.0:
             return _no("budget")
-        self._tokens -= 1.0
+        self._set(team, tokens - 1.0)
         return RetryDecision(retry=True, reason="not_run" if fault.not_run else "safe")
 
-    def _fill(self) -> None:
-        now_ms = self._clock.now_ms()
-        self._add((now_ms - self._filled_ms) / 1_000 * self._parameters.least_per_s)
-        self._filled_ms = now_ms
-
-    def _add(self, tokens: float) -> None:
-        self._tokens = min(self._parameters.burst, self._tokens + tokens)
+    def _set(self, team: str, tokens: float) -> None:
+        self._budgets[team] = _Budget(
+            tokens=min(self._parameters.burst, tokens), set_ms=self._clock.now_ms()
+        )
+        self._budgets.move_to_end(team)
+        while len(self._budgets) > self._parameters.max_teams:
+            self._budgets.popitem(last=False)
 
 
 def _no(reason: str) -> RetryDecision:
--- a/carobroute/requests/_router.py
+++ b/carobroute/requests/_router.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
 from returns.result import Result, Success
 
 from carobroute.engines import CacheEvents
@@ -14,6 +15,7 @@
 from carobroute.requests._prefix import PrefixIndex
 from carobroute.requests._subset import choose_subset
 from carobroute.requests._target import TargetRecord
+from carobroute.requests._team_shares import TeamShares
 from carobroute.requests._views import Choice, RouteQuery, TargetView
 from carobroute.utils import Clock
 
@@ -54,6 +56,7 @@
         "_records",
         "_subset_size",
         "_subsets",
+        "_teams",
         "_views",
     )
 
@@ -74,6 +77,7 @@
         self._subset_size = subset_size
         self._health = health or HealthParameters()
         self._prefixes = PrefixIndex(clock=clock)
+        self._teams = TeamShares(clock=clock)
         self._records: dict[str, TargetRecord] = {}
         self._views: dict[str, list[TargetView]] = {}
         self._subsets: dict[str, list[str]] = {}
@@ -131,6 +135,7 @@
                 f" which is serving and untried ({len(query.excluded)} were tried)",
                 retry_after_ms=NO_TARGET_RETRY_MS,
             )
+        query = msgspec.structs.replace(query, light=self._teams.light(query.team))
         healthy = [r for r in usable if not r.health.ejected]
         pick = self._policy(query.service).pick(healthy or usable, query, everyone)
         return Success(
@@ -149,6 +154,7 @@
         record = self._records.get(target)
         if record is None:
             return
+        self._teams.note_sent(query.team)
         cached = self._prefixes.cached(target, query.prompt_blocks)
         record.note_sent(max(0, query.tokens - cached * BLOCK_TOKENS))
         self._prefixes.note_sent(target, query.prompt_blocks)
--- a/carobroute/requests/_target.py
+++ b/carobroute/requests/_target.py
@@ -11,6 +11,7 @@
 from carobroute.world import TargetState
 
 SMOOTHING = 0.2
+STEP_SMOOTHING = 0.3
 MAX_PENDING = 1_024
 
 
@@ -61,6 +62,7 @@
         "_pending_tokens",
         "_report",
         "_report_at_ms",
+        "_step_ms",
         "_view",
     )
 
@@ -77,6 +79,7 @@
         self._pending_tokens = 0
         self._report: LoadReport | None = None
         self._report_at_ms = clock.now_ms()
+        self._step_ms = 0.0
 
     @property
     def name(self) -> str:
@@ -103,6 +106,13 @@
         """Calls at the target, corrected for the lag of reports."""
         return self._others + self._in_flight
 
+    @property
+    def running(self) -> float:
+        """Calls that hold a slot there, with own sends since the last report."""
+        if self._report is None:
+            return self._in_flight
+        return max(0.0, self._report.running + self._in_flight - self._report.known)
+
     @property
     def reported_load(self) -> float:
         """Calls at the target as it last reported them, uncorrected."""
@@ -118,8 +128,8 @@
 
     @property
     def step_ms(self) -> float:
-        """Step time in the last report; 0 before there is one."""
-        return self._report.step_ms if self._report else 0.0
+        """Smoothed step time in reports; 0 before there is one."""
+        return self._step_ms
 
     @property
     def concurrency(self) -> int:
@@ -199,6 +209,9 @@
         self._report = report
         self._report_at_ms = self._clock.now_ms()
         self._others = max(0.0, report.running + report.queued - report.known)
+        if report.step_ms > 0:
+            known_ms = self._step_ms or report.step_ms
+            self._step_ms = known_ms + STEP_SMOOTHING * (report.step_ms - known_ms)
         if report.leaving:
             self.note_leaving()
         return True
@@ -215,5 +228,6 @@
         self._others = 0.0
         self._report = None
         self._first_ms = 0.0
+        self._step_ms = 0.0
         if not first_sight:
             self._health.note_returned()
--- a/carobroute/requests/_views.py
+++ b/carobroute/requests/_views.py
@@ -64,6 +64,9 @@
         local process may still hold the answer.
     first_token_ms, between_tokens_ms : float
         Latency targets of the service.
+    light : bool
+        Whether the team sends little enough to be served before what is queued;
+        the router fills it in.
     """
 
     service: str
@@ -77,6 +80,7 @@
     idempotency_key: str = ""
     first_token_ms: float = FIRST_TOKEN_MS
     between_tokens_ms: float = BETWEEN_TOKENS_MS
+    light: bool = False
 
 
 class CandidateInputs(msgspec.Struct, frozen=True, kw_only=True):
