--- /dev/null
+++ b/carobroute/requests/tests/test_ledger.py
@@ -0,0 +1,326 @@
+import asyncio
+
+import pytest
+from returns.result import Failure, Success
+
+from carobroute.errors import ErrorKind, fail
+from carobroute.requests import (
+    ClaimElsewhere,
+    ClaimFinished,
+    ClaimGranted,
+    Ledger,
+    LedgerCleaner,
+    LedgerParameters,
+    OrderState,
+    StoredAnswer,
+    read_order,
+)
+from carobroute.testing import FakeObjects, FakeTable, make_order, wait_until
+from carobroute.utils import ManualClock
+
+ANSWER = StoredAnswer(status=201, headers={"X": "y"}, body=b"done")
+
+
+class HeldTable(FakeTable):
+    """Table service whose network holds back writes of orders on request."""
+
+    def __init__(self, *, clock):
+        super().__init__(clock=clock)
+        self.holding = False
+        self.held = []
+        self.open = asyncio.Event()
+        self.open.set()
+
+    async def transact(self, transaction):
+        await self.open.wait()
+        if self.holding and any(put.table == "orders" for put in transaction.puts):
+            if transaction not in self.held:
+                self.held.append(transaction)
+            await asyncio.sleep(0)
+            return fail(ErrorKind.STORE_UNAVAILABLE, "held back")
+        return await super().transact(transaction)
+
+
+class World:
+    """One table, and ledgers that can ask each other."""
+
+    def __init__(self):
+        self.clock = ManualClock()
+        self.table = HeldTable(clock=self.clock)
+        self.objects = FakeObjects()
+        self.ledgers = {}
+        self.events = []
+
+    async def start(self, name, *, target="", **options):
+        ledger = Ledger(
+            table=self.table,
+            objects=self.objects,
+            clock=self.clock,
+            target=target or name,
+            incarnation=f"{name}~1",
+            address=f"tcp://{name}",
+            ask=self.ask,
+            on_event=lambda event, **fields: self.events.append(event),
+            **options,
+        )
+        self.ledgers[f"tcp://{name}"] = ledger
+        ledger.start()
+        await wait_until(lambda: ledger.fence)
+        return ledger
+
+    async def ask(self, address, ask):
+        await asyncio.sleep(0)
+        ledger = self.ledgers.get(address)
+        if ledger is None:
+            return Failure("no process there")
+        return Success(ledger.answer_ask(ask))
+
+    def cleaner(self):
+        return LedgerCleaner(
+            table=self.table,
+            objects=self.objects,
+            clock=self.clock,
+            is_mine=lambda: True,
+        )
+
+    def kill(self, name):
+        """End a process as SIGKILL does: nothing more is sent or answered."""
+        ledger = self.ledgers.pop(f"tcp://{name}")
+        for task in ledger._tasks._tasks:
+            task.cancel()
+
+    async def row(self, key="key-1"):
+        return (await read_order(self.table, "till", key)).unwrap()
+
+
+@pytest.fixture
+async def world():
+    world = World()
+    yield world
+    for name in list(world.ledgers):
+        world.kill(name.removeprefix("tcp://"))
+
+
+def kind(result):
+    return result.failure().kind
+
+
+async def test_answer_is_kept_for_every_target(world):
+    first, second = await world.start("a"), await world.start("b")
+    claim = (await first.claim(make_order())).unwrap()
+    assert isinstance(claim, ClaimGranted)
+    held = (await second.claim(make_order())).unwrap()
+    assert held == ClaimElsewhere(target="a", incarnation="a~1")
+    await first.finish(claim, ANSWER)
+    for ledger in (first, second):
+        assert (await ledger.claim(make_order())).unwrap() == ClaimFinished(
+            answer=ANSWER
+        )
+    other = await second.claim(make_order(body=b"two bells"))
+    assert kind(other) is ErrorKind.KEY_REUSED
+
+
+async def test_large_answer_goes_through_the_object_store(world):
+    ledger = await world.start("a")
+    claim = (await ledger.claim(make_order())).unwrap()
+    large = StoredAnswer(status=200, body=b"x" * 50_000)
+    await ledger.finish(claim, large)
+    assert len(world.table.row("orders", "till/k/key-1").value) < 1_000
+    assert (await ledger.claim(make_order())).unwrap().answer == large
+    world.objects.available = False
+    # It has run, so the answer must not be one of the not-run kinds.
+    assert kind(await ledger.claim(make_order())) is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def test_lost_answers_of_the_store_are_settled(world):
+    ledger = await world.start("a")
+    world.table.lose_answers = 3
+    claim = (await ledger.claim(make_order())).unwrap()
+    assert isinstance(claim, ClaimGranted)
+    world.table.lose_answers = 3
+    await ledger.finish(claim, ANSWER)
+    assert (await world.row()).state is OrderState.DONE
+
+
+async def test_many_claims_share_transactions_and_fail_alone(world):
+    ledger, other = await world.start("a"), await world.start("b")
+    (await other.claim(make_order("key-7"))).unwrap()
+    before = ledger.transactions
+    orders = [make_order(f"key-{number}") for number in range(60)]
+    outcomes = await asyncio.gather(*[ledger.claim(order) for order in orders])
+    kinds = [type(outcome.unwrap()) for outcome in outcomes]
+    assert kinds.pop(7) is ClaimElsewhere
+    assert set(kinds) == {ClaimGranted}
+    assert ledger.transactions - before <= 4
+
+
+async def take_effect_and_vanish(world, ledger, order):
+    """Let the store apply a claim and answer nothing from then on."""
+
+    def vanish(transaction):
+        if any(put.table == "orders" for put in transaction.puts):
+            world.table.lose_answers = 1
+            world.table.available = False
+
+    world.table.before_transact = vanish
+    outcome = await ledger.claim(order)
+    world.table.before_transact = None
+    assert kind(outcome) is ErrorKind.STORE_UNAVAILABLE
+    assert (world.table.row("orders", order.row_key)) is not None
+    return outcome
+
+
+async def test_outage_mid_claim_is_not_run_and_can_be_taken_over(world):
+    first, second = await world.start("a"), await world.start("b")
+    await take_effect_and_vanish(world, first, make_order())
+    refused = await first.claim(make_order("key-2"))
+    assert kind(refused) is ErrorKind.STORE_UNAVAILABLE
+    world.table.available = True
+    taken = (await second.claim(make_order())).unwrap()
+    assert isinstance(taken, ClaimGranted)
+    await second.finish(taken, ANSWER)
+    await wait_until(lambda: not first.unsettled)
+    assert (await world.row()).state is OrderState.DONE
+
+
+async def test_abandoned_claim_is_released_when_the_store_returns(world):
+    first, second = await world.start("a"), await world.start("b")
+    await take_effect_and_vanish(world, first, make_order())
+    world.table.available = True
+    await wait_until(lambda: not first.unsettled)
+    assert (await world.row()).state is OrderState.RELEASED
+    world.kill("a")
+    assert isinstance((await second.claim(make_order())).unwrap(), ClaimGranted)
+
+
+async def test_abandoned_claim_of_a_dead_process_is_never_run(world):
+    first, second = await world.start("a"), await world.start("b")
+    await take_effect_and_vanish(world, first, make_order())
+    world.kill("a")
+    world.table.available = True
+    assert isinstance((await second.claim(make_order())).unwrap(), ClaimElsewhere)
+    successor = await world.start("a2", target="a", honours_fencing=lambda: True)
+    for _ in range(3):
+        outcome = await successor.claim(make_order())
+        assert kind(outcome) is ErrorKind.OUTCOME_UNKNOWN
+
+
+async def test_a_claim_that_lands_late_is_never_run(world):
+    """The write of a claim that was given up arrives after everything else."""
+    ledger, other = await world.start("a"), await world.start("b")
+    world.table.holding = True
+    outcome = await ledger.claim(make_order())
+    assert kind(outcome) is ErrorKind.STORE_UNAVAILABLE
+    world.table.holding = False
+    late = world.table.held[0]
+    await wait_until(lambda: not ledger.unsettled)
+    assert not (await world.table.transact(late)).unwrap().committed
+    assert isinstance((await other.claim(make_order())).unwrap(), ClaimGranted)
+
+
+async def test_a_claim_granted_after_the_deadline_is_released(world):
+    ledger, other = await world.start("a"), await world.start("b")
+    world.table.open.clear()
+    late = await ledger.claim(make_order(deadline_ms=world.clock.now_ms() + 20))
+    assert kind(late) is ErrorKind.DEADLINE
+    world.table.open.set()
+    await wait_until(lambda: not ledger.unsettled)
+    assert (await world.row()).state is OrderState.RELEASED
+    assert isinstance((await other.claim(make_order())).unwrap(), ClaimGranted)
+
+
+async def test_a_claim_that_lands_before_its_release_is_never_run(world):
+    ledger, other = await world.start("a"), await world.start("b")
+    world.table.holding = True
+    assert isinstance(await ledger.claim(make_order()), Failure)
+    late = world.table.held[0]
+    assert (await FakeTable.transact(world.table, late)).unwrap().committed
+    assert isinstance((await other.claim(make_order("key-2"))), Failure)
+    world.table.holding = False
+    world.clock.advance_ms(10_000)
+    granted = (await other.claim(make_order())).unwrap()
+    assert isinstance(granted, ClaimGranted)
+    await wait_until(lambda: not ledger.unsettled)
+    row = await world.row()
+    assert row.claim_id == granted.row.claim_id and row.state is OrderState.CLAIMED
+
+
+async def test_a_claim_held_up_across_a_clean_up_fails(world):
+    """Removal starts versions again; the clock row's version does not go back."""
+    first, second = await world.start("a"), await world.start("b")
+    cleaner = world.cleaner()
+    await cleaner.clean_once()
+    (await second.claim(make_order("key-0"))).unwrap()
+    world.table.holding = True
+    assert isinstance(await second.claim(make_order()), Failure)
+    world.kill("b")
+    world.table.holding = False
+    claim = (await first.claim(make_order())).unwrap()
+    await first.finish(claim, ANSWER)
+    world.clock.advance_ms(4_000_000)
+    assert (await cleaner.clean_once()).unwrap() == 1
+    assert await world.row() is None
+    assert world.table.held
+    for held in world.table.held:
+        assert not (await world.table.transact(held)).unwrap().committed
+
+
+async def test_release_lets_others_run_it(world):
+    first, second = await world.start("a"), await world.start("b")
+    claim = (await first.claim(make_order())).unwrap()
+    await first.release(claim)
+    assert isinstance((await second.claim(make_order())).unwrap(), ClaimGranted)
+
+
+async def test_later_process_of_a_target_supersedes_and_waits(world):
+    first = await world.start("a")
+    (await first.claim(make_order("key-0"))).unwrap()
+    second = await world.start("a2", target="a")
+    assert second.fence == first.fence + 1
+    refused = await first.claim(make_order())
+    assert kind(refused) is ErrorKind.LEAVING and first.superseded
+    refused = await second.claim(make_order())
+    assert kind(refused) is ErrorKind.NO_TARGET
+    world.clock.advance_ms(refused.failure().retry_after_ms)
+    assert isinstance((await second.claim(make_order())).unwrap(), ClaimGranted)
+
+
+@pytest.mark.parametrize("honours", [True, False])
+async def test_no_wait_after_a_close_or_where_fences_are_honoured(world, honours):
+    first = await world.start("a")
+    if not honours:
+        await first.close()
+    second = await world.start("a2", target="a", honours_fencing=lambda: honours)
+    assert isinstance((await second.claim(make_order())).unwrap(), ClaimGranted)
+
+
+async def test_clean_up_keeps_what_has_not_expired(world):
+    ledger = await world.start("a", parameters=LedgerParameters(inline_bytes=4))
+    cleaner = world.cleaner()
+    await cleaner.clean_once()
+    for key, retention_ms in (("short", 1_000), ("long", 1_000_000)):
+        order = make_order(key, retention_ms=retention_ms)
+        claim = (await ledger.claim(order)).unwrap()
+        await ledger.finish(claim, StoredAnswer(status=200, body=b"12345"))
+    claimed = (await ledger.claim(make_order("unfinished"))).unwrap()
+    assert len(world.objects.data) == 2
+    world.clock.advance_ms(5_000)
+    assert (await cleaner.clean_once()).unwrap() == 1
+    assert await world.row("short") is None
+    assert (await world.row("long")).state is OrderState.DONE
+    assert len(world.objects.data) == 1
+    world.clock.advance_ms(1e9)
+    await cleaner.clean_once()
+    assert await world.row("long") is None
+    assert (await world.row("unfinished")).claim_id == claimed.row.claim_id
+    assert world.table.keys("order_expiry") == []
+
+
+async def test_read_shows_an_order_whose_outcome_is_unknown(world):
+    ledger = await world.start("a")
+    claim = (await ledger.claim(make_order())).unwrap()
+    await ledger.mark_unknown(claim, "connection reset after the call was sent")
+    row = (await ledger.read("till", "key-1")).unwrap()
+    assert (row.state, row.target) == (OrderState.UNKNOWN, "a")
+    assert "reset" in row.detail
+    assert kind(await ledger.claim(make_order())) is ErrorKind.OUTCOME_UNKNOWN
--- a/carobroute/standins/tests/test_command.py
+++ b/carobroute/standins/tests/test_command.py
@@ -28,7 +28,7 @@
 async def test_orders_are_recorded_and_old_fences_refused():
     stand_in = OrderStandIn(honours_fencing=True)
     async with TestClient(TestServer(stand_in.application())) as client:
-        for fence, status in ((2, 200), (1, 409), (2, 200)):
+        for fence, status in ((2, 200), (1, 412), (2, 200)):
             headers = {"X-Carobroute-Fence": str(fence), "Idempotency-Key": f"k{fence}"}
             answer = await client.post("/orders", data=b"bell", headers=headers)
             assert answer.status == status
