--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -111,7 +111,8 @@
         return self.ticket_routes()
 
     async def _start(self) -> None:
-        address = await self.endpoint.start(self.settings.links.bind)
+        bound = await self.endpoint.start(self.settings.links.bind)
+        address = self.settings.links.announce or bound
         self.instance = self.own_instance(address)
         self.directory = Directory(
             clock=self.clock, own=self.instance, on_event=self.telemetry.log.event
@@ -143,6 +144,7 @@
             directory=self.directory,
             clock=self.clock,
             random=self.random,
+            on_event=self.telemetry.log.event,
         )
         self._register_dump()
         await self._start_operator_site()
@@ -285,7 +287,7 @@
         )
 
     def record_duty(
-        self, event: str, *, level: str = "info", duty: str = "", **inputs: Any
+        self, event: str, /, *, level: str = "info", duty: str = "", **inputs: Any
     ) -> None:
         """Keep an event about a duty, so that `explain` finds it."""
         self.telemetry.decisions.record(event, level=level, duty=duty, **inputs)
