--- a/carobroute/entry/_run.py
+++ b/carobroute/entry/_run.py
@@ -18,6 +18,8 @@
 CRASH_KINDS = frozenset(
     {ErrorKind.TARGET_FAILED, ErrorKind.STREAM_BROKEN, ErrorKind.PEER_LOST}
 )
+# A target that this entry cannot reach gets no more of its calls for a while either.
+UNHEALTHY_KINDS = CRASH_KINDS | {ErrorKind.NO_TARGET}
 
 
 class CallRun:
@@ -67,7 +69,7 @@
             exchange = placed.unwrap()
             end = await self._follow(exchange)
             if end.fault is None:
-                self._services.retries.note_success()
+                self._services.retries.note_success(self._call.team)
                 return await self._writer.finish()
             if not self._go_on(exchange, end, end.fault):
                 return await self._fail(end.fault)
@@ -122,8 +124,10 @@
     def _choose_for_trial(self) -> Result[str, Fault]:
         """Return the target where every entry runs this suspect, on its own."""
         service = self._call.service
+        serving = self._services.router.serving(service)
         target = self._services.quarantine.trial_target(
-            self._call.suspect_id, self._services.router.serving(service)
+            self._call.suspect_id,
+            [name for name in serving if name not in self._excluded],
         )
         if target is None:
             return fail(ErrorKind.NO_TARGET, f"no target of {service!r} takes a trial")
@@ -231,11 +235,15 @@
             self._redirect = end.redirect
             return True
         self._excluded.add(exchange.target)
-        if fault.kind in CRASH_KINDS:
+        if fault.kind in UNHEALTHY_KINDS:
             self._services.router.note_failure(exchange.target)
         self._resume_state = end.resume_state
         decision = self._services.retries.decide(
-            fault, self._call.call_class, self._attempt, self._time_left_ms()
+            fault,
+            self._call.call_class,
+            self._attempt,
+            self._time_left_ms(),
+            self._call.team,
         )
         self._services.decisions.record(
             "attempt_failed",
--- a/carobroute/local/_runner.py
+++ b/carobroute/local/_runner.py
@@ -164,6 +164,7 @@
             answer.close(acquired.failure())
             return
         slot = acquired.unwrap()
+        submit = msgspec.structs.replace(submit, priority=slot.engine_priority)
         try:
             if submit.call_class is CallClass.NON_IDEMPOTENT:
                 await self._run_order(submit, answer)
--- a/carobroute/requests/_router.py
+++ b/carobroute/requests/_router.py
@@ -101,9 +101,13 @@
         return list(self._subsets.get(service, []))
 
     def serving(self, service: str) -> list[str]:
-        """Return all serving targets of `service`, in the subset or not."""
+        """Return all serving targets of `service`, in the subset or not.
+
+        Those found unhealthy here are left out, unless that would leave none.
+        """
         views = self._views.get(service, [])
-        return [view.name for view in views if view.state is TargetState.SERVING]
+        names = [view.name for view in views if view.state is TargetState.SERVING]
+        return [name for name in names if self._usable(name)] or names
 
     def set_policy(self, service: str, name: str) -> None:
         """Have `service` routed by the registered policy called `name`.
@@ -216,6 +220,10 @@
         if record is not None:
             record.note_leaving()
 
+    def _usable(self, name: str) -> bool:
+        record = self._records.get(name)
+        return record is None or (record.available and not record.health.ejected)
+
     def _ejectable(self, count: int) -> int:
         return max(1, int(self._health.ejected_share * count)) if count > 1 else 0
 
