--- a/carobroute/tickets/_forward.py
+++ b/carobroute/tickets/_forward.py
@@ -40,6 +40,7 @@
         "_image",
         "_on_event",
         "_reported_chain",
+        "_timing",
     )
 
     def __init__(self, *, clock: Clock, on_event: Callable[..., None]):
@@ -51,6 +52,7 @@
         self._callbacks: list[Callable[[Configuration], None]] = []
         self._advanced = asyncio.Event()
         self._reported_chain = ""
+        self._timing = False
 
     @property
     def current(self) -> Configuration:
@@ -67,6 +69,10 @@
         """The last tickets and when they came into force here."""
         return self._history
 
+    def begin_timing(self) -> None:
+        """Note from now on when tickets come into force; what came before is old."""
+        self._timing = True
+
     def on_change(self, callback: Callable[[Configuration], None]) -> None:
         """Have `callback` called with each new configuration, in order."""
         self._callbacks.append(callback)
@@ -95,7 +101,8 @@
                 self._mismatch(ticket.number, ticket.chain, "ticket")
                 break
             configuration = configuration.with_ticket(ticket)
-            self._history.append(ticket, in_force_ms=self._clock.wall_ms())
+            in_force_ms = self._clock.wall_ms() if self._timing else 0.0
+            self._history.append(ticket, in_force_ms=in_force_ms)
         return self._put_in_force(configuration)
 
     def adopt(self, configuration: Configuration) -> bool:
@@ -105,7 +112,7 @@
             self._on_event(
                 "configuration_refused",
                 level="error",
-                number=configuration.number,
+                ticket=configuration.number,
                 before=self.number,
                 object=back,
             )
@@ -117,13 +124,20 @@
 
     def adopt_range(self, entry: TicketRange) -> bool:
         """Apply what a peer sent; return whether the configuration moved."""
+        tickets = []
         try:
             if entry.image:
                 return self.adopt(decode_configuration(entry.image))
-            tickets = [decode_ticket(data) for data in entry.tickets]
+            for data in entry.tickets:
+                tickets.append(decode_ticket(data))
         except (ValueError, msgspec.MsgspecError) as error:
-            self._on_event("ticket_damaged", level="error", error=repr(error))
-            return False
+            # Damaged, or of a later version; the tickets before it still count.
+            self._on_event(
+                "ticket_damaged",
+                level="error",
+                ticket=self.number + len(tickets) + 1,
+                error=str(error),
+            )
         return self.offer(tickets)
 
     def range_after(self, after: int, *, ready: bool) -> TicketRange:
@@ -149,7 +163,7 @@
         if configuration.number <= before:
             return False
         self._current = configuration
-        self._on_event("in_force", number=configuration.number, before=before)
+        self._on_event("in_force", ticket=configuration.number, before=before)
         self._advanced.set()
         for callback in self._callbacks:
             try:
@@ -169,7 +183,7 @@
             "ticket_mismatch",
             level="error",
             what=what,
-            number=number,
+            ticket=number,
             got=chain,
             expected=self._current.chain,
         )
