Plan for drift: spread experts so that a change disturbs each rank less

The planner now also weighs the squared load of each copy, and weighs rank times by speed so that a straggler is brought level.

--- a/carobroute/placement/_incremental.py
+++ b/carobroute/placement/_incremental.py
@@ -33,16 +33,20 @@
     price : float
         Fall of a layer's squared deviation, in squared mean rank times, that one moved
         copy must bring.
+    drift : float
+        Squared relative change of an expert's popularity to be ready for. An expert
+        that is spread over more copies then disturbs each rank less.
     """
 
     begin_skew: float
     end_skew: float
     price: float
+    drift: float
 
 
 SETTINGS = {
-    "skew": Weights(begin_skew=0.25, end_skew=0.04, price=0.0002),
-    "cost": Weights(begin_skew=0.60, end_skew=0.40, price=0.05),
+    "skew": Weights(begin_skew=0.02, end_skew=0.0, price=0.00001, drift=4.0),
+    "cost": Weights(begin_skew=0.5, end_skew=0.3, price=0.02, drift=1.0),
 }
 
 
@@ -94,7 +98,7 @@
     def plan(self, given: PlanningInput) -> IntArray:
         """Return the slots wanted."""
         wanted = repair(given)
-        search = _Search(wanted, given.shares, given.speeds)
+        search = _Search(wanted, given.shares, given.speeds, self._weights.drift)
         search.keep(search.skew() > self._weights.begin_skew)
         left = given.budget_moves
         for turn in range(MOST_ROUNDS):
@@ -124,7 +128,10 @@
 class _Search:
     """Local search over all layers at once; finished layers are left out."""
 
-    def __init__(self, slots: IntArray, shares: FloatArray, speeds: FloatArray):
+    def __init__(
+        self, slots: IntArray, shares: FloatArray, speeds: FloatArray, drift: float
+    ):
+        self._drift = drift
         self.rows = np.arange(len(slots))
         self.slots = slots.copy()
         self.idle = np.zeros(len(slots), dtype=np.int64)
@@ -195,7 +202,12 @@
         return bought & ~worse
 
     def _deviation(self) -> FloatArray:
-        return (self._times[:, self._present] ** 2).sum(axis=1)
+        shares = self._shares
+        lumps = (shares**2 / np.maximum(self._copies, 1)).sum(axis=1)
+        times = self._times[:, self._present]
+        return (times**2 * self._speeds[self._present]).sum(axis=1) + (
+            self._drift * lumps
+        )
 
     def _measure(self) -> None:
         experts = self._shares.shape[1]
@@ -209,12 +221,11 @@
         rank = np.arange(ranks)[None, :, None]
         self._held[self._layer[:, None, None], rank, self.slots] = True
         self._held[:, :, EMPTY] = False
-        slowed = np.broadcast_to(
-            (self._times * self._inverse)[:, :, None], self.slots.shape
-        )
-        squared = np.broadcast_to(self._inverse[None, :, None] ** 2, self.slots.shape)
-        self._weighted = sum_by_expert(self.slots, experts, slowed)
-        self._squares = sum_by_expert(self.slots, experts, squared)
+        counted = np.where(self._present, self._times, 0.0)
+        time = np.broadcast_to(counted[:, :, None], self.slots.shape)
+        slowness = np.broadcast_to(self._inverse[None, :, None], self.slots.shape)
+        self._time_sums = sum_by_expert(self.slots, experts, time)
+        self._slowness_sums = sum_by_expert(self.slots, experts, slowness)
 
     def _swap_gains(self, pivot: IntArray) -> FloatArray:
         """Return gains by (layer, pivot's slot, other rank, other slot)."""
@@ -225,8 +236,8 @@
         times = self._times[:, None, :, None]
         own_speed = self._speeds[pivot][:, None, None, None]
         speeds = self._speeds[None, None, :, None]
-        change = (own_time - delta / own_speed) ** 2 - own_time**2
-        change = change + (times + delta / speeds) ** 2 - times**2
+        change = own_speed * ((own_time - delta / own_speed) ** 2 - own_time**2)
+        change = change + speeds * ((times + delta / speeds) ** 2 - times**2)
         blocked = self._held[rows[:, None], :, mine].copy()
         blocked |= ~self._present[None, None, :]
         blocked[rows, :, pivot] = True
@@ -256,8 +267,8 @@
         count = self._copies[layer, source]
         share = self._shares[layer, source]
         fall = share / np.maximum(count, 1) - share / (count + 1)
-        change = -2 * fall * self._weighted[layer, source]
-        change = change + fall**2 * self._squares[layer, source]
+        change = -2 * fall * self._time_sums[layer, source]
+        change = change + fall**2 * self._slowness_sums[layer, source]
         evicted = target != EMPTY
         lost_count = np.where(evicted, self._copies[layer, target], 2.0)
         lost_share = np.where(evicted, self._shares[layer, target], 0.0)
@@ -265,11 +276,13 @@
         rise = lost_share / np.maximum(lost_count - 1, 1) - lost
         slowness = self._inverse[target_rank]
         time = self._times[layer, target_rank]
-        others = self._weighted[layer, target] - time * slowness
-        rest = self._squares[layer, target] - slowness**2
+        others = self._time_sums[layer, target] - time
+        rest = self._slowness_sums[layer, target] - slowness
         change = change + np.where(evicted, 2 * rise * others + rise**2 * rest, 0.0)
-        added = (share / (count + 1) - lost) * slowness
-        change = change + (time + added) ** 2 - time**2
+        added = share / (count + 1) - lost
+        change = change + 2 * added * time + added**2 * slowness
+        thinner = share * fall - np.where(evicted, lost_share * rise, 0.0)
+        change = change - self._drift * thinner
         blocked = (source == EMPTY) | (lost_count < 2) | ~self._present[target_rank]
         blocked |= self._held[layer, target_rank, source] | (other_rank == pivot_rank)
         blocked |= ~self._present[other_rank]
@@ -295,8 +308,8 @@
         best_swap, best_replica = by_swap.argmax(axis=1), by_replica.argmax(axis=1)
         is_swap = by_swap[rows, best_swap] > by_replica[rows, best_replica]
         best = np.where(is_swap, best_swap, best_replica)
-        slot, rest = np.divmod(best, ranks * each)
-        other_rank, other_slot = np.divmod(rest, each)
+        slot = best // (ranks * each)
+        other_rank, other_slot = best // each % ranks, best % each
         gain = np.where(is_swap, by_swap[rows, best], by_replica[rows, best])
         cost = np.where(is_swap, moves.reshape(layers, -1)[rows, best], REPLICA_MOVES)
         turned = ~is_swap & to_pivot
