--- a/carobroute/local/_runner.py
+++ b/carobroute/local/_runner.py
@@ -20,6 +20,7 @@
 
 DEFAULT_WEIGHT = 1.0
 MAX_ORDER_ANSWER_BYTES = 8 * 1024 * 1024
+TEAM_HEADER = "X-Carobroute-Team"
 MOVED = Fault(kind=ErrorKind.LEAVING, detail="the stream moves to another target")
 
 
@@ -278,7 +279,9 @@
             request_id=submit.request_id,
             method=submit.method,
             path=submit.path,
-            headers=headers,
+            # Two teams may use the same idempotency key; a target that keeps keys of
+            # its own needs the team to tell them apart.
+            headers={**headers, TEAM_HEADER: submit.team},
             body=submit.body,
             call_class=submit.call_class,
             priority=submit.priority,
--- a/carobroute/testing/_witness.py
+++ b/carobroute/testing/_witness.py
@@ -21,6 +21,8 @@
 REQUEST_HEADER = "X-Request-Id"
 NOT_RUN = "not_run"
 
+_numbers = itertools.count(1)
+
 
 class Answer(msgspec.Struct, kw_only=True):
     """What one caller was told.
@@ -92,7 +94,6 @@
     def __init__(self, *, fleet: Fleet, timeout_s: float = 60.0):
         self._fleet = fleet
         self._timeout_s = timeout_s
-        self._numbers = itertools.count(1)
         self.streams: list[Answer] = []
         self.orders: list[Answer] = []
         self.lookups: list[Answer] = []
@@ -100,7 +101,7 @@
     async def stream(self, entry: int, *, tokens: int = 40, text: str = "") -> Answer:
         """Ask the model for a streamed answer to a text that nobody else asks."""
         example = next(r for r in self._fleet.requests if r["body"].get("stream"))
-        text = text or f"draft {next(self._numbers)} of {self._fleet.desk.name}"
+        text = text or f"draft {next(_numbers)} of {self._fleet.desk.name}"
         body = {**example["body"], "max_tokens": tokens}
         body["messages"] = [*body["messages"], {"role": "user", "content": text}]
         answer = Answer(team=example["team"], key="", body=msgspec.json.encode(body))
@@ -110,7 +111,7 @@
     async def order(self, entry: int, *, key: str = "", body: bytes = b"") -> Answer:
         """Place an order; with the same key and body it is a resend."""
         example = next(r for r in self._fleet.requests if "Idempotency" in str(r))
-        number = next(self._numbers)
+        number = next(_numbers)
         answer = Answer(
             team=example["team"],
             key=key or f"order-{number}",
