--- a/carobroute/membership/_poller.py
+++ b/carobroute/membership/_poller.py
@@ -11,7 +11,7 @@
 from carobroute.platform import InstanceListClient
 from carobroute.utils import Clock, TaskSet
 
-ENTRY_BYTES = 200
+ENTRY_BYTES = 225
 
 
 class ListPollerParameters(msgspec.Struct, frozen=True, kw_only=True):
