--- a/carobroute/tickets/_keeper.py
+++ b/carobroute/tickets/_keeper.py
@@ -114,6 +114,8 @@
         self._on_event = on_event or (lambda *args, **fields: None)
         self._ready = asyncio.Event()
         self._forward = ForwardConfiguration(clock=clock, on_event=self._on_event)
+        # A filing reads on from what is in force here, and shares its memory.
+        self._forward.on_change(log.remember)
         self._table = TableReader(
             log=log, forward=self._forward, clock=clock, on_event=self._on_event
         )
--- a/carobroute/tickets/_log_reader.py
+++ b/carobroute/tickets/_log_reader.py
@@ -64,6 +64,11 @@
         """The table service."""
         return self._table
 
+    def remember(self, configuration: Configuration) -> None:
+        """Note a configuration to read on from, in place of the whole log."""
+        if configuration.number > self._known.number:
+            self._known = configuration
+
     async def head(self) -> Result[int, Fault]:
         """Return the number of the last accepted ticket, or 0 without any."""
         found = await self.read_head()
@@ -174,12 +179,19 @@
 
         A `NOT_FOUND` fault means that a compaction moved the rows meanwhile.
         """
-        if known.number < head.floor:
+        if known.number > head.number:
+            return fail(
+                ErrorKind.STALE_CONFIGURATION,
+                f"the table ends at ticket {head.number}, but {known.number} is in"
+                " force; restore its rows",
+            )
+        foreign = known.number == head.number and known.chain != head.chain
+        if known.number < head.floor or foreign:
             loaded = await self._read_from_snapshot(head, head.number)
         else:
             loaded = await self._read_on(known, head.number)
         if isinstance(loaded, Success):
-            self._known = loaded.unwrap()
+            self.remember(loaded.unwrap())
         return loaded
 
     async def _read_from_snapshot(
--- a/carobroute/tickets/tests/test_keeper.py
+++ b/carobroute/tickets/tests/test_keeper.py
@@ -120,6 +120,9 @@
         assert node.keeper.current.target("runner-1") is not None
     # The filing reads the token row and the head; nobody else read anything.
     assert table.counts["read"] == reads + 2
+    scans = table.counts["scan"]
+    await file_at(nodes[1], make_ticket(make_team(), based_on=1))
+    assert table.counts["scan"] == scans, "a filing reads on from what is in force"
 
 
 async def test_new_process_in_an_outage_learns_from_its_peers(nodes, table):
@@ -177,6 +180,9 @@
         await table.transact(Transaction(token=key, conditions=[], puts=[put]))
     assert (await node.keeper.refresh()).unwrap() == 0
     assert node.keeper.current.number == 1
+    deadline_ms = node.clock.now_ms() + WAIT_MS
+    refused = await node.log.file(make_ticket(make_service("late")), deadline_ms)
+    assert "the table ends at ticket 0, but 1 is in force" in refused.failure().detail
     assert "table_behind" in [name for name, _ in node.events]
 
 
