--- a/carobroute/requests/_fair_queue.py
+++ b/carobroute/requests/_fair_queue.py
@@ -24,8 +24,6 @@
     ----------
     max_queued : int
         Calls that may wait.
-    max_teams : int
-        Teams remembered while they have no calls.
     spare_slots : int
         Slots that a flooding team leaves free beyond what the others needed lately.
     peak_ms : float
@@ -39,7 +37,6 @@
     """
 
     max_queued: int = 256
-    max_teams: int = 1_024
     spare_slots: int = 1
     peak_ms: float = 5_000.0
     active_ms: float = 10_000.0
@@ -268,10 +265,13 @@
     def _abandon(self, waiting: Waiting) -> None:
         """Take back a call whose waiter has gone, with the slot it may have got."""
         future = waiting.future
-        if not future.done():
+        if future.cancelled() or not future.done():
+            # Cancelling a waiter cancels its future; the call may still be queued.
             flow = self._flows[waiting.team]
             self._refuse(flow, waiting, _too_late(waiting))
-        elif not future.cancelled() and isinstance(future.result(), Success):
+            # It may have held others back, as a call that is to run alone does.
+            self._dispatch()
+        elif isinstance(future.result(), Success):
             future.result().unwrap().release()
 
     def _dispatch(self) -> None:
@@ -280,7 +280,7 @@
             if flow is None:
                 return
             waiting = flow.first()
-            if self._expired(waiting):
+            if waiting.future.done() or self._expired(waiting):
                 self._refuse(flow, waiting, _too_late(waiting))
                 continue
             if waiting.alone and self._running:
@@ -291,6 +291,7 @@
         self._virtual = max(self._virtual, flow.tag)
         flow.charge(waiting)
         flow.running += 1
+        self._note_modest()
         self._queued -= 1
         self._running += 1
         self._alone = waiting.alone
@@ -305,6 +306,7 @@
 
     def _release(self, waiting: Waiting, started_ms: float) -> None:
         now_ms = self._clock.now_ms()
+        self._note_modest()
         self._running -= 1
         flow = self._flows[waiting.team]
         flow.running -= 1
@@ -332,7 +334,6 @@
         """
         if not flow.flooding:
             return self._concurrency
-        self._note_modest()
         reserved = math.ceil(self._modest_peak) + self._parameters.spare_slots
         return max(1, int(self._share(flow)), self._concurrency - reserved)
 
@@ -400,7 +401,8 @@
         return None
 
     def _refuse(self, flow: Flow, waiting: Waiting, fault: Fault) -> None:
-        flow.remove(waiting)
+        if not flow.discard(waiting):
+            return
         self._queued -= 1
         if not waiting.future.done():
             waiting.future.set_result(Failure(fault))
@@ -412,8 +414,7 @@
     def _flow(self, team: str, weight: float) -> Flow:
         flow = self._flows.get(team)
         if flow is None:
-            if len(self._flows) >= self._parameters.max_teams:
-                self._forget_idle()
+            self._forget_idle()
             flow = self._flows[team] = Flow(team=team)
         flow.weight = weight
         flow.active_ms = self._clock.now_ms()
@@ -421,8 +422,10 @@
         return flow
 
     def _forget_idle(self) -> None:
-        idle = [f.team for f in self._flows.values() if not f.waiting and not f.running]
-        for team in idle:
+        """Forget teams that have had no call for a while."""
+        limit_ms = self._clock.now_ms() - self._parameters.active_ms
+        flows = self._flows.values()
+        for team in [f.team for f in flows if not f.active_since(limit_ms)]:
             del self._flows[team]
 
 
--- a/carobroute/requests/_flows.py
+++ b/carobroute/requests/_flows.py
@@ -95,13 +95,16 @@
         """Return the call that is served last."""
         return self.waiting[-1]
 
-    def remove(self, waiting: Waiting) -> None:
-        """Take out a call that waits."""
+    def discard(self, waiting: Waiting) -> bool:
+        """Take out a call; return whether it was waiting."""
+        if waiting not in self.waiting:
+            return False
         self.waiting.remove(waiting)
+        return True
 
     def charge(self, waiting: Waiting) -> None:
         """Take out a call that is served, and charge the team for it."""
-        self.remove(waiting)
+        self.waiting.remove(waiting)
         self._started += 1.0
         self.tag += self.charged(waiting)
 
--- /dev/null
+++ b/carobroute/requests/tests/test_quarantine.py
@@ -0,0 +1,156 @@
+import random
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Success
+
+from carobroute.errors import ErrorKind
+from carobroute.requests import Blame, Quarantine, QuarantineParameters, Verdict
+from carobroute.utils import ManualClock
+
+TARGETS = [f"runner-{n}" for n in range(12)]
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(start_ms=1_000)
+
+
+def verdict(quarantine, fingerprint):
+    checked = quarantine.check(fingerprint)
+    return checked.unwrap() if isinstance(checked, Success) else checked.failure().kind
+
+
+def test_second_crash_while_alone_has_it_refused_for_a_while(clock):
+    quarantine = Quarantine(clock=clock)
+    for fingerprint in ("poison", "innocent"):
+        assert quarantine.begin(fingerprint, "runner-1").unwrap() is Verdict.FREE
+    quarantine.target_crashed("runner-1", "crash-1")
+    assert verdict(quarantine, "poison") is Verdict.ALONE
+    quarantine.begin("poison", "runner-2")
+    quarantine.target_crashed("runner-2", "crash-2", alone="poison")
+    refused = quarantine.begin("poison", "runner-3").failure()
+    assert refused.kind is ErrorKind.QUARANTINED and refused.not_run
+    assert verdict(quarantine, "innocent") is Verdict.ALONE
+    clock.advance_ms(QuarantineParameters().refuse_ms + 1)
+    assert verdict(quarantine, "poison") is Verdict.ALONE
+
+
+def test_innocent_that_shares_crashes_is_cleared_and_stays_cleared(clock):
+    entries = [Quarantine(clock=clock) for _ in range(2)]
+    late = []
+    for crash in ("crash-1", "crash-2"):
+        for fingerprint in ("poison", "popular", "other"):
+            entries[0].begin(fingerprint, "runner-1")
+        late.append(entries[0].target_crashed("runner-1", crash))
+        entries[1].merge(late[-1])
+    # Twice in flight beside the same others proves nothing.
+    assert verdict(entries[1], "popular") is Verdict.ALONE
+    entries[1].begin("popular", "runner-2")
+    news = entries[1].end_ok("popular", "runner-2")
+    entries[0].merge(news)
+    for entry in entries:
+        for message in late:
+            entry.merge(message)
+        assert verdict(entry, "popular") is Verdict.FREE
+
+
+def test_only_request_in_common_to_two_crashes_is_refused(clock):
+    quarantine = Quarantine(clock=clock)
+    for crash, others in (("crash-1", "ab"), ("crash-2", "cd")):
+        for fingerprint in ("poison", *others):
+            quarantine.begin(fingerprint, "runner-1")
+        quarantine.target_crashed("runner-1", crash)
+    assert verdict(quarantine, "poison") is ErrorKind.QUARANTINED
+    assert verdict(quarantine, "a") is Verdict.ALONE
+
+
+def test_one_crash_seen_by_several_counts_once(clock):
+    quarantine = Quarantine(clock=clock)
+    for _ in range(3):
+        quarantine.begin("slow", "runner-1")
+        quarantine.target_crashed("runner-1", "crash-1")
+    assert verdict(quarantine, "slow") is Verdict.ALONE
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_resends_through_other_entries_take_at_most_two_targets(clock, seed):
+    """Entries pass blame on late, twice and out of order, but before the resend."""
+    source = random.Random(seed)
+    entries = [Quarantine(clock=clock) for _ in range(3)]
+    others = [f"other-{n}" for n in range(20)]
+    lost = set()
+    for turn in range(12):
+        entry = source.choice(entries)
+        names = [name for name in TARGETS if name not in lost]
+        checked = entry.check("poison")
+        if not isinstance(checked, Success):
+            continue
+        alone = checked.unwrap() is Verdict.ALONE
+        place = source.choice(names)
+        if alone:
+            places = {e.trial_target("poison", names) for e in entries}
+            assert len(places) == 1
+            place = places.pop()
+        entry.begin("poison", place)
+        if not alone:
+            for fingerprint in source.sample(others, 4):
+                entry.begin(fingerprint, place)
+        lost.add(place)
+        news = entry.target_crashed(
+            place, f"crash-{turn}", alone="poison" if alone else ""
+        )
+        told = [e for e in entries if e is not entry] * 2
+        source.shuffle(told)
+        for other in told:
+            other.merge(news)
+    assert len(lost) == 2
+    for entry in entries:
+        assert verdict(entry, "poison") is ErrorKind.QUARANTINED
+
+
+BLAMES = st.lists(
+    st.tuples(
+        st.sampled_from(["a", "b", "c"]),
+        st.sampled_from(["1", "2", "3"]),
+        st.sampled_from(["blame", "alone", "clear"]),
+    ),
+    max_size=12,
+)
+
+
+@settings(max_examples=60, deadline=None)
+@given(steps=BLAMES, order=st.randoms(use_true_random=False))
+def test_order_and_repetition_of_messages_do_not_matter(steps, order):
+    clock = ManualClock(start_ms=1_000)
+    source = Quarantine(clock=clock)
+    messages = []
+    for fingerprint, crash, step in steps:
+        if step == "clear":
+            news = source.end_ok(fingerprint, "runner-1")
+        else:
+            source.begin(fingerprint, "runner-1")
+            alone = fingerprint if step == "alone" else ""
+            news = source.target_crashed("runner-1", crash, alone=alone)
+        messages += [news] if news else []
+    shuffled = messages * 2
+    order.shuffle(shuffled)
+    receiver = Quarantine(clock=clock)
+    for message in shuffled:
+        receiver.merge(message)
+    for fingerprint in ("a", "b", "c"):
+        assert verdict(receiver, fingerprint) == verdict(source, fingerprint)
+
+
+def test_a_process_that_starts_learns_all_and_memory_is_bounded(clock):
+    parameters = QuarantineParameters(max_fingerprints=50, max_crashes=8)
+    quarantine = Quarantine(clock=clock, parameters=parameters)
+    for number in range(40):
+        for call in range(10):
+            quarantine.begin(f"call-{number}-{call}", "runner-1")
+        quarantine.target_crashed("runner-1", f"crash-{number}")
+    assert len(quarantine.suspects) <= 50
+    fresh = Quarantine(clock=clock)
+    fresh.merge(Blame(entries=quarantine.digest().entries))
+    assert sorted(fresh.suspects) == sorted(quarantine.suspects)
