--- a/carobroute/telemetry/tests/test_telemetry.py
+++ b/carobroute/telemetry/tests/test_telemetry.py
@@ -79,3 +79,12 @@
     log = EventLog(name="e", stream=stream)
     log.event("instance_leaving", name="runner-1", reason="list")
     assert "runner-1" in stream.getvalue()
+
+
+def test_event_may_have_a_field_called_name():
+    """Objects report their name; that must not clash with the event's."""
+    out = io.StringIO()
+    telemetry = Telemetry(name="e", stream=out)
+    telemetry.log("instance_leaving", name="entry-1")
+    telemetry.decisions.record("chosen", target="t", event="e", name="n")
+    assert "event=instance_leaving name=entry-1" in out.getvalue()
