Tell the suspect on trial from those that wait beside it

The entry blamed all it had at a dead local process as running alone, though the others were queued; and a request that shared the crashes of two poisons was taken for the one thing in common. A local process now tells the entries which suspect it is about to run alone, and a crash that another request is held to have caused counts against nobody else. In carobroute/local/_runner.py, carobroute/entry/_run.py and carobroute/daemon/_local.py.

--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -90,6 +90,7 @@
             configuration=lambda: self.keeper.current,
             clock=self.clock,
             events=self.telemetry.log,
+            on_trial=self.blames.announce_trial,
         )
         self._process = LocalProcess(
             parameters=LocalParameters(
--- a/carobroute/entry/_run.py
+++ b/carobroute/entry/_run.py
@@ -189,8 +189,12 @@
         if end.fault is None:
             news = services.quarantine.end_ok(suspect, exchange.target)
         elif crash := self._crash_of(exchange, end):
+            # A local process that is gone cannot say which of its calls was running.
+            alone = suspect if self._alone else ""
+            if not end.crash:
+                alone = services.quarantine.trial_at(crash)
             news = services.quarantine.target_crashed(
-                exchange.target, crash, alone=suspect if self._alone else ""
+                exchange.target, crash, alone=alone
             )
         else:
             return
--- a/carobroute/local/_runner.py
+++ b/carobroute/local/_runner.py
@@ -12,7 +12,7 @@
 from carobroute.local._answers import Answer, AnswerHead
 from carobroute.local._crashes import CrashWatch
 from carobroute.local._orders import OrderElsewhere, OrderPermit, OrderRunner
-from carobroute.requests import FairQueue, StoredAnswer
+from carobroute.requests import FairQueue, StoredAnswer, request_fingerprint
 from carobroute.telemetry import EventLog
 from carobroute.tickets import Configuration
 from carobroute.utils import Clock
@@ -43,6 +43,9 @@
         Source of time.
     events : EventLog
         Where events are logged.
+    on_trial : callable or None, default=None
+        Called with the fingerprint of a call that is about to run alone, and with
+        an empty one when it has ended.
     """
 
     __slots__ = (
@@ -52,6 +55,7 @@
         "_engine",
         "_events",
         "_exports",
+        "_on_trial",
         "_orders",
         "_queue",
         "step_ms",
@@ -68,7 +72,9 @@
         configuration: Callable[[], Configuration],
         clock: Clock,
         events: EventLog,
+        on_trial: Callable[[str], None] | None = None,
     ):
+        self._on_trial = on_trial or (lambda fingerprint: None)
         self._engine = engine
         self._queue = queue
         self._crashes = crashes
@@ -167,11 +173,15 @@
         slot = acquired.unwrap()
         submit = msgspec.structs.replace(submit, priority=slot.engine_priority)
         try:
+            if submit.alone:
+                self._on_trial(_suspect_id(submit))
             if submit.call_class is CallClass.NON_IDEMPOTENT:
                 await self._run_order(submit, answer)
             else:
                 await self._run_stream(submit, answer, deadline_ms)
         finally:
+            if submit.alone:
+                self._on_trial("")
             slot.release()
 
     async def _run_stream(
@@ -290,3 +300,7 @@
             resume_from=submit.resume_from,
             resume_state=submit.resume_state,
         )
+
+
+def _suspect_id(submit: Submit) -> str:
+    return request_fingerprint(submit.service, submit.method, submit.path, submit.body)
--- a/carobroute/requests/__init__.py
+++ b/carobroute/requests/__init__.py
@@ -33,6 +33,7 @@
     Blame,
     Quarantine,
     QuarantineParameters,
+    Trial,
     Verdict,
     request_fingerprint,
 )
@@ -84,6 +85,7 @@
     "TargetView",
     "TeamDemand",
     "TeamTotals",
+    "Trial",
     "Verdict",
     "choose_subset",
     "order_fingerprint",
--- a/carobroute/requests/_blame_spreader.py
+++ b/carobroute/requests/_blame_spreader.py
@@ -3,7 +3,9 @@
 from collections.abc import Callable
 
 from carobroute.links import Endpoint, Peer
-from carobroute.requests._quarantine import Blame, Quarantine
+from carobroute.requests._quarantine import Blame, Quarantine, Trial
+
+ENTRY_ROLE = "entry"
 
 
 class BlameSpreader:
@@ -42,6 +44,7 @@
     def start(self) -> None:
         """Register the handler, and tell each peer all that is known on first sight."""
         self._endpoint.handle(Blame, self._on_blame)
+        self._endpoint.handle(Trial, self._on_trial)
         self._endpoint.on_reopen(self._greet)
 
     def spread(self, news: Blame, *, but: Peer | None = None) -> None:
@@ -50,6 +53,16 @@
             if peer is not but:
                 peer.send(Blame(entries=news.entries))
 
+    def announce_trial(self, fingerprint: str) -> None:
+        """Tell the entries what this local process runs alone, or that it ended."""
+        trial = Trial(incarnation=self._endpoint.incarnation, fingerprint=fingerprint)
+        for peer in self._endpoint.peers:
+            if peer.role == ENTRY_ROLE and peer.up:
+                peer.send(trial)
+
+    def _on_trial(self, peer: Peer, entry: Trial) -> None:
+        self._quarantine.note_trial(entry)
+
     def _on_blame(self, peer: Peer, entry: Blame) -> None:
         news = self._quarantine.merge(entry)
         if news is not None:
--- a/carobroute/requests/_blames.py
+++ b/carobroute/requests/_blames.py
@@ -83,7 +83,11 @@
 
     def convicted_age_ms(self, fingerprint: str) -> float | None:
         """Return the time since the last crash of a convicted request, or None."""
-        held = self._held(fingerprint)
+        held = {
+            crash: strike
+            for crash, strike in self._held(fingerprint).items()
+            if not self._explained(crash, fingerprint)
+        }
         if len(held) < 2:
             return None
         alone = any(strike.alone for strike in held.values())
@@ -133,6 +137,20 @@
             if not strike.cleared and strike.at_ms >= limit_ms
         }
 
+    def _explained(self, crash: str, fingerprint: str) -> bool:
+        """Whether another request is held to have caused a crash.
+
+        What shares the crashes of several such requests is not convicted for that.
+        """
+        return any(
+            other != fingerprint and self._tried(other)
+            for other in self._crashes.get(crash, ())
+        )
+
+    def _tried(self, fingerprint: str) -> bool:
+        held = self._held(fingerprint)
+        return len(held) > 1 and any(strike.alone for strike in held.values())
+
     def _only_in_common(self, fingerprint: str, crashes: list[str]) -> bool:
         """Whether two crashes have no other request in common."""
         for index, one in enumerate(crashes):
--- a/carobroute/requests/_quarantine.py
+++ b/carobroute/requests/_quarantine.py
@@ -36,6 +36,25 @@
     entries: list[BlameEntry]
 
 
+@message
+class Trial(Message, tag="trial"):
+    """Tells the entries which suspect a local process is about to run alone.
+
+    Should the local process die with its target, only this shows which of the calls
+    that it held was running.
+
+    Parameters
+    ----------
+    incarnation : str
+        The local process.
+    fingerprint : str
+        The suspect; empty once it has ended.
+    """
+
+    incarnation: str
+    fingerprint: str
+
+
 class QuarantineParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Times and bounds of the quarantine.
 
@@ -46,14 +65,15 @@
         caused. Then it is a suspect again.
     forget_ms : float
         How long a crash is remembered.
-    max_fingerprints, max_crashes : int
-        Suspects and crashes remembered.
+    max_fingerprints, max_crashes, max_trials : int
+        Suspects, crashes and trials remembered.
     """
 
     refuse_ms: float = 600_000.0
     forget_ms: float = 3_600_000.0
     max_fingerprints: int = 4_096
     max_crashes: int = 128
+    max_trials: int = 1_024
 
 
 class Quarantine:
@@ -81,7 +101,7 @@
     before the first crash can each take theirs.
     """
 
-    __slots__ = ("_blames", "_clock", "_in_flight", "_parameters")
+    __slots__ = ("_blames", "_clock", "_in_flight", "_parameters", "_trials")
 
     def __init__(self, *, clock: Clock, parameters: QuarantineParameters | None = None):
         self._clock = clock
@@ -93,6 +113,7 @@
             max_crashes=self._parameters.max_crashes,
         )
         self._in_flight: dict[str, dict[str, int]] = {}
+        self._trials: dict[str, str] = {}
 
     @property
     def suspects(self) -> list[str]:
@@ -185,6 +206,18 @@
         """Return what is known of one request."""
         return Blame(entries=self._blames.entries(fingerprint))
 
+    def note_trial(self, trial: Trial) -> None:
+        """Note which suspect runs alone beside a local process."""
+        self._trials.pop(trial.incarnation, None)
+        if trial.fingerprint:
+            self._trials[trial.incarnation] = trial.fingerprint
+        while len(self._trials) > self._parameters.max_trials:
+            del self._trials[next(iter(self._trials))]
+
+    def trial_at(self, incarnation: str) -> str:
+        """Return the suspect that ran alone beside a local process, or nothing."""
+        return self._trials.get(incarnation, "")
+
     def trial_target(self, fingerprint: str, targets: Iterable[str]) -> str | None:
         """Return the target where a suspect runs, the same from every entry.
 
--- a/carobroute/requests/tests/test_quarantine.py
+++ b/carobroute/requests/tests/test_quarantine.py
@@ -6,7 +6,7 @@
 from returns.result import Success
 
 from carobroute.errors import ErrorKind
-from carobroute.requests import Blame, Quarantine, QuarantineParameters, Verdict
+from carobroute.requests import Blame, Quarantine, QuarantineParameters, Trial, Verdict
 from carobroute.utils import ManualClock
 
 TARGETS = [f"runner-{n}" for n in range(12)]
@@ -66,6 +66,41 @@
     assert verdict(quarantine, "a") is Verdict.ALONE
 
 
+def test_innocent_between_two_poisons_is_not_refused(clock):
+    quarantine = Quarantine(clock=clock)
+    for number in (1, 2):
+        for fingerprint in (f"poison-{number}", "unlucky", f"other-{number}"):
+            quarantine.begin(fingerprint, "runner-1")
+        quarantine.target_crashed("runner-1", f"shared-{number}")
+        poison = f"poison-{number}"
+        quarantine.begin(poison, "runner-2")
+        quarantine.target_crashed("runner-2", f"trial-{number}", alone=poison)
+        assert verdict(quarantine, poison) is ErrorKind.QUARANTINED
+    assert verdict(quarantine, "unlucky") is Verdict.ALONE
+
+
+def test_queued_suspect_is_not_taken_for_the_one_on_trial(clock):
+    """A local process dies in a trial while another suspect waits for its own."""
+    entries = [Quarantine(clock=clock) for _ in range(2)]
+    for fingerprint in ("poison", "queued"):
+        entries[0].begin(fingerprint, "runner-1")
+    entries[1].merge(entries[0].target_crashed("runner-1", "shared"))
+    entries[0].begin("queued", "runner-2")
+    entries[1].begin("poison", "runner-2")
+    for entry in entries:
+        entry.note_trial(Trial(incarnation="local-2~a", fingerprint="queued"))
+        entry.note_trial(Trial(incarnation="local-2~a", fingerprint=""))
+        entry.note_trial(Trial(incarnation="local-2~a", fingerprint="poison"))
+    for one, two in (entries, entries[::-1]):
+        alone = one.trial_at("local-2~a")
+        news = one.target_crashed("runner-2", "local-2~a", alone=alone)
+        if news is not None:
+            two.merge(news)
+    for entry in entries:
+        assert verdict(entry, "poison") is ErrorKind.QUARANTINED
+        assert verdict(entry, "queued") is Verdict.ALONE
+
+
 def test_one_crash_seen_by_several_counts_once(clock):
     quarantine = Quarantine(clock=clock)
     for _ in range(3):
