--- a/carobroute/placement/__init__.py
+++ b/carobroute/placement/__init__.py
@@ -11,6 +11,7 @@
     EngineStatus,
     GroupMember,
     GroupPeers,
+    PopularityReport,
     RankEngine,
 )
 from carobroute.placement._map import (
@@ -34,7 +35,13 @@
     step_skew,
 )
 from carobroute.placement._popularity import Popularity
+from carobroute.placement._runner import GroupRunner, RunnerParameters
 from carobroute.placement._service import LinkPeers, SwitchService
+from carobroute.placement._stragglers import (
+    RankHealth,
+    StragglerParameters,
+    StragglerWatch,
+)
 from carobroute.placement._weights import (
     HttpWeightSource,
     PeerWeightSource,
@@ -55,6 +62,7 @@
     "ExpertMap",
     "GroupMember",
     "GroupPeers",
+    "GroupRunner",
     "HttpRankEngine",
     "HttpWeightSource",
     "LinkPeers",
@@ -64,9 +72,14 @@
     "Planner",
     "PlanningInput",
     "Popularity",
+    "PopularityReport",
     "RankEngine",
+    "RankHealth",
     "RankMember",
     "ReadWeight",
+    "RunnerParameters",
+    "StragglerParameters",
+    "StragglerWatch",
     "SwitchCoordinator",
     "SwitchReport",
     "SwitchService",
--- a/carobroute/placement/_coordinator.py
+++ b/carobroute/placement/_coordinator.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import itertools
 import math
 from collections.abc import Callable
 from typing import TypeVar
@@ -28,6 +29,8 @@
 
 R = TypeVar("R")
 
+_serials = itertools.count(1)
+
 
 class CoordinatorParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Times of a coordinator.
@@ -120,7 +123,8 @@
         on_event: Callable[..., None] | None = None,
     ):
         self._group = group
-        self._incarnation = incarnation
+        # Two coordinators of one process must never share an attempt.
+        self._identity = f"{incarnation}#{next(_serials)}"
         self._fence = fence
         self._may_act = may_act
         self._peers = peers
@@ -186,7 +190,7 @@
         if seen.fence == fence:
             self._number = max(self._number, seen.number)
         self._number += 1
-        return Attempt(fence, self._number, self._incarnation)
+        return Attempt(fence, self._number, self._identity)
 
     def _switch_step(self, replies: list[LoadReply]) -> int:
         """Return a step that no rank begins before the promises are gathered."""
--- a/carobroute/placement/_epoch.py
+++ b/carobroute/placement/_epoch.py
@@ -91,8 +91,17 @@
         reply = result.unwrap()
         if not isinstance(reply, JoinReply) or reply.epoch != self._epoch:
             return
-        if speaks_for(other, reply.incarnation, roster):
-            self._reports[other.name] = reply.version
+        if not speaks_for(other, reply.incarnation, roster):
+            return
+        self._reports[other.name] = reply.version
+        if reply.version > self._member.in_force.version:
+            await self._learn(reply.version)
+
+    async def _learn(self, version: MapVersion) -> None:
+        """Report a higher map from now on, in case its holders are replaced too."""
+        expert_map = await self._content(version)
+        if expert_map is not None and self._current():
+            self._member.learn(expert_map)
 
     async def _content(self, version: MapVersion) -> ExpertMap | None:
         known = self._member.known_map(version)
--- a/carobroute/placement/_http_engine.py
+++ b/carobroute/placement/_http_engine.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.placement._interface import EngineStatus, RankEngine
+from carobroute.placement._interface import EngineStatus, PopularityReport, RankEngine
 from carobroute.placement._map import ExpertMap, MapVersion
 from carobroute.placement._weights import WeightMover
 
@@ -64,6 +64,11 @@
             lambda value: msgspec.convert(value, EngineStatus, strict=False)
         )
 
+    async def popularity(self, after: int) -> Result[list[PopularityReport], Fault]:
+        """Return the reports known with a sequence number above `after`."""
+        answer = await self._post("popularity", step=after)
+        return answer.map(lambda value: msgspec.convert(value, list[PopularityReport]))
+
     async def attach(self) -> Result[int, Fault]:
         """Make this member the owner of its ranks and return the new epoch."""
         return await self._post("attach")
@@ -72,6 +77,12 @@
         """Load the map's experts beside those in use."""
         experts = [sorted(expert_map.experts_of(rank)) for rank in self._ranks]
         if self._mover is not None:
+            # Short memory is found before any weight is moved.
+            room = await self._post(
+                "reserve", version=expert_map.version, experts=experts
+            )
+            if isinstance(room, Failure):
+                return room
             needed = {pair for pairs in experts for pair in pairs}
             moved = await self._mover.fetch(sorted(needed))
             if isinstance(moved, Failure):
--- a/carobroute/placement/_interface.py
+++ b/carobroute/placement/_interface.py
@@ -48,6 +48,8 @@
         Whether the ranks hosted here take part in the epoch.
     held : bool
         Whether a hold is set.
+    work_ms : dict of int to float
+        For each rank hosted here, the time that it worked in a recent step.
     """
 
     epoch: int
@@ -56,6 +58,22 @@
     roster: dict[int, str]
     joined: bool = False
     held: bool = False
+    work_ms: dict[int, float] = {}
+
+
+class PopularityReport(msgspec.Struct, frozen=True, kw_only=True):
+    """Tokens routed to each expert of each layer since the report before.
+
+    Parameters
+    ----------
+    sequence : int
+        Number of the report; a gap means that reports were lost.
+    tokens : list of list of float
+        For each layer and expert.
+    """
+
+    sequence: int
+    tokens: list[list[float]]
 
 
 class RankEngine(abc.ABC):
@@ -73,6 +91,10 @@
     async def status(self) -> Result[EngineStatus, Fault]:
         """Return the state of the ranks hosted here."""
 
+    @abc.abstractmethod
+    async def popularity(self, after: int) -> Result[list[PopularityReport], Fault]:
+        """Return the reports known with a sequence number above `after`."""
+
     @abc.abstractmethod
     async def attach(self) -> Result[int, Fault]:
         """Make this member the owner of its ranks and return the new epoch."""
--- a/carobroute/placement/_map.py
+++ b/carobroute/placement/_map.py
@@ -34,7 +34,7 @@
     number : int
         Number of the attempt under that fence.
     coordinator : str
-        Incarnation of the coordinator.
+        Identity of the coordinator, unique among all that ever ran.
     """
 
     fence: int
--- a/carobroute/placement/_member.py
+++ b/carobroute/placement/_member.py
@@ -14,6 +14,7 @@
 from carobroute.placement._engine_orders import EngineOrders
 from carobroute.placement._epoch import EpochJoin
 from carobroute.placement._interface import EngineStatus, GroupPeers, RankEngine
+from carobroute.placement._loads import MapLoads
 from carobroute.placement._map import NO_ATTEMPT, Attempt, ExpertMap, MapVersion
 from carobroute.placement._messages import (
     AskJoin,
@@ -29,6 +30,7 @@
     PrepareReply,
     Probe,
     ProbeReply,
+    ReplaceRanks,
     SwitchOutcome,
 )
 from carobroute.placement._settlement import Settlement
@@ -69,6 +71,14 @@
         self.settling = False
         self.settlement: asyncio.Task | None = None
 
+    def answers(self, entry: Prepare) -> bool:
+        """Return whether `entry` asks again for this promise."""
+        return (self.attempt, self.version, self.step) == (
+            entry.attempt,
+            entry.version,
+            entry.step,
+        )
+
 
 class RankMember:
     """Takes part in the switches of one group for the ranks hosted beside it.
@@ -137,11 +147,7 @@
         self._in_force_attempt = NO_ATTEMPT
         self._promise: Promise | None = None
         self._high_water = NO_ATTEMPT
-        self._known: dict[MapVersion, ExpertMap] = {}
-        self._loaded: set[MapVersion] = set()
-        self._load: asyncio.Task | None = None
-        self._load_version: MapVersion | None = None
-        self._load_refusal = ""
+        self._loads = MapLoads(load=engine.load, tasks=self._tasks)
         self._join: asyncio.Task | None = None
         self._status = EngineStatus(epoch=0, step=0, step_ms=0.0, roster={})
 
@@ -201,6 +207,10 @@
             "settling": bool(promise and promise.settling),
         }
 
+    def stop_loads_below(self, version: MapVersion) -> None:
+        """Stop a load that a ticket has overridden."""
+        self._loads.stop_below(version)
+
     # Handlers of messages.
 
     async def on_probe(self, entry: Probe) -> Message:
@@ -215,21 +225,30 @@
             step_ms=self._status.step_ms,
             high_water=self._high_water,
             undecided=self._promise is not None,
+            work_ms=self._status.work_ms,
         )
 
+    def on_replace_ranks(self, entry: ReplaceRanks) -> Message:
+        """Start the ranks anew; they join with the map in force before a step."""
+        if entry.epoch == self._epoch and self._joined:
+            self._joined = False
+            self._loads.forget_loaded()
+            self._tasks.spawn(self._attach(), name="replace ranks")
+        return Ok()
+
     async def on_load(self, entry: LoadMap) -> Message:
         """Load a map beside the one in force; answers at once with how far it is."""
         await self._read_status()
         version = entry.expert_map.version
         refusal = self._load_obstacle(entry)
-        if not refusal and version not in self._loaded:
-            refusal = self._begin_load(entry.expert_map)
+        if not refusal and version not in self._loads:
+            refusal = self._loads.begin(entry.expert_map)
         return LoadReply(
             incarnation=self.incarnation,
             epoch=self._epoch,
             step=self._status.step,
             step_ms=self._status.step_ms,
-            loaded=not refusal and version in self._loaded,
+            loaded=not refusal and version in self._loads,
             refusal=refusal,
         )
 
@@ -237,7 +256,7 @@
         """Promise not to pass a step before the attempt's outcome is known."""
         self._notice_epoch(entry.epoch)
         promise = self._promise
-        if promise and promise.attempt == entry.attempt and promise.given:
+        if promise is not None and promise.given and promise.answers(entry):
             return self._prepare_reply(entry)
         refusal = self._prepare_obstacle(entry)
         if refusal:
@@ -294,11 +313,10 @@
 
     def on_fetch_map(self, entry: FetchMap) -> Message:
         """Answer with the content of a map."""
-        known = {self.in_force.version: self.in_force, **self._known}
         return MapReply(
             incarnation=self.incarnation,
             epoch=self._epoch,
-            expert_map=known.get(entry.version),
+            expert_map=self.known_map(entry.version),
         )
 
     def refusal(self) -> Message | None:
@@ -330,7 +348,7 @@
             return f"attempt {self._promise.attempt} is undecided"
         if entry.version <= self.in_force.version:
             return f"version {entry.version} is not above the one in force"
-        if entry.version not in self._loaded:
+        if entry.version not in self._loads:
             return f"version {entry.version} is not loaded"
         if self._status.step < self._in_force_step:
             return f"the map in force takes effect at step {self._in_force_step}"
@@ -350,7 +368,7 @@
 
     def _switch(self, promise: Promise) -> None:
         self._promise = None
-        self._in_force = self._known[promise.version]
+        self._in_force = self._loads.known(promise.version)
         self._in_force_step = promise.step
         self._in_force_attempt = promise.attempt
         self.on_event("map_switch", group=self.group, step=promise.step)
@@ -393,44 +411,15 @@
             else:
                 await self.clock.sleep_ms(self.parameters.retry_ms)
 
-    # Loading.
-
     def _load_obstacle(self, entry: LoadMap) -> str:
         version = entry.expert_map.version
         if entry.epoch != self._epoch or not self._joined:
             return f"in epoch {self._epoch}, joined {self._joined}"
         if version <= self.in_force.version:
             return f"version {version} is not above the one in force"
-        if self._load_version is not None and version < self._load_version:
-            return f"version {self._load_version} is being loaded"
-        return ""
-
-    def _begin_load(self, expert_map: ExpertMap) -> str:
-        """Load `expert_map`; a load of a lower version is stopped at once.
-
-        Returns why the load failed or cannot begin, or an empty string.
-        """
-        if self._load_version == expert_map.version:
-            refusal = self._load_refusal
-            if refusal:
-                self._load_version = None
-            return refusal
-        if self._promise is not None:
+        if self._promise is not None and version not in self._loads:
             return f"attempt {self._promise.attempt} is undecided"
-        if self._load is not None:
-            self._load.cancel()
-        self._load_version = expert_map.version
-        self._load_refusal = ""
-        self._known[expert_map.version] = expert_map
-        self._load = self._tasks.spawn(self._load_map(expert_map), name="load map")
-        return ""
-
-    async def _load_map(self, expert_map: ExpertMap) -> None:
-        result = await self.engine.load(expert_map)
-        if isinstance(result, Success):
-            self._loaded.add(expert_map.version)
-        else:
-            self._load_refusal = str(result.failure())
+        return self._loads.obstacle(version)
 
     # Epochs.
 
@@ -463,17 +452,23 @@
         self._in_force = adopted
         self._in_force_step = 0
         self._in_force_attempt = NO_ATTEMPT
-        self._known[adopted.version] = adopted
-        self._loaded.add(adopted.version)
+        self._loads.add(adopted)
         if await self._orders.join(adopted.version, epoch=epoch):
             self._joined = True
             self.on_event("epoch_joined", group=self.group, epoch=epoch)
 
+    def learn(self, expert_map: ExpertMap) -> None:
+        """Take over a higher map that another member had in force in this epoch."""
+        if not self._joined and expert_map.version > self.in_force.version:
+            self._in_force = expert_map
+            self._in_force_step = 0
+            self._in_force_attempt = NO_ATTEMPT
+
     def known_map(self, version: MapVersion) -> ExpertMap | None:
         """Return a map whose content this member has."""
         if self.in_force.version == version:
             return self.in_force
-        return self._known.get(version)
+        return self._loads.known(version)
 
     def _retire(self) -> None:
         if not self._retired:
@@ -514,17 +509,9 @@
             await self._orders.release_hold(epoch=self._epoch)
         if status.step < self._in_force_step or self._promise is not None:
             return
-        in_force = self.in_force.version
-        kept = {in_force}
-        if self._load_version is not None and self._load_version > in_force:
-            kept.add(self._load_version)
-        else:
-            self._load_version = None
-        if self._loaded <= kept:
-            return
-        self._loaded &= kept
-        self._known = {v: m for v, m in self._known.items() if v in kept}
-        await self.engine.unload(sorted(kept))
+        kept = self._loads.prune(self.in_force.version)
+        if kept:
+            await self.engine.unload(kept)
 
     def _task_failed(self, name: str, error: BaseException) -> None:
         self.on_event("task_failed", level="error", task=name, error=repr(error))
--- a/carobroute/placement/_messages.py
+++ b/carobroute/placement/_messages.py
@@ -152,6 +152,8 @@
         Highest attempt that the member has seen.
     undecided : bool
         Whether a promise is open.
+    work_ms : dict of int to float
+        Time that each rank hosted there worked in a recent step.
     """
 
     joined: bool
@@ -160,3 +162,12 @@
     step_ms: float
     high_water: Attempt
     undecided: bool
+    work_ms: dict[int, float] = {}
+
+
+@message
+class ReplaceRanks(Message, tag="replace_ranks"):
+    """Orders a member to start its ranks anew, in the epoch after `epoch`."""
+
+    group: str
+    epoch: int
--- a/carobroute/placement/_service.py
+++ b/carobroute/placement/_service.py
@@ -17,6 +17,7 @@
     LoadMap,
     Prepare,
     Probe,
+    ReplaceRanks,
 )
 
 HANDLERS: dict[type[Message], str] = {
@@ -27,6 +28,7 @@
     LoadMap: "on_load",
     Prepare: "on_prepare",
     Probe: "on_probe",
+    ReplaceRanks: "on_replace_ranks",
 }
 
 
--- a/carobroute/placement/tests/test_switch.py
+++ b/carobroute/placement/tests/test_switch.py
@@ -251,7 +251,7 @@
     run(scenario)
 
 
-@pytest.mark.parametrize("seed", range(12))
+@pytest.mark.parametrize("seed", [*range(8), 60, 219, 334])
 def test_one_map_and_no_hang_under_random_faults(seed):
     """Loss, delay, duplicates, pauses, replacements and lost coordinators."""
 
--- a/carobroute/standins/_rank_group.py
+++ b/carobroute/standins/_rank_group.py
@@ -13,6 +13,7 @@
 import typer
 from aiohttp import web
 
+from carobroute.placement import EngineStatus, PopularityReport
 from carobroute.standins._command import MAX_BODY_BYTES, serve, stand_ins
 from carobroute.standins._faults import FaultControl
 from carobroute.standins._rank_state import GroupState, RankState, StepRecord, Version
@@ -43,21 +44,6 @@
     slowness: float = 0.0
 
 
-class PopularityReport(msgspec.Struct, kw_only=True):
-    """Tokens routed to each expert of each layer in some steps.
-
-    Parameters
-    ----------
-    sequence : int
-        Number of the report; a gap means that reports were lost.
-    tokens : list of list of float
-        For each layer and expert.
-    """
-
-    sequence: int
-    tokens: list[list[float]]
-
-
 class GroupRecord(msgspec.Struct, kw_only=True):
     """Answer of `GET /_record`."""
 
@@ -115,12 +101,12 @@
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         self.faults.install(application)
         post = application.router.add_post
-        for name in ("status", "attach", "load", "unload", "hold", "set_map"):
+        for name in (
+            *("status", "popularity", "attach", "reserve", "load", "unload"),
+            *("hold", "set_map", "release", "join"),
+        ):
             post(f"/ranks/{name}", getattr(self, f"_{name}"))
-        post("/ranks/release", self._release)
-        post("/ranks/join", self._join)
         post("/_admin/trouble", self._trouble)
-        application.router.add_get("/popularity", self._popularity)
         application.router.add_get("/_record", self._record)
         application.router.add_put("/weights/{hash}", self._put_weight)
         application.router.add_get("/weights/{hash}", self._get_weight)
@@ -142,6 +128,8 @@
             await asyncio.sleep(max(work_ms) / MS_PER_S)
             ended_ms = self._clock.now_ms()
             if state.epoch == epoch:
+                for rank, duration_ms in zip(state.ranks, work_ms, strict=True):
+                    rank.work_ms = duration_ms
                 state.end(waited_ms=waited_ms, work_ms=work_ms)
                 self._report_popularity()
 
@@ -174,21 +162,28 @@
     async def _status(self, request: web.Request) -> web.Response:
         body, _ = await self._read(request)
         own = [self.state.ranks[number] for number in body.ranks]
-        return _json(
-            {
-                "epoch": self.state.epoch,
-                "step": self.state.step,
-                "step_ms": self.state.step_ms,
-                "roster": self.state.roster,
-                "joined": all(s.joined_epoch == self.state.epoch for s in own),
-                "held": any(s.hold is not None for s in own),
-            }
+        status = EngineStatus(
+            epoch=self.state.epoch,
+            step=self.state.step,
+            step_ms=self.state.step_ms,
+            roster=self.state.roster,
+            joined=all(s.joined_epoch == self.state.epoch for s in own),
+            held=any(s.hold is not None for s in own),
+            work_ms={s.rank: s.work_ms for s in own},
         )
+        return _json(status)
 
     async def _attach(self, request: web.Request) -> web.Response:
         body, _ = await self._read(request)
         return _json(self.state.attach(body.ranks, body.owner))
 
+    async def _reserve(self, request: web.Request) -> web.Response:
+        body, states = await self._read(request)
+        refusal = self.state.reserve(states, body.experts) if states else "owner"
+        if refusal:
+            raise web.HTTPConflict(text=refusal)
+        return _json(True)
+
     async def _load(self, request: web.Request) -> web.Response:
         body, _ = await self._read(request)
         await asyncio.sleep(self._load_ms / MS_PER_S)
@@ -223,8 +218,8 @@
     # Reports, weights and control.
 
     async def _popularity(self, request: web.Request) -> web.Response:
-        after = int(request.query.get("after", "0"))
-        return _json([r for r in self._reports if r.sequence > after])
+        body, _ = await self._read(request)
+        return _json([r for r in self._reports if r.sequence > body.step])
 
     async def _put_weight(self, request: web.Request) -> web.Response:
         self._weights[request.match_info["hash"]] = await request.read()
--- a/carobroute/standins/_rank_state.py
+++ b/carobroute/standins/_rank_state.py
@@ -55,6 +55,7 @@
         self.begun: Version | None = None
         self.stalled_until_ms = 0.0
         self.slowness = 1.0
+        self.work_ms = 0.0
         self.loaded: dict[Version, frozenset[tuple[int, int]]] = {}
 
     def map_at(self, step: int) -> Version | None:
@@ -66,7 +67,6 @@
     def reset(self, owner: str) -> None:
         """Start anew, with nothing loaded."""
         fresh = RankState(rank=self.rank)
-        fresh.slowness = self.slowness
         fresh.owner = owner
         self.__dict__.update(fresh.__dict__)
 
@@ -129,12 +129,19 @@
         self, states: list[RankState], version: Version, experts: list[list[list[int]]]
     ) -> str:
         """Load the experts of each rank; return what kept it from that."""
+        refusal = self.reserve(states, experts)
+        if not refusal:
+            for state, pairs in zip(states, experts, strict=True):
+                state.loaded[version] = frozenset((la, ex) for la, ex in pairs)
+        return refusal
+
+    def reserve(self, states: list[RankState], experts: list[list[list[int]]]) -> str:
+        """Return which rank has no memory for the experts beside those loaded."""
         for state, pairs in zip(states, experts, strict=True):
             wanted = frozenset((layer, expert) for layer, expert in pairs)
             union = wanted.union(*state.loaded.values())
             if len(union) > self.memory_experts:
                 return f"rank {state.rank}: {len(union)} experts do not fit"
-            state.loaded[version] = wanted
         return ""
 
     def unload(self, states: list[RankState], kept: list[Version]) -> None:
--- a/carobroute/testing/_placement_data.py
+++ b/carobroute/testing/_placement_data.py
@@ -16,6 +16,7 @@
     GroupMember,
     GroupPeers,
     MapVersion,
+    PopularityReport,
     RankEngine,
     RankMember,
     make_map,
@@ -86,6 +87,7 @@
         self._random = random
         self._load_ms = load_ms
         self.loads = 0
+        self.reports: list[PopularityReport] = []
 
     @property
     def _state(self) -> GroupState:
@@ -104,9 +106,14 @@
                 roster=self._state.roster,
                 joined=all(s.joined_epoch == self._state.epoch for s in own),
                 held=any(s.hold is not None for s in own),
+                work_ms={s.rank: s.work_ms for s in own},
             )
         )
 
+    async def popularity(self, after: int) -> Result[list[PopularityReport], Fault]:
+        """Return the reports set by the test."""
+        return Success([r for r in self.reports if r.sequence > after])
+
     async def attach(self) -> Result[int, Fault]:
         """Replace the ranks."""
         return Success(self._state.attach(self._ranks, self._owner))
--- a/spec/expert_map.py
+++ b/spec/expert_map.py
@@ -328,6 +328,13 @@
         if not member.joined:
             reports = [m.reports[member.epoch - 1] for m in state.members]
             known = [value for value in reports if value != UNREPORTED]
+            if known and max(known) > member.in_force:
+                learned = member._replace(
+                    in_force=max(known),
+                    previous=max(known),
+                    reports=self._report(member, member.epoch, max(known)),
+                )
+                found.append(("learn", _with_member(state, index, learned)))
             enough = 1 if self.mistake == "joins_without_every_report" else len(reports)
             if len(known) >= enough:
                 adopted = max(known)
