--- a/carobroute/placement/__init__.py
+++ b/carobroute/placement/__init__.py
@@ -51,7 +51,7 @@
     WeightObject,
     WeightPiece,
     WeightSource,
-    answer_read,
+    serve_weights,
 )
 
 __all__ = [
@@ -88,7 +88,6 @@
     "WeightObject",
     "WeightPiece",
     "WeightSource",
-    "answer_read",
     "initial_map",
     "initial_slots",
     "layers_of",
@@ -96,6 +95,7 @@
     "map_error",
     "moved_copies",
     "planners",
+    "serve_weights",
     "slots_of",
     "step_skew",
 ]
--- a/carobroute/placement/_group_plan.py
+++ b/carobroute/placement/_group_plan.py
@@ -16,7 +16,11 @@
     step_skew,
 )
 from carobroute.placement._popularity import Popularity
-from carobroute.placement._stragglers import RankHealth, StragglerWatch
+from carobroute.placement._stragglers import (
+    RankHealth,
+    StragglerParameters,
+    StragglerWatch,
+)
 from carobroute.tickets import GroupObject
 
 MS_PER_S = 1_000
@@ -33,16 +37,25 @@
         Expert copies a second that the group may load, on average.
     most_moves : float
         Expert copies that may be saved up.
+    stragglers : StragglerParameters
+        When a rank is shed and replaced.
     """
 
-    def __init__(self, *, group: GroupObject, moves_per_s: float, most_moves: float):
+    def __init__(
+        self,
+        *,
+        group: GroupObject,
+        moves_per_s: float,
+        most_moves: float,
+        stragglers: StragglerParameters,
+    ):
         self.group = group
         self._moves_per_s = moves_per_s
         self._most_moves = most_moves
         self._moves = 0.0
         self._planner = planners.get(group.planner)(weigh=group.weigh)
         self._popularity = Popularity(layers=group.layers, experts=group.experts)
-        self._watch = StragglerWatch(ranks=group.ranks)
+        self._watch = StragglerWatch(ranks=group.ranks, parameters=stragglers)
         self._sequence = 0
         self._reasons: dict[str, object] = {}
 
--- a/carobroute/placement/_http_engine.py
+++ b/carobroute/placement/_http_engine.py
@@ -13,7 +13,10 @@
 from carobroute.placement._map import ExpertMap, MapVersion
 from carobroute.placement._weights import WeightMover
 
+MS_PER_S = 1_000
 CONFLICT_STATUS = 409
+PARTIAL_STATUS = 206
+FIRST_BYTE = {"Range": "bytes=0-0"}
 
 
 class HttpRankEngine(RankEngine):
@@ -122,27 +125,55 @@
         """Take part in `epoch` with the map."""
         return await self._post("join", version=version, epoch=epoch, order=order)
 
+    async def has_weight(self, key: str) -> bool:
+        """Return whether the engine holds the weight object called `key`."""
+        found = await self._send("GET", f"/weights/{key}", headers=FIRST_BYTE)
+        return isinstance(found, Success)
+
+    async def store_weight(self, key: str, data: bytes) -> Result[None, Fault]:
+        """Hand the engine a weight object whose hash has been checked."""
+        stored = await self._send(
+            "PUT", f"/weights/{key}", data=data, timeout_ms=self._load_timeout_ms
+        )
+        return stored.map(lambda _: None)
+
     async def _post(
         self, path: str, *, timeout_ms: float = 0.0, **fields: object
     ) -> Result[Any, Fault]:
-        if self._session is None:
-            self._session = aiohttp.ClientSession()
         body = msgspec.json.encode(
             {"ranks": self._ranks, "owner": self._owner, **fields}
         )
-        url = f"{self._address}/ranks/{path}"
-        timeout_s = (timeout_ms or self._timeout_ms) / 1_000
+        answer = await self._send(
+            "POST", f"/ranks/{path}", data=body, timeout_ms=timeout_ms
+        )
+        return answer.map(msgspec.json.decode)
+
+    async def _send(
+        self,
+        method: str,
+        path: str,
+        *,
+        data: bytes = b"",
+        headers: dict[str, str] | None = None,
+        timeout_ms: float = 0.0,
+    ) -> Result[bytes, Fault]:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        url = self._address + path
+        timeout_s = (timeout_ms or self._timeout_ms) / MS_PER_S
         try:
             async with (
                 asyncio.timeout(timeout_s),
-                self._session.post(url, data=body) as response,
+                self._session.request(
+                    method, url, data=data, headers=headers
+                ) as response,
             ):
-                data = await response.read()
+                answer = await response.read()
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return fail(ErrorKind.TARGET_FAILED, f"{url}: {error!r}")
         if status == CONFLICT_STATUS:
-            return fail(ErrorKind.STALE_FENCE, f"{url}: {data[:200]!r}")
-        if status != 200:
+            return fail(ErrorKind.STALE_FENCE, f"{url}: {answer[:200]!r}")
+        if status not in (200, PARTIAL_STATUS):
             return fail(ErrorKind.TARGET_FAILED, f"{url}: status {status}")
-        return Success(msgspec.json.decode(data))
+        return Success(answer)
--- a/carobroute/placement/_runner.py
+++ b/carobroute/placement/_runner.py
@@ -15,7 +15,7 @@
 from carobroute.placement._member import MemberParameters, RankMember
 from carobroute.placement._messages import ProbeReply, ReplaceRanks
 from carobroute.placement._service import LinkPeers, SwitchService
-from carobroute.placement._stragglers import RankHealth
+from carobroute.placement._stragglers import RankHealth, StragglerParameters
 from carobroute.tickets import Configuration, GroupObject
 from carobroute.utils import Clock, TaskSet
 
@@ -35,12 +35,15 @@
         Expert copies a second that the group may load, on average.
     most_moves : float
         Expert copies that may be saved up.
+    stragglers : StragglerParameters
+        When a rank is shed and replaced.
     """
 
     observe_ms: float = 1_000.0
     plan_ms: float = 30_000.0
     moves_per_s: float = 50.0
     most_moves: float = 100_000.0
+    stragglers: StragglerParameters = StragglerParameters()
 
 
 class GroupRunner:
@@ -283,6 +286,7 @@
                 group=group,
                 moves_per_s=self._parameters.moves_per_s,
                 most_moves=self._parameters.most_moves,
+                stragglers=self._parameters.stragglers,
             )
         return self._plan
 
--- a/carobroute/placement/_weights.py
+++ b/carobroute/placement/_weights.py
@@ -9,7 +9,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.links import Message, Nack, Peer, message
+from carobroute.links import Endpoint, Message, Nack, Peer, message
 from carobroute.utils import Clock, content_hash
 
 PIECE_BYTES = 1 << 20
@@ -165,6 +165,11 @@
     return WeightPiece(data=data.unwrap())
 
 
+def serve_weights(endpoint: Endpoint, source: WeightSource) -> None:
+    """Answer peers' reads from `source`, the weights of the own engine."""
+    endpoint.handle(ReadWeight, lambda peer, entry: answer_read(source, entry))
+
+
 class TrafficBudget:
     """This process's share of a data centre's weight traffic.
 
--- a/carobroute/standins/_rank_group.py
+++ b/carobroute/standins/_rank_group.py
@@ -139,8 +139,9 @@
         if self._random.random() < self._report_gap:
             return
         layers, experts = self._shape
+        weights = self.state.weights or [1.0] * experts
         tokens = [
-            [self._random.random() / (1 + expert) for expert in range(experts)]
+            [self._random.uniform(0.8, 1.2) * weight for weight in weights]
             for _ in range(layers)
         ]
         report = PopularityReport(sequence=self._sequence, tokens=tokens)
@@ -254,6 +255,11 @@
         return _json(record)
 
 
+def popularity_weights(experts: int) -> list[float]:
+    """Return the relative popularity of experts, the first one's being highest."""
+    return [1.0 / (1 + expert) for expert in range(experts)]
+
+
 def _json(value: Any) -> web.Response:
     body = msgspec.json.encode(value)
     return web.Response(body=body, content_type="application/json")
@@ -274,6 +280,7 @@
     layers: Annotated[int, typer.Option()] = 1,
     experts: Annotated[int, typer.Option()] = 8,
     report_gap: Annotated[float, typer.Option(help="share of reports lost")] = 0.1,
+    skewed: Annotated[bool, typer.Option(help="popular experts work more")] = False,
     seed: Annotated[int, typer.Option()] = 1,
     port: Annotated[int, typer.Option()] = 0,
 ) -> None:
@@ -281,7 +288,11 @@
     draw = random_module.Random(seed)
     stand_in = RankGroupStandIn(
         state=GroupState(
-            ranks=ranks, step_ms=step_ms, memory_experts=memory_experts, random=draw
+            ranks=ranks,
+            step_ms=step_ms,
+            memory_experts=memory_experts,
+            random=draw,
+            weights=popularity_weights(experts) if skewed else None,
         ),
         clock=Clock(),
         random=draw,
--- a/carobroute/standins/_rank_state.py
+++ b/carobroute/standins/_rank_state.py
@@ -2,6 +2,7 @@
 
 import random as random_module
 from collections import Counter, deque
+from collections.abc import Iterable
 
 import msgspec
 
@@ -84,6 +85,9 @@
         Expert copies that a rank's memory holds over all layers.
     random : random.Random
         Draws the jitter of step times.
+    weights : list of float, default=None
+        Relative popularity of each expert, by which ranks have more or less work;
+        without it all ranks have the same.
     """
 
     def __init__(
@@ -93,7 +97,9 @@
         step_ms: float,
         memory_experts: int,
         random: random_module.Random,
+        weights: list[float] | None = None,
     ):
+        self.weights = weights or []
         self.ranks = [RankState(rank=number) for number in range(ranks)]
         self.step_ms = step_ms
         self.memory_experts = memory_experts
@@ -212,10 +218,22 @@
         """Return the time that each rank works in the step begun."""
         jitter = self._random.uniform
         return [
-            self.step_ms * state.slowness * (1 + jitter(0, STRAGGLER_JITTER))
-            for state in self.ranks
+            self.step_ms * state.slowness * load * (1 + jitter(0, STRAGGLER_JITTER))
+            for state, load in zip(self.ranks, self._loads(), strict=True)
         ]
 
+    def _loads(self) -> list[float]:
+        """Return each rank's share of the work, 1 on average."""
+        if not self.weights:
+            return [1.0] * len(self.ranks)
+        held: list[Iterable[tuple[int, int]]] = [
+            state.loaded[state.begun] if state.begun else () for state in self.ranks
+        ]
+        copies = Counter(pair for pairs in held for pair in pairs)
+        loads = [sum(self.weights[p[1]] / copies[p] for p in pairs) for pairs in held]
+        mean = sum(loads) / len(loads) or 1.0
+        return [load / mean for load in loads]
+
     def end(self, *, waited_ms: float, work_ms: list[float]) -> None:
         """Record the step that all ranks have begun, and pass on to the next."""
         versions = sorted({state.begun for state in self.ranks if state.begun})
