--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -11,13 +11,24 @@
 
 from carobroute.daemon._operator import OperatorInterface
 from carobroute.daemon._web import WebSite
-from carobroute.links import Endpoint, LinkParameters
+from carobroute.links import (
+    Endpoint,
+    KeyRing,
+    LinkParameters,
+    LinkSecurity,
+    load_link_security,
+)
 from carobroute.membership import Directory, ListPoller, Overlay
 from carobroute.platform import PlatformClients, platform_adapters
 from carobroute.requests import BlameSpreader, Quarantine
 from carobroute.settings import Settings, read_secret
 from carobroute.telemetry import Telemetry
-from carobroute.tickets import ConfigurationKeeper, TicketLog, ticket_routes
+from carobroute.tickets import (
+    Configuration,
+    ConfigurationKeeper,
+    TicketLog,
+    ticket_routes,
+)
 from carobroute.utils import Clock, TaskSet, new_incarnation
 from carobroute.world import Instance
 
@@ -54,10 +65,15 @@
             clock=self.clock,
             parameters=self._link_parameters(),
             ticket_number=lambda: self.keeper.current.number,
+            security=self._load_security(),
             on_event=self.telemetry.log.event,
         )
         self.platform = self._make_platform()
-        self.log = TicketLog(table=self.platform.table, clock=self.clock)
+        self.log = TicketLog(
+            table=self.platform.table,
+            clock=self.clock,
+            on_event=self.telemetry.decisions.record,
+        )
         self.ready = False
         self.stopping = False
         self.instance: Instance
@@ -111,7 +127,8 @@
         return self.ticket_routes()
 
     async def _start(self) -> None:
-        address = await self.endpoint.start(self.settings.links.bind)
+        bound = await self.endpoint.start(self.settings.links.bind)
+        address = self.settings.links.announce or bound
         self.instance = self.own_instance(address)
         self.directory = Directory(
             clock=self.clock, own=self.instance, on_event=self.telemetry.log.event
@@ -131,7 +148,7 @@
             random=self.random,
             name=self.settings.instance.name,
             overlay=self.overlay,
-            on_event=self.telemetry.log.event,
+            on_event=self.telemetry.decisions.record,
         )
         self.blames = BlameSpreader(
             quarantine=self.quarantine,
@@ -143,7 +160,9 @@
             directory=self.directory,
             clock=self.clock,
             random=self.random,
+            on_event=self.telemetry.log.event,
         )
+        self.keeper.on_change(self._follow_key_ring)
         self._register_dump()
         await self._start_operator_site()
         await self.poller.start()
@@ -206,6 +225,7 @@
         dump.register("process", self._dump_process)
         dump.register("peers", self._dump_peers)
         dump.register("link_counts", lambda: dict(self.endpoint.counts))
+        dump.register("link_keys", self._dump_link_keys)
         dump.register("configuration", self._dump_configuration)
         dump.register("directory", self._dump_directory)
 
@@ -258,6 +278,28 @@
             for entry in self.directory.instances()
         ]
 
+    def _dump_link_keys(self) -> dict[str, object]:
+        security = self.endpoint.security
+        if security is None:
+            return {"on": False}
+        return {"on": True, "ring": security.ring, "counts": dict(security.counts)}
+
+    def _load_security(self) -> LinkSecurity | None:
+        curve = self.settings.links.curve
+        if curve is None:
+            return None
+        loaded = load_link_security(curve, on_event=self.telemetry.log.event)
+        if isinstance(loaded, Failure):
+            raise SystemExit(str(loaded.failure()))
+        return loaded.unwrap()
+
+    def _follow_key_ring(self, configuration: Configuration) -> None:
+        ring = configuration.key_ring()
+        if ring is not None:
+            self.endpoint.use_key_ring(
+                KeyRing(accepted=ring.accepted, servers=ring.servers)
+            )
+
     def _link_parameters(self) -> LinkParameters:
         links = self.settings.links
         return LinkParameters(
@@ -285,7 +327,7 @@
         )
 
     def record_duty(
-        self, event: str, *, level: str = "info", duty: str = "", **inputs: Any
+        self, event: str, /, *, level: str = "info", duty: str = "", **inputs: Any
     ) -> None:
         """Keep an event about a duty, so that `explain` finds it."""
         self.telemetry.decisions.record(event, level=level, duty=duty, **inputs)
--- a/carobroute/tickets/_schema.py
+++ b/carobroute/tickets/_schema.py
@@ -7,7 +7,21 @@
 MAX_REMOVED = 10_000
 
 
-class CallRule(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class TicketPart(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    forbid_unknown_fields=True,
+    omit_defaults=True,
+):
+    """Base of everything that a ticket is made of.
+
+    A field at its default is not written, so that a process of the version before
+    reads a ticket that makes no use of a new field, and its hash stays the same.
+    """
+
+
+class CallRule(TicketPart, frozen=True, kw_only=True):
     """Call class of the calls that match a method and a path prefix.
 
     Parameters
@@ -25,9 +39,7 @@
     call_class: CallClass
 
 
-class ServiceObject(
-    msgspec.Struct, frozen=True, kw_only=True, tag="service", forbid_unknown_fields=True
-):
+class ServiceObject(TicketPart, frozen=True, kw_only=True, tag="service"):
     """One service and how its calls are treated.
 
     Parameters
@@ -64,9 +76,7 @@
     routing: str = "carob"
 
 
-class TargetObject(
-    msgspec.Struct, frozen=True, kw_only=True, tag="target", forbid_unknown_fields=True
-):
+class TargetObject(TicketPart, frozen=True, kw_only=True, tag="target"):
     """One target of a service.
 
     Parameters
@@ -102,9 +112,7 @@
     leave_within_s: float = 0.0
 
 
-class TeamObject(
-    msgspec.Struct, frozen=True, kw_only=True, tag="team", forbid_unknown_fields=True
-):
+class TeamObject(TicketPart, frozen=True, kw_only=True, tag="team"):
     """One team of callers and its limits.
 
     Parameters
@@ -131,9 +139,7 @@
     services: list[str] = []
 
 
-class ExpertPlacement(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
+class ExpertPlacement(TicketPart, frozen=True, kw_only=True):
     """Pinned placement of a group's experts.
 
     Parameters
@@ -145,9 +151,7 @@
     layers: list[list[list[int]]]
 
 
-class GroupObject(
-    msgspec.Struct, frozen=True, kw_only=True, tag="group", forbid_unknown_fields=True
-):
+class GroupObject(TicketPart, frozen=True, kw_only=True, tag="group"):
     """One group of ranks that runs in lock-step on an expert map.
 
     Parameters
@@ -181,7 +185,31 @@
     pinned: ExpertPlacement | None = None
 
 
-TicketObject = ServiceObject | TargetObject | TeamObject | GroupObject
+class KeyRingObject(
+    msgspec.Struct,
+    frozen=True,
+    kw_only=True,
+    tag="key_ring",
+    forbid_unknown_fields=True,
+):
+    """Public keys of the links; the first of each list is preferred.
+
+    Parameters
+    ----------
+    accepted : list of str
+        CURVE keys of processes that may open a link, Z85.
+    servers : list of str
+        CURVE keys of listening sockets, Z85.
+    name : str
+        `links`, the only ring there is.
+    """
+
+    accepted: list[str]
+    servers: list[str]
+    name: str = "links"
+
+
+TicketObject = ServiceObject | TargetObject | TeamObject | GroupObject | KeyRingObject
 
 
 def object_key(entry: TicketObject) -> str:
@@ -196,7 +224,7 @@
     return f"{tag}/{entry.name}"
 
 
-class Ticket(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+class Ticket(TicketPart, frozen=True, kw_only=True):
     """One change: the whole new state of each object that it touches.
 
     Parameters
@@ -211,7 +239,8 @@
         Operator who filed it.
     reason : str
         Why, for those who read the log.
-    objects : list of ServiceObject, TargetObject, TeamObject or GroupObject
+    objects : list of ServiceObject, TargetObject, TeamObject, GroupObject or \
+            KeyRingObject
         New whole states.
     removed : list of str
         Keys of objects that cease to exist.
@@ -310,6 +339,10 @@
         """Return the group called `name`, or None."""
         return self._entry(f"group/{name}", GroupObject)
 
+    def key_ring(self) -> KeyRingObject | None:
+        """Return the key ring of the links, or None if no ticket has set one."""
+        return self._entry("key_ring/links", KeyRingObject)
+
     def services(self) -> list[ServiceObject]:
         """Return all services in key order."""
         return self._entries(ServiceObject)
--- a/spec/__init__.py
+++ b/spec/__init__.py
@@ -1,1 +1,1 @@
-"""Specifications of the core protocols, checked by exhaustive search."""
+"""Small specifications of the core protocols, checked exhaustively within bounds."""
