Take rank times only once the map in force has taken effect

Before, times of the old map were set against the loads of the new one, which showed ranks at 0.39 to 1.59 of the median speed that all ran alike.

--- a/carobroute/placement/_member.py
+++ b/carobroute/placement/_member.py
@@ -173,6 +173,11 @@
             return self._initial()
         return self._in_force
 
+    @property
+    def in_effect(self) -> bool:
+        """Whether the ranks have finished a step with the map in force."""
+        return self._joined and self._status.step > self._in_force_step + 1
+
     @property
     def promise(self) -> Promise | None:
         """The open promise, if there is one."""
--- a/carobroute/placement/_runner.py
+++ b/carobroute/placement/_runner.py
@@ -7,6 +7,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import Fault
+from carobroute.leases import Lease
 from carobroute.links import Endpoint
 from carobroute.placement._coordinator import CoordinatorParameters, SwitchCoordinator
 from carobroute.placement._group_plan import GroupPlan
@@ -177,35 +178,27 @@
         if self._member is not None:
             self._member.stop_loads_below(MapVersion(ticket, 0))
 
-    async def run_duty(
-        self, fence: Callable[[], int], may_act: Callable[[], bool]
-    ) -> None:
-        """Plan for the group until cancelled.
-
-        Parameters
-        ----------
-        fence, may_act : callable
-            Fencing number of the lease, and whether it is held now.
-        """
+    async def run_duty(self, lease: Lease) -> None:
+        """Plan for the group until cancelled, under the lease of the duty."""
         coordinator = SwitchCoordinator(
             group=self._group,
             incarnation=self._incarnation,
-            fence=fence,
-            may_act=may_act,
+            fence=lambda: lease.fence,
+            may_act=lambda: lease.held,
             peers=self._peers,
             clock=self._clock,
             parameters=self._coordinator_parameters,
             on_event=self._on_event,
         )
         try:
-            await self._plan_for_ever(coordinator, may_act)
+            await self._plan_for_ever(coordinator, lease)
         finally:
             if self._switching is not None:
                 self._switching.cancel()
             await coordinator.stop()
 
     async def _plan_for_ever(
-        self, coordinator: SwitchCoordinator, may_act: Callable[[], bool]
+        self, coordinator: SwitchCoordinator, lease: Lease
     ) -> None:
         planned_ms = self._clock.now_ms()
         self._plan = None
@@ -217,7 +210,7 @@
                 continue
             plan = self._plan_of(group)
             await self._observe(plan, states.unwrap())
-            if not may_act():
+            if not lease.held:
                 continue
             await self._replace_stragglers(plan, states.unwrap())
             now_ms = self._clock.now_ms()
@@ -257,7 +250,8 @@
         if isinstance(reports, Success):
             for report in reports.unwrap():
                 plan.observe_popularity(report, now_ms)
-        assert self._member is not None
+        if self._member is None or not self._member.in_effect:
+            return
         work_ms: dict[int, float] = {}
         for state in states:
             work_ms.update(state.work_ms)
--- a/carobroute/placement/tests/test_runner.py
+++ b/carobroute/placement/tests/test_runner.py
@@ -54,6 +54,13 @@
     )
 
 
+class HeldLease:
+    """A lease that does not lapse."""
+
+    fence = 1
+    held = True
+
+
 class Site:
     """Two local processes with their ranks, all in this process."""
 
@@ -142,7 +149,7 @@
 async def site():
     site = Site()
     await site.start()
-    duty = asyncio.create_task(site.runners[0].run_duty(lambda: 1, lambda: True))
+    duty = asyncio.create_task(site.runners[0].run_duty(HeldLease()))
     yield site
     duty.cancel()
     await asyncio.gather(duty, return_exceptions=True)
