--- a/carobroute/placement/_runner.py
+++ b/carobroute/placement/_runner.py
@@ -79,7 +79,8 @@
     -----
     `start` makes this process a member. `run_duty` plans for the whole group and is
     given to `carobroute.leases.Duties.add`, so that one process at a time runs it.
-    Call `follow_ticket` when a ticket comes into force.
+    Call `follow_ticket` when a ticket comes into force. When a ticket gives the target
+    other ranks, stop the runner and start another with an engine for these ranks.
     """
 
     def __init__(
--- a/carobroute/placement/_service.py
+++ b/carobroute/placement/_service.py
@@ -5,7 +5,7 @@
 
 from returns.result import Result
 
-from carobroute.errors import ErrorKind, Fault
+from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.links import Endpoint, Message, Nack, Peer
 from carobroute.placement._interface import GroupMember, GroupPeers
 from carobroute.placement._member import RankMember
@@ -80,11 +80,12 @@
         Returns the group's members, with the address of each one's process now.
     """
 
-    __slots__ = ("_endpoint", "_members")
+    __slots__ = ("_addresses", "_endpoint", "_members")
 
     def __init__(self, *, endpoint: Endpoint, members: Callable[[], list[GroupMember]]):
         self._endpoint = endpoint
         self._members = members
+        self._addresses: dict[str, str] = {}
 
     def members(self) -> list[GroupMember]:
         """Return all members of the group."""
@@ -94,5 +95,18 @@
         self, member: GroupMember, entry: Message, *, timeout_ms: float
     ) -> Result[Any, Fault]:
         """Send `entry` to `member` and return its reply."""
+        if not member.address:
+            # Waits as a call would, so that callers that try again do not spin.
+            await self._endpoint.clock.sleep_ms(timeout_ms)
+            detail = f"no address known of {member.name}"
+            return fail(ErrorKind.PEER_LOST, detail)
+        self._follow_address(member)
         peer = self._endpoint.peer(member.address)
         return await peer.call(entry, timeout_ms=timeout_ms)
+
+    def _follow_address(self, member: GroupMember) -> None:
+        """Close the link to the process that a member's new one replaced."""
+        before = self._addresses.get(member.name)
+        if before is not None and before != member.address:
+            self._endpoint.forget(before)
+        self._addresses[member.name] = member.address
