--- a/carobroute/placement/__init__.py
+++ b/carobroute/placement/__init__.py
@@ -22,7 +22,7 @@
     make_map,
     map_error,
 )
-from carobroute.placement._member import MemberParameters, RankMember
+from carobroute.placement._member import RankMember
 from carobroute.placement._planning import (
     EMPTY,
     Planner,
@@ -35,6 +35,7 @@
     step_skew,
 )
 from carobroute.placement._popularity import Popularity
+from carobroute.placement._promise import MemberParameters
 from carobroute.placement._runner import GroupRunner, RunnerParameters
 from carobroute.placement._service import LinkPeers, SwitchService
 from carobroute.placement._stragglers import (
--- a/carobroute/placement/_member.py
+++ b/carobroute/placement/_member.py
@@ -7,11 +7,11 @@
 from collections.abc import Callable, Sequence
 
 import msgspec
-from returns.result import Result, Success
 
 from carobroute.errors import ErrorKind, Fault
 from carobroute.links import Message, Nack, Ok
 from carobroute.placement._engine_orders import EngineOrders
+from carobroute.placement._engine_watch import EngineWatch
 from carobroute.placement._epoch import EpochJoin
 from carobroute.placement._interface import EngineStatus, GroupPeers, RankEngine
 from carobroute.placement._loads import MapLoads
@@ -33,53 +33,11 @@
     ReplaceRanks,
     SwitchOutcome,
 )
+from carobroute.placement._promise import MemberParameters, Promise
 from carobroute.placement._settlement import Settlement
 from carobroute.utils import Clock, TaskSet
 
 
-class MemberParameters(msgspec.Struct, frozen=True, kw_only=True):
-    """Times of a member.
-
-    Parameters
-    ----------
-    poll_ms : float
-        Interval at which the engine's status is read.
-    call_ms : float
-        Longest wait for another member's reply.
-    settle_after_ms : float
-        Time that a promise waits for its coordinator before the members settle.
-    retry_ms : float
-        Pause before a call or an order is sent again.
-    """
-
-    poll_ms: float = 50.0
-    call_ms: float = 150.0
-    settle_after_ms: float = 180.0
-    retry_ms: float = 20.0
-
-
-class Promise:
-    """An open promise not to pass `step` before the attempt's outcome is known."""
-
-    __slots__ = ("attempt", "given", "settlement", "settling", "step", "version")
-
-    def __init__(self, *, attempt: Attempt, version: MapVersion, step: int):
-        self.attempt = attempt
-        self.version = version
-        self.step = step
-        self.given = False
-        self.settling = False
-        self.settlement: asyncio.Task | None = None
-
-    def answers(self, entry: Prepare) -> bool:
-        """Return whether `entry` asks again for this promise."""
-        return (self.attempt, self.version, self.step) == (
-            entry.attempt,
-            entry.version,
-            entry.step,
-        )
-
-
 class RankMember:
     """Takes part in the switches of one group for the ranks hosted beside it.
 
@@ -140,7 +98,6 @@
         self._tasks = TaskSet(on_failure=self._task_failed)
         self._epoch = 0
         self._joined = False
-        self._attached = False
         self._retired = False
         self._in_force: ExpertMap | None = None
         self._in_force_step = 0
@@ -148,6 +105,7 @@
         self._promise: Promise | None = None
         self._high_water = NO_ATTEMPT
         self._loads = MapLoads(load=engine.load, tasks=self._tasks)
+        self._watch = EngineWatch(member=self, loads=self._loads, orders=self._orders)
         self._join: asyncio.Task | None = None
         self._status = EngineStatus(epoch=0, step=0, step_ms=0.0, roster={})
 
@@ -173,6 +131,11 @@
             return self._initial()
         return self._in_force
 
+    @property
+    def in_force_step(self) -> int:
+        """First step of the map in force, 0 for the one that the epoch began with."""
+        return self._in_force_step
+
     @property
     def in_effect(self) -> bool:
         """Whether the ranks have finished a step with the map in force."""
@@ -190,7 +153,7 @@
 
     def start(self) -> None:
         """Attach the ranks and follow the engine until `stop`."""
-        self._tasks.spawn(self._run(), name=f"member {self.group}")
+        self._tasks.spawn(self._watch.run(), name=f"member {self.group}")
 
     async def stop(self) -> None:
         """End the member's tasks; the ranks keep what they were last told."""
@@ -220,7 +183,7 @@
 
     async def on_probe(self, entry: Probe) -> Message:
         """Answer with the member's state."""
-        await self._read_status()
+        await self._watch.read_status()
         return ProbeReply(
             incarnation=self.incarnation,
             epoch=self._epoch,
@@ -238,12 +201,12 @@
         if entry.epoch == self._epoch and self._joined:
             self._joined = False
             self._loads.forget_loaded()
-            self._tasks.spawn(self._attach(), name="replace ranks")
+            self._tasks.spawn(self._watch.attach(), name="replace ranks")
         return Ok()
 
     async def on_load(self, entry: LoadMap) -> Message:
         """Load a map beside the one in force; answers at once with how far it is."""
-        await self._read_status()
+        await self._watch.read_status()
         version = entry.expert_map.version
         refusal = self._load_obstacle(entry)
         if not refusal and version not in self._loads:
@@ -259,7 +222,7 @@
 
     async def on_prepare(self, entry: Prepare) -> Message:
         """Promise not to pass a step before the attempt's outcome is known."""
-        self._notice_epoch(entry.epoch)
+        self.notice_epoch(entry.epoch)
         promise = self._promise
         if promise is not None and promise.given and promise.answers(entry):
             return self._prepare_reply(entry)
@@ -281,7 +244,7 @@
 
     def on_decide(self, entry: Decide) -> Message:
         """Follow the coordinator's decision."""
-        self._notice_epoch(entry.epoch)
+        self.notice_epoch(entry.epoch)
         if entry.epoch != self._epoch:
             return Ok()
         promise = self._promise
@@ -296,7 +259,7 @@
 
     def on_ask_outcome(self, entry: AskOutcome) -> Message:
         """Answer what is known about an attempt, and be bound by the answer."""
-        self._notice_epoch(entry.epoch)
+        self.notice_epoch(entry.epoch)
         outcome = SwitchOutcome.UNKNOWN
         if entry.epoch == self._epoch and self._joined:
             outcome = self._bound_outcome(entry.attempt)
@@ -309,7 +272,7 @@
 
     def on_ask_join(self, entry: AskJoin) -> Message:
         """Answer with the map that was in force when this member entered the epoch."""
-        self._notice_epoch(entry.epoch)
+        self.notice_epoch(entry.epoch)
         return JoinReply(
             incarnation=self.incarnation,
             epoch=self._epoch,
@@ -326,7 +289,7 @@
 
     def refusal(self) -> Message | None:
         """Return a refusal if this incarnation does not own the ranks."""
-        if self._attached and not self._retired:
+        if self._watch.attached and not self._retired:
             return None
         detail = f"{self.incarnation} does not own ranks {list(self.ranks)}"
         return Nack(fault=Fault(kind=ErrorKind.STALE_FENCE, detail=detail))
@@ -432,12 +395,12 @@
         """Take in a status read from the engine."""
         if status.epoch >= self._status.epoch:
             self._status = status
-        self._notice_epoch(status.epoch)
+        self.notice_epoch(status.epoch)
         owners = {status.roster.get(rank) for rank in self.ranks}
         if status.epoch == self._epoch and owners != {self.incarnation}:
             self._retire()
 
-    def _notice_epoch(self, epoch: int) -> None:
+    def notice_epoch(self, epoch: int) -> None:
         """Enter a higher epoch; an open promise ends with the old one."""
         if epoch <= self._epoch or self._retired:
             return
@@ -482,41 +445,5 @@
             self._promise = None
             self.on_event("member_retired", level="warning", group=self.group)
 
-    # Following the engine.
-
-    async def _run(self) -> None:
-        await self._attach()
-        while not self._retired:
-            await self.clock.sleep_ms(self.parameters.poll_ms)
-            status = await self._read_status()
-            if status is not None and self._joined:
-                await self._tidy(status)
-
-    async def _attach(self) -> None:
-        while True:
-            epoch = await self.engine.attach()
-            if isinstance(epoch, Success):
-                self._attached = True
-                self._notice_epoch(epoch.unwrap())
-                return
-            await self.clock.sleep_ms(self.parameters.retry_ms)
-
-    async def _read_status(self) -> EngineStatus | None:
-        result: Result[EngineStatus, Fault] = await self.engine.status()
-        if not isinstance(result, Success):
-            return None
-        self.notice_status(result.unwrap())
-        return result.unwrap()
-
-    async def _tidy(self, status: EngineStatus) -> None:
-        """Release a stray hold, and free experts that no map needs any more."""
-        if status.held and self._promise is None and not self._orders.busy:
-            await self._orders.release_hold(epoch=self._epoch)
-        if status.step < self._in_force_step or self._promise is not None:
-            return
-        kept = self._loads.prune(self.in_force.version)
-        if kept:
-            await self.engine.unload(kept)
-
     def _task_failed(self, name: str, error: BaseException) -> None:
         self.on_event("task_failed", level="error", task=name, error=repr(error))
--- a/carobroute/placement/_runner.py
+++ b/carobroute/placement/_runner.py
@@ -13,8 +13,9 @@
 from carobroute.placement._group_plan import GroupPlan
 from carobroute.placement._interface import GroupMember, RankEngine
 from carobroute.placement._map import ExpertMap, MapVersion, initial_map
-from carobroute.placement._member import MemberParameters, RankMember
+from carobroute.placement._member import RankMember
 from carobroute.placement._messages import ProbeReply, ReplaceRanks
+from carobroute.placement._promise import MemberParameters
 from carobroute.placement._service import LinkPeers, SwitchService
 from carobroute.placement._stragglers import RankHealth, StragglerParameters
 from carobroute.tickets import Configuration, GroupObject
