--- a/carobroute/testing/_witness.py
+++ b/carobroute/testing/_witness.py
@@ -65,6 +65,17 @@
                 parts.append(event["choices"][0]["delta"].get("content", ""))
         return "".join(parts)
 
+    @property
+    def told(self) -> str:
+        """What the caller can conclude, in a word or two."""
+        if self.error:
+            return f"{self.outcome or 'stream'}: {self.error}"
+        if self.broken:
+            return f"broken: {self.broken}"
+        if self.ended or (self.status == 200 and self.key):
+            return "whole"
+        return f"status {self.status}"
+
     @property
     def ended(self) -> bool:
         """Whether a stream came to its regular end."""
