--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -69,7 +69,11 @@
             on_event=self.telemetry.log.event,
         )
         self.platform = self._make_platform()
-        self.log = TicketLog(table=self.platform.table, clock=self.clock)
+        self.log = TicketLog(
+            table=self.platform.table,
+            clock=self.clock,
+            on_event=self.telemetry.decisions.record,
+        )
         self.ready = False
         self.stopping = False
         self.instance: Instance
@@ -123,7 +127,8 @@
         return self.ticket_routes()
 
     async def _start(self) -> None:
-        address = await self.endpoint.start(self.settings.links.bind)
+        bound = await self.endpoint.start(self.settings.links.bind)
+        address = self.settings.links.announce or bound
         self.instance = self.own_instance(address)
         self.directory = Directory(
             clock=self.clock, own=self.instance, on_event=self.telemetry.log.event
@@ -143,7 +148,7 @@
             random=self.random,
             name=self.settings.instance.name,
             overlay=self.overlay,
-            on_event=self.telemetry.log.event,
+            on_event=self.telemetry.decisions.record,
         )
         self.blames = BlameSpreader(
             quarantine=self.quarantine,
@@ -155,6 +160,7 @@
             directory=self.directory,
             clock=self.clock,
             random=self.random,
+            on_event=self.telemetry.log.event,
         )
         self.keeper.on_change(self._follow_key_ring)
         self._register_dump()
@@ -321,7 +327,7 @@
         )
 
     def record_duty(
-        self, event: str, *, level: str = "info", duty: str = "", **inputs: Any
+        self, event: str, /, *, level: str = "info", duty: str = "", **inputs: Any
     ) -> None:
         """Keep an event about a duty, so that `explain` finds it."""
         self.telemetry.decisions.record(event, level=level, duty=duty, **inputs)
--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -7,19 +7,16 @@
 """
 
 from collections.abc import Callable, Iterable
-from typing import Generic, TypeVar
 
 import msgspec
 import xxhash
 
+from carobroute.membership._bounded import BoundedDict
 from carobroute.utils import Clock
 from carobroute.world import Instance, InstanceRole, InstanceState
 
 BUCKETS = 32
 
-K = TypeVar("K")
-V = TypeVar("V")
-
 
 class DirectoryParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Times and bounds of a directory.
@@ -65,6 +62,7 @@
 
     __slots__ = (
         "_absent_since_ms",
+        "_by_target",
         "_callbacks",
         "_clock",
         "_disputed_ms",
@@ -93,6 +91,7 @@
         self._parameters = parameters or DirectoryParameters()
         self._on_event = on_event or (lambda *args, **fields: None)
         self._instances: dict[str, Instance] = {}
+        self._by_target: dict[str, Instance] | None = None
         self._absent_since_ms: dict[str, float] = {}
         self._heard_ms: BoundedDict[str, float] = BoundedDict(
             most=self._parameters.max_remembered
@@ -152,15 +151,16 @@
         ]
 
     def live(self, data_centre: str | None = None) -> list[Instance]:
-        """Return this instance and the others that are not leaving."""
-        others = [
+        """Return the instances that are not leaving, this one among them."""
+        found = [
             entry
             for entry in self.instances(data_centre=data_centre)
             if entry.state is InstanceState.LIVE and entry.name != self._own.name
         ]
-        if data_centre is None or data_centre == self._own.data_centre:
-            others.append(self._own)
-        return others
+        here = data_centre is None or data_centre == self._own.data_centre
+        if here and self._own.state is InstanceState.LIVE:
+            found.append(self._own)
+        return found
 
     def by_name(self, name: str) -> Instance | None:
         """Return the instance called `name`, or None."""
@@ -168,10 +168,13 @@
 
     def by_target(self, name: str) -> Instance | None:
         """Return the local process beside the target called `name`, or None."""
-        for entry in self._instances.values():
-            if entry.target == name and entry.role is InstanceRole.LOCAL:
-                return entry
-        return None
+        if self._by_target is None:
+            self._by_target = {
+                entry.target: entry
+                for entry in self._instances.values()
+                if entry.target and entry.role is InstanceRole.LOCAL
+            }
+        return self._by_target.get(name)
 
     def is_leaving(self, incarnation: str) -> bool:
         """Whether this incarnation was ever marked as leaving."""
@@ -183,7 +186,9 @@
         for entry in listed:
             self._settle_dispute(entry)
             self._dropped_ms.pop(entry.incarnation, None)
+        leaving_before = set(self._leaving)
         changed = [self._admit(entry) for entry in listed]
+        self._tell_leaving(leaving_before)
         dropped = self._drop_absent({entry.name for entry in listed})
         recycled = self._drop_recycled()
         if any(changed) or dropped or recycled:
@@ -224,7 +229,7 @@
             return
         self._leaving[incarnation] = reason
         self._on_event(
-            "instance_leaving", name=name, incarnation=incarnation, reason=reason
+            "instance_leaving", instance=name, incarnation=incarnation, reason=reason
         )
         known = self._instances.get(name)
         if incarnation == self._own.incarnation:
@@ -236,6 +241,24 @@
         for callback in self._leaving_callbacks:
             callback(self._instances[name])
 
+    def _tell_leaving(self, before: set[str]) -> None:
+        """Tell of instances that the list has just shown as leaving."""
+        for incarnation in set(self._leaving) - before:
+            known = next(
+                (e for e in self._instances.values() if e.incarnation == incarnation),
+                None,
+            )
+            if known is None:
+                continue
+            self._on_event(
+                "instance_leaving",
+                name=known.name,
+                incarnation=incarnation,
+                reason="list",
+            )
+            for callback in self._leaving_callbacks:
+                callback(known)
+
     def _learn_one(self, entry: Instance) -> bool:
         if self._was_dropped(entry.incarnation):
             return False
@@ -255,6 +278,8 @@
             if entry.incarnation != self._own.incarnation:
                 self._name_taken(entry)
                 return False
+            if entry.state is InstanceState.LEAVING:
+                self._own = _as_leaving(self._own)
             entry = self._own
         if entry.state is InstanceState.LEAVING:
             self._leaving.setdefault(entry.incarnation, "listed as leaving")
@@ -267,7 +292,7 @@
             self._replaced[known.incarnation] = entry.incarnation
             self._on_event(
                 "instance_replaced",
-                name=entry.name,
+                instance=entry.name,
                 was=known.incarnation,
                 now=entry.incarnation,
             )
@@ -298,7 +323,7 @@
             self._on_event(
                 "name_shared",
                 level="warning",
-                name=entry.name,
+                instance=entry.name,
                 other=entry.incarnation,
                 own=self._own.incarnation,
             )
@@ -350,7 +375,7 @@
         self._dropped_ms[entry.incarnation] = self._clock.now_ms()
         self._on_event(
             "instance_dropped",
-            name=name,
+            instance=name,
             incarnation=entry.incarnation,
             reason=reason,
         )
@@ -363,6 +388,7 @@
         return self._clock.now_ms() - dropped_ms < self._parameters.mass_absent_ms
 
     def _changed(self) -> None:
+        self._by_target = None
         for callback in self._callbacks:
             callback()
 
@@ -372,41 +398,5 @@
     return xxhash.xxh3_64_intdigest(name.encode()) % BUCKETS
 
 
-class BoundedDict(dict[K, V], Generic[K, V]):
-    """Dictionary that forgets its oldest key when it is full.
-
-    Parameters
-    ----------
-    most : int
-        Number of keys held.
-
-    Examples
-    --------
-    >>> names = BoundedDict(most=2)
-    >>> for name in "abc":
-    ...     names[name] = 1
-    >>> list(names)
-    ['b', 'c']
-    """
-
-    __slots__ = ("_most",)
-
-    def __init__(self, *, most: int):
-        super().__init__()
-        self._most = most
-
-    def __setitem__(self, key: K, value: V) -> None:
-        """Set a key, forgetting the oldest one if there are too many."""
-        super().__setitem__(key, value)
-        if len(self) > self._most:
-            del self[next(iter(self))]
-
-    def setdefault(self, key: K, default: V) -> V:  # type: ignore[override]
-        """Return the value of `key`, set to `default` if it is missing."""
-        if key not in self:
-            self[key] = default
-        return self[key]
-
-
 def _as_leaving(entry: Instance) -> Instance:
     return msgspec.structs.replace(entry, state=InstanceState.LEAVING)
--- a/carobroute/requests/_router.py
+++ b/carobroute/requests/_router.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Sequence
 
+import msgspec
 from returns.result import Result, Success
 
 from carobroute.engines import CacheEvents
@@ -14,6 +15,7 @@
 from carobroute.requests._prefix import PrefixIndex
 from carobroute.requests._subset import choose_subset
 from carobroute.requests._target import TargetRecord
+from carobroute.requests._team_shares import TeamShares
 from carobroute.requests._views import Choice, RouteQuery, TargetView
 from carobroute.utils import Clock
 from carobroute.world import TargetState
@@ -55,6 +57,7 @@
         "_records",
         "_subset_size",
         "_subsets",
+        "_teams",
         "_views",
     )
 
@@ -75,6 +78,7 @@
         self._subset_size = subset_size
         self._health = health or HealthParameters()
         self._prefixes = PrefixIndex(clock=clock)
+        self._teams = TeamShares(clock=clock)
         self._records: dict[str, TargetRecord] = {}
         self._views: dict[str, list[TargetView]] = {}
         self._subsets: dict[str, list[str]] = {}
@@ -97,9 +101,13 @@
         return list(self._subsets.get(service, []))
 
     def serving(self, service: str) -> list[str]:
-        """Return all serving targets of `service`, in the subset or not."""
+        """Return all serving targets of `service`, in the subset or not.
+
+        Those found unhealthy here are left out, unless that would leave none.
+        """
         views = self._views.get(service, [])
-        return [view.name for view in views if view.state is TargetState.SERVING]
+        names = [view.name for view in views if view.state is TargetState.SERVING]
+        return [name for name in names if self._usable(name)] or names
 
     def set_policy(self, service: str, name: str) -> None:
         """Have `service` routed by the registered policy called `name`.
@@ -137,6 +145,7 @@
                 f" which is serving and untried ({len(query.excluded)} were tried)",
                 retry_after_ms=NO_TARGET_RETRY_MS,
             )
+        query = msgspec.structs.replace(query, light=self._teams.light(query.team))
         healthy = [r for r in usable if not r.health.ejected]
         pick = self._policy(query.service).pick(healthy or usable, query, everyone)
         return Success(
@@ -155,6 +164,7 @@
         record = self._records.get(target)
         if record is None:
             return
+        self._teams.note_sent(query.team)
         cached = self._prefixes.cached(target, query.prompt_blocks)
         record.note_sent(max(0, query.tokens - cached * BLOCK_TOKENS))
         self._prefixes.note_sent(target, query.prompt_blocks)
@@ -210,6 +220,10 @@
         if record is not None:
             record.note_leaving()
 
+    def _usable(self, name: str) -> bool:
+        record = self._records.get(name)
+        return record is None or (record.available and not record.health.ejected)
+
     def _ejectable(self, count: int) -> int:
         return max(1, int(self._health.ejected_share * count)) if count > 1 else 0
 
--- a/carobroute/telemetry/tests/test_telemetry.py
+++ b/carobroute/telemetry/tests/test_telemetry.py
@@ -73,6 +73,14 @@
     assert "ZeroDivisionError" in collected["bad"]["dump_error"]
 
 
+def test_field_called_name_does_not_clash_with_the_event():
+    """Marking an instance as leaving failed on an event with a field `name`."""
+    stream = io.StringIO()
+    log = EventLog(name="e", stream=stream)
+    log.event("instance_leaving", name="runner-1", reason="list")
+    assert "runner-1" in stream.getvalue()
+
+
 def test_event_may_have_a_field_called_name():
     """Objects report their name; that must not clash with the event's."""
     out = io.StringIO()
--- a/carobroute/tickets/_compact.py
+++ b/carobroute/tickets/_compact.py
@@ -15,10 +15,10 @@
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.platform import Condition, Put, TableClient, Transaction
 from carobroute.tickets._codec import Head, encode_configuration, encode_row, split_rows
-from carobroute.tickets._log import (
+from carobroute.tickets._log import TicketLog
+from carobroute.tickets._log_reader import (
     HEAD_KEY,
     TABLE,
-    TicketLog,
     snapshot_row_key,
     ticket_row_key,
 )
@@ -93,7 +93,7 @@
         )
         if isinstance(moved, Failure):
             return moved
-        self._on_event("tickets_compacted", number=configuration.number)
+        self._on_event("tickets_compacted", ticket=configuration.number)
         return await self._delete_old(moved.unwrap(), deadline_ms)
 
     async def _write_rows(
--- a/carobroute/tickets/_operator_api.py
+++ b/carobroute/tickets/_operator_api.py
@@ -12,7 +12,8 @@
 from carobroute.tickets._check import TicketFault, check_ticket
 from carobroute.tickets._file import MAX_FILE_BYTES
 from carobroute.tickets._keeper import ConfigurationKeeper
-from carobroute.tickets._log import READ_LIMIT, TicketLog
+from carobroute.tickets._log import TicketLog
+from carobroute.tickets._log_reader import READ_LIMIT
 from carobroute.tickets._messages import Laggard
 from carobroute.tickets._schema import Configuration, ObjectInForce, Ticket
 from carobroute.utils import Clock
@@ -111,13 +112,16 @@
         ]
 
     async def configuration(self, request: web.Request) -> web.Response:
-        """Answer the configuration in force here, or as it was at ticket `at`."""
+        """Answer the configuration in force here, or as it was at ticket `at`.
+
+        With `objects=0` its objects are left out, which can be a megabyte.
+        """
         at = request.query.get("at")
         if at is None:
             found = self._keeper.current
         else:
             found = _value(await self._log.configuration_at(_number(at, "at")))
-        return _json(self._view(found))
+        return _json(self._view(found, request.query.get("objects") != "0"))
 
     async def tickets(self, request: web.Request) -> web.Response:
         """Answer the tickets above `after`."""
@@ -168,13 +172,13 @@
             )
         )
 
-    def _view(self, configuration: Configuration) -> ConfigurationView:
+    def _view(self, configuration: Configuration, whole: bool) -> ConfigurationView:
         return ConfigurationView(
             number=configuration.number,
             chain=configuration.chain,
             ready=self._keeper.ready,
             explain=self._keeper.explain(),
-            objects=configuration.objects,
+            objects=configuration.objects if whole else {},
         )
 
 
--- a/carobroute/tickets/tests/test_keeper.py
+++ b/carobroute/tickets/tests/test_keeper.py
@@ -210,3 +210,48 @@
     late = await nodes[0].keeper.status(2, 2_000)
     assert late.in_force == 0
     assert [e.number for e in late.laggards] == [1, 1, 1, 1, -1]
+
+
+async def test_polling_slows_down_and_spreads_while_the_table_is_away(nodes, table):
+    node = nodes[0]
+    keeper = ConfigurationKeeper(
+        log=node.log,
+        endpoint=node.endpoint,
+        directory=node.directory,
+        clock=node.clock,
+        random=random.Random(7),
+        name="entry-0",
+    )
+    table.available = False
+    for _ in range(6):
+        await keeper.refresh()
+    delays = [keeper.poll_delay_ms() for _ in range(200)]
+    # A bridge's mean is bounded by 3 s, and no two processes come together.
+    assert min(delays) >= 1_500 and max(delays) <= 4_500
+    assert len({round(delay) for delay in delays}) > 150
+    table.available = True
+    await keeper.refresh()
+    assert 500 <= keeper.poll_delay_ms() <= 1_500
+
+
+async def test_ticket_of_a_later_version_stops_a_process_at_the_one_before(
+    nodes, table
+):
+    """Neither its peers nor the table can make it apply a part of that ticket."""
+    node, other = nodes[:2]
+    await node.keeper.wait_ready(WAIT_MS)
+    for based_on in (0, 1):
+        await file_at(
+            other, make_ticket(make_service(f"s{based_on}"), based_on=based_on)
+        )
+    row = table.row("tickets", "n/000000000002")
+    later = row.value.replace(b"author", b"editor")
+    put = Put(table="tickets", key=row.key, value=later)
+    await table.transact(Transaction(token="later", conditions=[], puts=[put]))
+    fault = (await node.keeper.refresh()).failure()
+    assert "row n/000000000002 cannot be read by this version" in fault.detail
+    assert node.keeper.current.number == 1
+    assert "cannot be read by this version" in node.keeper.explain()
+    status = await node.keeper.status(2, 2_000)
+    own = next(e for e in status.laggards if e.name == node.name)
+    assert own.number == 1 and "this version" in own.reason
