Never wait for ever on a connection that has gone

Cause: with the library's own reconnection off, a socket whose connection was reset has no way out for a message, and sending on it waits for ever. Sending never waits now; what could not leave stays queued and the connection is replaced. The order test that kills a local process waits for the links to come back.

--- a/carobroute/links/_endpoint.py
+++ b/carobroute/links/_endpoint.py
@@ -458,6 +458,8 @@
         socket.setsockopt(zmq.RECONNECT_IVL, -1)
         if self.security is not None:
             self.security.protect_connection(socket, peer._unheard)
+        # Before the connection is tried, so that its first failure is seen.
+        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED)
         socket.connect(peer.address)
         peer._socket = socket
         peer._broken = False
@@ -469,8 +471,7 @@
             role=self.role,
             data_centre=self.data_centre,
         )
-        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED)
-        await socket.send(self._encode([hello], peer))
+        await self._send_now(peer, self._encode([hello], peer))
         return [
             self._tasks.spawn(
                 self._read_dealer(peer, socket), name=f"connection {peer.address}"
@@ -534,7 +535,24 @@
             return
         while peer._queue and peer._socket is not None:
             batch = take_batch(peer._queue)
-            await peer._socket.send(self._encode(batch, peer))
+            if not await self._send_now(peer, self._encode(batch, peer)):
+                peer._queue.extendleft(reversed(batch))
+                return
+
+    async def _send_now(self, peer: Peer, data: bytes) -> bool:
+        """Send on the connection in use; return False if it is gone.
+
+        A socket whose connection was refused or reset, and that does not connect
+        again by itself, would hold the sender up for ever.
+        """
+        assert peer._socket is not None
+        try:
+            await peer._socket.send(data, flags=zmq.NOBLOCK)
+        except zmq.Again:
+            peer._broken = True
+            peer._wake.set()
+            return False
+        return True
 
     def _encode(self, messages: list[Message], peer: Peer) -> bytes:
         data = encode_frame(
--- a/carobroute/links/tests/test_hostile_peer.py
+++ b/carobroute/links/tests/test_hostile_peer.py
@@ -27,7 +27,12 @@
 from carobroute.utils import Clock
 
 FAST = LinkParameters(
-    ping_busy_ms=50, ping_idle_ms=100, silence_ms=400, reopen_ms=5, max_inbound=3
+    ping_busy_ms=50,
+    ping_idle_ms=100,
+    silence_ms=400,
+    reopen_ms=5,
+    reopen_most_ms=20,
+    max_inbound=3,
 )
 DEEP = b"\x91" * 100_000
 
@@ -72,10 +77,10 @@
 
 async def send(address, *messages):
     context = zmq.asyncio.Context()
-    socket = context.socket(zmq.DEALER)
-    socket.connect(address)
+    dealer = context.socket(zmq.DEALER)
+    dealer.connect(address)
     for parts in messages:
-        await socket.send_multipart(parts)
+        await dealer.send_multipart(parts)
     return context
 
 
--- a/carobroute/tests/test_orders.py
+++ b/carobroute/tests/test_orders.py
@@ -49,6 +49,25 @@
     return runs
 
 
+def target_runs(record):
+    return record["runs"]
+
+
+async def set_behaviour(fleet, **behaviour):
+    """Set the delays of every order target."""
+    for target in plains(fleet):
+        url = target.stand_in.address + "/_admin/behaviour"
+        async with fleet.session.post(url, json=behaviour) as response:
+            response.raise_for_status()
+
+
+async def has_link(fleet, entry, target):
+    """Whether an entry's link to the local process beside `target` is up."""
+    dump = await fleet.read_json(fleet.entries[entry].address, "/operator/dump")
+    own = f"tcp://{fleet.link_port(f'local-{target.name}').address}"
+    return any(peer["address"] == own and peer["up"] for peer in dump["peers"])
+
+
 async def nothing():
     pass
 
@@ -145,18 +164,32 @@
 
 
 async def test_death_of_a_local_process_leaves_orders_unknown(fleet, witness):
+    """What it had forwarded is never run again, and its links come back."""
     target = plains(fleet)[0]
-    before = len(await fleet_runs(fleet))
+    await set_behaviour(fleet, after_ms=800)
+    before = len(
+        target_runs(await fleet.read_json(target.stand_in.address, "/_record"))
+    )
+
+    async def has_effect():
+        record = await fleet.read_json(target.stand_in.address, "/_record")
+        return len(target_runs(record)) > before
 
     async def kill():
-        await wait_until(lambda: claimed(fleet, before), what="orders run")
+        await wait_until(has_effect, what="an order has taken effect")
         await target.local.kill()
 
     answers = await place(witness, 8, kill)
+    assert {answer.outcome for answer in answers} <= {"done", "unknown", "not_run"}
+    assert "unknown" in {answer.outcome for answer in answers}
     await fleet.start_local(target)
-    for _ in range(2):
-        again = await resend(witness, answers)
+    for number in range(2):
+        await wait_until(
+            lambda n=number: has_link(fleet, n, target), what="each entry has its link"
+        )
+    again = await resend(witness, answers)
     assert not [answer.told for answer in again if answer.broken]
+    await set_behaviour(fleet, before_ms=150)
 
 
 async def test_paused_local_process_with_a_lost_store_answer(fleet, witness):
