--- a/carobroute/requests/_retries.py
+++ b/carobroute/requests/_retries.py
@@ -37,6 +37,16 @@
 )
 
 
+LOST = frozenset(
+    {
+        ErrorKind.NO_TARGET,
+        ErrorKind.PEER_LOST,
+        ErrorKind.STREAM_BROKEN,
+        ErrorKind.TARGET_FAILED,
+    }
+)
+
+
 class RetryParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Bounds of retries.
 
@@ -50,6 +60,9 @@
         Retries paid for by each success.
     first : float
         Retries granted to a team that was not seen lately.
+    first_lost : float
+        The same for attempts that were lost with their target or link, which takes
+        all the calls in flight there at once.
     burst : float
         Retries that a team may save up.
     refill_ms : float
@@ -63,7 +76,8 @@
     attempts: int = 3
     redirects: int = 6
     share: float = 0.1
-    first: float = 20.0
+    first: float = 2.0
+    first_lost: float = 20.0
     burst: float = 20.0
     refill_ms: float = 60_000.0
     max_teams: int = 1_024
@@ -77,6 +91,13 @@
     reason: str
 
 
+class _BudgetKey(msgspec.Struct, frozen=True):
+    """One of a team's two budgets: for losses, or for everything else."""
+
+    team: str
+    lost: bool
+
+
 class _Budget(msgspec.Struct, frozen=True, kw_only=True):
     """Tokens of one team as of a time."""
 
@@ -114,20 +135,23 @@
     def __init__(self, *, clock: Clock, parameters: RetryParameters | None = None):
         self._clock = clock
         self._parameters = parameters or RetryParameters()
-        self._budgets: OrderedDict[str, _Budget] = OrderedDict()
+        self._budgets: OrderedDict[_BudgetKey, _Budget] = OrderedDict()
 
-    def tokens(self, team: str = "") -> float:
-        """Return the retries that the team's budget allows now."""
-        budget = self._budgets.get(team)
+    def tokens(self, team: str = "", *, lost: bool = False) -> float:
+        """Return the retries that one of the team's two budgets allows now."""
+        first = self._parameters.first_lost if lost else self._parameters.first
+        budget = self._budgets.get(_BudgetKey(team, lost))
         if budget is None:
-            return self._parameters.first
+            return first
         idle_ms = self._clock.now_ms() - budget.set_ms
-        gained = self._parameters.first * idle_ms / self._parameters.refill_ms
-        return max(budget.tokens, min(self._parameters.first, budget.tokens + gained))
+        gained = first * idle_ms / self._parameters.refill_ms
+        return max(budget.tokens, min(first, budget.tokens + gained))
 
     def note_success(self, team: str = "") -> None:
         """Take one successful request of a team."""
-        self._set(team, self.tokens(team) + self._parameters.share)
+        for lost in (False, True):
+            tokens = self.tokens(team, lost=lost) + self._parameters.share
+            self._set(_BudgetKey(team, lost), tokens)
 
     def decide(
         self,
@@ -165,18 +189,19 @@
             )
         if attempt >= self._parameters.attempts:
             return _no("attempts")
-        tokens = self.tokens(team)
+        lost = fault.kind in LOST
+        tokens = self.tokens(team, lost=lost)
         if tokens < 1.0:
             return _no("budget")
-        self._set(team, tokens - 1.0)
+        self._set(_BudgetKey(team, lost), tokens - 1.0)
         return RetryDecision(retry=True, reason="not_run" if fault.not_run else "safe")
 
-    def _set(self, team: str, tokens: float) -> None:
-        self._budgets[team] = _Budget(
+    def _set(self, key: _BudgetKey, tokens: float) -> None:
+        self._budgets[key] = _Budget(
             tokens=min(self._parameters.burst, tokens), set_ms=self._clock.now_ms()
         )
-        self._budgets.move_to_end(team)
-        while len(self._budgets) > self._parameters.max_teams:
+        self._budgets.move_to_end(key)
+        while len(self._budgets) > 2 * self._parameters.max_teams:
             self._budgets.popitem(last=False)
 
 
--- a/carobroute/requests/tests/test_limits.py
+++ b/carobroute/requests/tests/test_limits.py
@@ -118,6 +118,17 @@
     assert retries(1_000, "flood") in (9, 10)  # a tenth is not exact
 
 
+def test_losing_a_target_has_a_budget_of_its_own(clock):
+    """The calls in flight at a lost target were refused for want of a budget."""
+    policy = RetryPolicy(clock=clock)
+    lost = Fault(kind=ErrorKind.STREAM_BROKEN, detail="")
+    full = Fault(kind=ErrorKind.OVERLOADED, detail="")
+    decide = policy.decide
+    idempotent = CallClass.IDEMPOTENT
+    assert sum(decide(lost, idempotent, 1, 1_000, "t").retry for _ in range(50)) == 20
+    assert sum(decide(full, idempotent, 1, 1_000, "t").retry for _ in range(50)) == 2
+
+
 def test_retry_stops_at_the_deadline_and_the_number_of_attempts(clock):
     policy = RetryPolicy(clock=clock)
     leaving = Fault(kind=ErrorKind.LEAVING, detail="")
--- a/carobroute/testing/_processes.py
+++ b/carobroute/testing/_processes.py
@@ -1,6 +1,7 @@
 """Real processes under test: started, paused, killed by id and always cleaned up."""
 
 import asyncio
+import contextlib
 import ctypes
 import os
 import signal
@@ -117,7 +118,9 @@
     async def kill(self) -> None:
         """End the process at once with SIGKILL."""
         if self.running:
-            os.kill(self.pid, signal.SIGKILL)
+            # The process may have ended by itself without having been waited for.
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, signal.SIGKILL)
         await self.wait()
 
     async def stop(self, *, timeout_s: float = STOP_TIMEOUT_S) -> int:
