--- a/benchmarks/orders.py
+++ b/benchmarks/orders.py
@@ -37,7 +37,7 @@
     "store answers lost",
     "store outage",
 )
-CALLERS = 48
+CALLERS = 96
 ORDERS_PER_S = 80.0
 MAX_SUBMISSIONS = 8
 MAX_UNKNOWN = 2
@@ -74,12 +74,14 @@
 
     async def ask_again(self) -> int:
         """Resend what is unknown now that all is well; return how many are left."""
-        left = 0
-        for order in self.orders:
-            if order.told in (UNKNOWN, NO_ANSWER):
-                await self._submit(order, self._entry())
-                left += order.told != DONE
-        return left
+        asked = [order for order in self.orders if order.told in (UNKNOWN, NO_ANSWER)]
+        gate = asyncio.Semaphore(CALLERS)
+        await asyncio.gather(*[self._ask(order, gate) for order in asked])
+        return sum(order.told != DONE for order in asked)
+
+    async def _ask(self, order: Order, gate: asyncio.Semaphore) -> None:
+        async with gate:
+            await self._submit(order, self._entry())
 
     async def _call(self, phase: str, left) -> None:
         most_wait_s = 2 * CALLERS / ORDERS_PER_S
