--- a/carobroute/placement/_member.py
+++ b/carobroute/placement/_member.py
@@ -7,13 +7,14 @@
 from collections.abc import Callable, Sequence
 
 import msgspec
-from returns.result import Result, Success
 
 from carobroute.errors import ErrorKind, Fault
 from carobroute.links import Message, Nack, Ok
 from carobroute.placement._engine_orders import EngineOrders
+from carobroute.placement._engine_watch import EngineWatch
 from carobroute.placement._epoch import EpochJoin
 from carobroute.placement._interface import EngineStatus, GroupPeers, RankEngine
+from carobroute.placement._loads import MapLoads
 from carobroute.placement._map import NO_ATTEMPT, Attempt, ExpertMap, MapVersion
 from carobroute.placement._messages import (
     AskJoin,
@@ -29,47 +30,14 @@
     PrepareReply,
     Probe,
     ProbeReply,
+    ReplaceRanks,
     SwitchOutcome,
 )
+from carobroute.placement._promise import MemberParameters, Promise
 from carobroute.placement._settlement import Settlement
 from carobroute.utils import Clock, TaskSet
 
 
-class MemberParameters(msgspec.Struct, frozen=True, kw_only=True):
-    """Times of a member.
-
-    Parameters
-    ----------
-    poll_ms : float
-        Interval at which the engine's status is read.
-    call_ms : float
-        Longest wait for another member's reply.
-    settle_after_ms : float
-        Time that a promise waits for its coordinator before the members settle.
-    retry_ms : float
-        Pause before a call or an order is sent again.
-    """
-
-    poll_ms: float = 50.0
-    call_ms: float = 150.0
-    settle_after_ms: float = 180.0
-    retry_ms: float = 20.0
-
-
-class Promise:
-    """An open promise not to pass `step` before the attempt's outcome is known."""
-
-    __slots__ = ("attempt", "given", "settlement", "settling", "step", "version")
-
-    def __init__(self, *, attempt: Attempt, version: MapVersion, step: int):
-        self.attempt = attempt
-        self.version = version
-        self.step = step
-        self.given = False
-        self.settling = False
-        self.settlement: asyncio.Task | None = None
-
-
 class RankMember:
     """Takes part in the switches of one group for the ranks hosted beside it.
 
@@ -130,18 +98,14 @@
         self._tasks = TaskSet(on_failure=self._task_failed)
         self._epoch = 0
         self._joined = False
-        self._attached = False
         self._retired = False
         self._in_force: ExpertMap | None = None
         self._in_force_step = 0
         self._in_force_attempt = NO_ATTEMPT
         self._promise: Promise | None = None
         self._high_water = NO_ATTEMPT
-        self._known: dict[MapVersion, ExpertMap] = {}
-        self._loaded: set[MapVersion] = set()
-        self._load: asyncio.Task | None = None
-        self._load_version: MapVersion | None = None
-        self._load_refusal = ""
+        self._loads = MapLoads(load=engine.load, tasks=self._tasks)
+        self._watch = EngineWatch(member=self, loads=self._loads, orders=self._orders)
         self._join: asyncio.Task | None = None
         self._status = EngineStatus(epoch=0, step=0, step_ms=0.0, roster={})
 
@@ -167,6 +131,16 @@
             return self._initial()
         return self._in_force
 
+    @property
+    def in_force_step(self) -> int:
+        """First step of the map in force, 0 for the one that the epoch began with."""
+        return self._in_force_step
+
+    @property
+    def in_effect(self) -> bool:
+        """Whether the ranks have finished a step with the map in force."""
+        return self._joined and self._status.step > self._in_force_step + 1
+
     @property
     def promise(self) -> Promise | None:
         """The open promise, if there is one."""
@@ -179,7 +153,7 @@
 
     def start(self) -> None:
         """Attach the ranks and follow the engine until `stop`."""
-        self._tasks.spawn(self._run(), name=f"member {self.group}")
+        self._tasks.spawn(self._watch.run(), name=f"member {self.group}")
 
     async def stop(self) -> None:
         """End the member's tasks; the ranks keep what they were last told."""
@@ -201,11 +175,15 @@
             "settling": bool(promise and promise.settling),
         }
 
+    def stop_loads_below(self, version: MapVersion) -> None:
+        """Stop a load that a ticket has overridden."""
+        self._loads.stop_below(version)
+
     # Handlers of messages.
 
     async def on_probe(self, entry: Probe) -> Message:
         """Answer with the member's state."""
-        await self._read_status()
+        await self._watch.read_status()
         return ProbeReply(
             incarnation=self.incarnation,
             epoch=self._epoch,
@@ -215,29 +193,38 @@
             step_ms=self._status.step_ms,
             high_water=self._high_water,
             undecided=self._promise is not None,
+            work_ms=self._status.work_ms,
         )
 
+    def on_replace_ranks(self, entry: ReplaceRanks) -> Message:
+        """Start the ranks anew; they join with the map in force before a step."""
+        if entry.epoch == self._epoch and self._joined:
+            self._joined = False
+            self._loads.forget_loaded()
+            self._tasks.spawn(self._watch.attach(), name="replace ranks")
+        return Ok()
+
     async def on_load(self, entry: LoadMap) -> Message:
         """Load a map beside the one in force; answers at once with how far it is."""
-        await self._read_status()
+        await self._watch.read_status()
         version = entry.expert_map.version
         refusal = self._load_obstacle(entry)
-        if not refusal and version not in self._loaded:
-            refusal = self._begin_load(entry.expert_map)
+        if not refusal and version not in self._loads:
+            refusal = self._loads.begin(entry.expert_map)
         return LoadReply(
             incarnation=self.incarnation,
             epoch=self._epoch,
             step=self._status.step,
             step_ms=self._status.step_ms,
-            loaded=not refusal and version in self._loaded,
+            loaded=not refusal and version in self._loads,
             refusal=refusal,
         )
 
     async def on_prepare(self, entry: Prepare) -> Message:
         """Promise not to pass a step before the attempt's outcome is known."""
-        self._notice_epoch(entry.epoch)
+        self.notice_epoch(entry.epoch)
         promise = self._promise
-        if promise and promise.attempt == entry.attempt and promise.given:
+        if promise is not None and promise.given and promise.answers(entry):
             return self._prepare_reply(entry)
         refusal = self._prepare_obstacle(entry)
         if refusal:
@@ -257,7 +244,7 @@
 
     def on_decide(self, entry: Decide) -> Message:
         """Follow the coordinator's decision."""
-        self._notice_epoch(entry.epoch)
+        self.notice_epoch(entry.epoch)
         if entry.epoch != self._epoch:
             return Ok()
         promise = self._promise
@@ -272,7 +259,7 @@
 
     def on_ask_outcome(self, entry: AskOutcome) -> Message:
         """Answer what is known about an attempt, and be bound by the answer."""
-        self._notice_epoch(entry.epoch)
+        self.notice_epoch(entry.epoch)
         outcome = SwitchOutcome.UNKNOWN
         if entry.epoch == self._epoch and self._joined:
             outcome = self._bound_outcome(entry.attempt)
@@ -285,7 +272,7 @@
 
     def on_ask_join(self, entry: AskJoin) -> Message:
         """Answer with the map that was in force when this member entered the epoch."""
-        self._notice_epoch(entry.epoch)
+        self.notice_epoch(entry.epoch)
         return JoinReply(
             incarnation=self.incarnation,
             epoch=self._epoch,
@@ -294,16 +281,15 @@
 
     def on_fetch_map(self, entry: FetchMap) -> Message:
         """Answer with the content of a map."""
-        known = {self.in_force.version: self.in_force, **self._known}
         return MapReply(
             incarnation=self.incarnation,
             epoch=self._epoch,
-            expert_map=known.get(entry.version),
+            expert_map=self.known_map(entry.version),
         )
 
     def refusal(self) -> Message | None:
         """Return a refusal if this incarnation does not own the ranks."""
-        if self._attached and not self._retired:
+        if self._watch.attached and not self._retired:
             return None
         detail = f"{self.incarnation} does not own ranks {list(self.ranks)}"
         return Nack(fault=Fault(kind=ErrorKind.STALE_FENCE, detail=detail))
@@ -330,7 +316,7 @@
             return f"attempt {self._promise.attempt} is undecided"
         if entry.version <= self.in_force.version:
             return f"version {entry.version} is not above the one in force"
-        if entry.version not in self._loaded:
+        if entry.version not in self._loads:
             return f"version {entry.version} is not loaded"
         if self._status.step < self._in_force_step:
             return f"the map in force takes effect at step {self._in_force_step}"
@@ -350,7 +336,7 @@
 
     def _switch(self, promise: Promise) -> None:
         self._promise = None
-        self._in_force = self._known[promise.version]
+        self._in_force = self._loads.known(promise.version)
         self._in_force_step = promise.step
         self._in_force_attempt = promise.attempt
         self.on_event("map_switch", group=self.group, step=promise.step)
@@ -393,44 +379,15 @@
             else:
                 await self.clock.sleep_ms(self.parameters.retry_ms)
 
-    # Loading.
-
     def _load_obstacle(self, entry: LoadMap) -> str:
         version = entry.expert_map.version
         if entry.epoch != self._epoch or not self._joined:
             return f"in epoch {self._epoch}, joined {self._joined}"
         if version <= self.in_force.version:
             return f"version {version} is not above the one in force"
-        if self._load_version is not None and version < self._load_version:
-            return f"version {self._load_version} is being loaded"
-        return ""
-
-    def _begin_load(self, expert_map: ExpertMap) -> str:
-        """Load `expert_map`; a load of a lower version is stopped at once.
-
-        Returns why the load failed or cannot begin, or an empty string.
-        """
-        if self._load_version == expert_map.version:
-            refusal = self._load_refusal
-            if refusal:
-                self._load_version = None
-            return refusal
-        if self._promise is not None:
+        if self._promise is not None and version not in self._loads:
             return f"attempt {self._promise.attempt} is undecided"
-        if self._load is not None:
-            self._load.cancel()
-        self._load_version = expert_map.version
-        self._load_refusal = ""
-        self._known[expert_map.version] = expert_map
-        self._load = self._tasks.spawn(self._load_map(expert_map), name="load map")
-        return ""
-
-    async def _load_map(self, expert_map: ExpertMap) -> None:
-        result = await self.engine.load(expert_map)
-        if isinstance(result, Success):
-            self._loaded.add(expert_map.version)
-        else:
-            self._load_refusal = str(result.failure())
+        return self._loads.obstacle(version)
 
     # Epochs.
 
@@ -438,12 +395,12 @@
         """Take in a status read from the engine."""
         if status.epoch >= self._status.epoch:
             self._status = status
-        self._notice_epoch(status.epoch)
+        self.notice_epoch(status.epoch)
         owners = {status.roster.get(rank) for rank in self.ranks}
         if status.epoch == self._epoch and owners != {self.incarnation}:
             self._retire()
 
-    def _notice_epoch(self, epoch: int) -> None:
+    def notice_epoch(self, epoch: int) -> None:
         """Enter a higher epoch; an open promise ends with the old one."""
         if epoch <= self._epoch or self._retired:
             return
@@ -463,17 +420,23 @@
         self._in_force = adopted
         self._in_force_step = 0
         self._in_force_attempt = NO_ATTEMPT
-        self._known[adopted.version] = adopted
-        self._loaded.add(adopted.version)
+        self._loads.add(adopted)
         if await self._orders.join(adopted.version, epoch=epoch):
             self._joined = True
             self.on_event("epoch_joined", group=self.group, epoch=epoch)
 
+    def learn(self, expert_map: ExpertMap) -> None:
+        """Take over a higher map that another member had in force in this epoch."""
+        if not self._joined and expert_map.version > self.in_force.version:
+            self._in_force = expert_map
+            self._in_force_step = 0
+            self._in_force_attempt = NO_ATTEMPT
+
     def known_map(self, version: MapVersion) -> ExpertMap | None:
         """Return a map whose content this member has."""
         if self.in_force.version == version:
             return self.in_force
-        return self._known.get(version)
+        return self._loads.known(version)
 
     def _retire(self) -> None:
         if not self._retired:
@@ -482,49 +445,5 @@
             self._promise = None
             self.on_event("member_retired", level="warning", group=self.group)
 
-    # Following the engine.
-
-    async def _run(self) -> None:
-        await self._attach()
-        while not self._retired:
-            await self.clock.sleep_ms(self.parameters.poll_ms)
-            status = await self._read_status()
-            if status is not None and self._joined:
-                await self._tidy(status)
-
-    async def _attach(self) -> None:
-        while True:
-            epoch = await self.engine.attach()
-            if isinstance(epoch, Success):
-                self._attached = True
-                self._notice_epoch(epoch.unwrap())
-                return
-            await self.clock.sleep_ms(self.parameters.retry_ms)
-
-    async def _read_status(self) -> EngineStatus | None:
-        result: Result[EngineStatus, Fault] = await self.engine.status()
-        if not isinstance(result, Success):
-            return None
-        self.notice_status(result.unwrap())
-        return result.unwrap()
-
-    async def _tidy(self, status: EngineStatus) -> None:
-        """Release a stray hold, and free experts that no map needs any more."""
-        if status.held and self._promise is None and not self._orders.busy:
-            await self._orders.release_hold(epoch=self._epoch)
-        if status.step < self._in_force_step or self._promise is not None:
-            return
-        in_force = self.in_force.version
-        kept = {in_force}
-        if self._load_version is not None and self._load_version > in_force:
-            kept.add(self._load_version)
-        else:
-            self._load_version = None
-        if self._loaded <= kept:
-            return
-        self._loaded &= kept
-        self._known = {v: m for v, m in self._known.items() if v in kept}
-        await self.engine.unload(sorted(kept))
-
     def _task_failed(self, name: str, error: BaseException) -> None:
         self.on_event("task_failed", level="error", task=name, error=repr(error))
