Keep a flooding team to a third of the groups

Entries now send a team whose calls are largely refused to the groups that a hash of its name picks.

--- a/carobroute/requests/_carob.py
+++ b/carobroute/requests/_carob.py
@@ -1,5 +1,6 @@
 """The product's own routing policy."""
 
+import math
 import random
 import statistics
 
@@ -10,7 +11,7 @@
 from carobroute.requests._prefix import PrefixIndex
 from carobroute.requests._target import Sent, TargetRecord
 from carobroute.requests._views import CandidateInputs, RouteQuery
-from carobroute.utils import rendezvous_winner
+from carobroute.utils import rendezvous_order, rendezvous_winner
 
 FIRST_STEP_MS = 20.0
 BLOCK_TOKENS = BLOCK_CHARS // CHARS_PER_TOKEN
@@ -35,6 +36,8 @@
         Time that a call to another data centre or region adds.
     spill_ms : float
         What another data centre must save to be chosen.
+    flood_share : float
+        Share of the groups that a flooding team is kept to.
     smoothing : float
         Weight of a new sample in learned times.
     """
@@ -47,6 +50,7 @@
     other_data_centre_ms: float = 1.0
     other_region_ms: float = 30.0
     spill_ms: float = 10.0
+    flood_share: float = 0.3
     smoothing: float = 0.05
 
 
@@ -134,6 +138,8 @@
         """Return the record with the least cost among a few."""
         if query.idempotency_key:
             return self._by_key(records, query)
+        if query.flooding:
+            records = self._confine(records, query)
         near = [r for r in records if r.view.data_centre == query.data_centre]
         far = [r for r in records if r.view.data_centre != query.data_centre]
         scene = _Scene(records, everyone, query)
@@ -163,6 +169,19 @@
         """Learn how long calls stay."""
         self._learned.note_stay(duration_ms / (record.step_ms or FIRST_STEP_MS))
 
+    def _confine(
+        self, records: list[TargetRecord], query: RouteQuery
+    ) -> list[TargetRecord]:
+        """Keep a flooding team to some of the groups, the same from every entry.
+
+        A flood slows the steps of each group that it reaches; the others stay quick
+        for the rest of the teams.
+        """
+        groups = {_group_of(record) for record in records}
+        count = math.ceil(self._parameters.flood_share * len(groups))
+        kept = set(rendezvous_order(query.team, groups)[:count])
+        return [record for record in records if _group_of(record) in kept]
+
     def _by_key(self, records: list[TargetRecord], query: RouteQuery) -> Pick:
         names = {record.name: record for record in records}
         home = rendezvous_winner(f"{query.team}\0{query.idempotency_key}", names)
@@ -276,5 +295,9 @@
         return step_ms or FIRST_STEP_MS
 
 
+def _group_of(record: TargetRecord) -> str:
+    return record.view.group or record.name
+
+
 def _cost(weighed: tuple[TargetRecord, CandidateInputs]) -> float:
     return weighed[1].cost_ms
--- a/carobroute/requests/_fair_queue.py
+++ b/carobroute/requests/_fair_queue.py
@@ -37,7 +37,7 @@
     """
 
     max_queued: int = 256
-    spare_slots: int = 2
+    spare_slots: int = 1
     peak_ms: float = 5_000.0
     active_ms: float = 10_000.0
     stay_ms: float = 1_000.0
@@ -329,7 +329,7 @@
         """Return the slots that a team may hold.
 
         A team that asks for much more than it gets leaves free what the others needed
-        at most lately, and some more, so that their calls start without waiting for
+        at most lately, and one more, so that their calls start without waiting for
         the end of one of its own.
         """
         if not flow.flooding:
--- a/carobroute/requests/_router.py
+++ b/carobroute/requests/_router.py
@@ -26,10 +26,11 @@
 
 
 class SentCall(msgspec.Struct, frozen=True, kw_only=True):
-    """A call that was sent: the target's record, and what was noted of the call."""
+    """A call that was sent: the target's record, what was noted of it, its team."""
 
     record: TargetRecord | None
     sent: Sent | None
+    team: str = ""
 
 
 class Router:
@@ -152,7 +153,11 @@
                 f" which is serving and untried ({len(query.excluded)} were tried)",
                 retry_after_ms=NO_TARGET_RETRY_MS,
             )
-        query = msgspec.structs.replace(query, light=self._teams.light(query.team))
+        query = msgspec.structs.replace(
+            query,
+            light=self._teams.light(query.team),
+            flooding=self._teams.flooding(query.team),
+        )
         healthy = [r for r in usable if not r.health.ejected]
         pick = self._policy(query.service).pick(healthy or usable, query, everyone)
         return Success(
@@ -177,12 +182,11 @@
         self._teams.note_sent(query.team)
         record = self._records.get(target)
         if record is None:
-            return SentCall(record=None, sent=None)
+            return SentCall(record=None, sent=None, team=query.team)
         cached = self._prefixes.cached(target, query.prompt_blocks)
         uncached = max(0, query.tokens - cached * BLOCK_TOKENS)
-        return SentCall(
-            record=record, sent=record.note_sent(query.prompt_blocks, uncached)
-        )
+        sent = record.note_sent(query.prompt_blocks, uncached)
+        return SentCall(record=record, sent=sent, team=query.team)
 
     def note_first_byte(self, call: SentCall, elapsed_ms: float) -> None:
         """Note the time from sending to the first byte of the answer.
@@ -205,6 +209,8 @@
         if record is None or sent is None:
             return
         record.note_end(ok, sent)
+        if not ok:
+            self._teams.note_refused(call.team)
         if ok and duration_ms > 0:
             self._policy(record.view.service).note_end(record, duration_ms)
 
--- a/carobroute/requests/_views.py
+++ b/carobroute/requests/_views.py
@@ -67,6 +67,8 @@
     light : bool
         Whether the team sends little enough to be served before what is queued;
         the router fills it in.
+    flooding : bool
+        Whether targets refuse much of what the team sends; the router fills it in.
     """
 
     service: str
@@ -81,6 +83,7 @@
     first_token_ms: float = FIRST_TOKEN_MS
     between_tokens_ms: float = BETWEEN_TOKENS_MS
     light: bool = False
+    flooding: bool = False
 
 
 class CandidateInputs(msgspec.Struct, frozen=True, kw_only=True):
--- a/carobroute/requests/tests/test_fair_queue.py
+++ b/carobroute/requests/tests/test_fair_queue.py
@@ -86,7 +86,7 @@
     for task in flood[:3]:
         task.result().unwrap().release()
     await settle()
-    # What the small team held lately stays free for it, and two more.
+    # What the small team held lately stays free for it, and one more.
     assert queue.queued > 20 and queue.running == 2
     got = await asyncio.wait_for(queue.acquire(team="small"), 1)
     assert isinstance(got, Success)
--- a/carobroute/requests/tests/test_router.py
+++ b/carobroute/requests/tests/test_router.py
@@ -197,6 +197,25 @@
     assert early < late / 2
 
 
+def test_flooding_team_keeps_to_few_groups_and_others_roam(clock):
+    views = [make_view(f"runner-{n}", group=f"group-{n % 4}") for n in range(12)]
+    routers = [make_router(clock, views, random=random.Random(n)) for n in range(2)]
+    reached = []
+    for router in routers:
+        for _ in range(3):
+            router.note_sent("runner-0", make_query(team="small"))
+        for _ in range(40):
+            call = router.note_sent("runner-0", make_query(team="flood"))
+            router.note_end(call, False)
+        chosen = count_choices(router, 200, team="flood")
+        reached.append({int(name.split("-")[1]) % 4 for name in chosen})
+        others = count_choices(router, 200, team="small")
+        assert len({int(name.split("-")[1]) % 4 for name in others}) == 4
+    assert reached[0] == reached[1] and len(reached[0]) == 2
+    clock.advance_ms(60_000)
+    assert len(count_choices(routers[0], 200, team="flood")) > 6
+
+
 def test_choice_carries_the_inputs_that_explain_it(clock):
     router = make_three(clock)
     router.note_report(make_report("runner-0", 1, running=4))
