--- a/carobroute/links/_endpoint.py
+++ b/carobroute/links/_endpoint.py
@@ -458,6 +458,8 @@
         socket.setsockopt(zmq.RECONNECT_IVL, -1)
         if self.security is not None:
             self.security.protect_connection(socket, peer._unheard)
+        # Before the connection is tried, so that its first failure is seen.
+        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED)
         socket.connect(peer.address)
         peer._socket = socket
         peer._broken = False
@@ -469,8 +471,7 @@
             role=self.role,
             data_centre=self.data_centre,
         )
-        monitor = socket.get_monitor_socket(zmq.EVENT_DISCONNECTED | zmq.EVENT_CLOSED)
-        await socket.send(self._encode([hello], peer))
+        await self._send_now(peer, self._encode([hello], peer))
         return [
             self._tasks.spawn(
                 self._read_dealer(peer, socket), name=f"connection {peer.address}"
@@ -489,15 +490,14 @@
 
     async def _use_connection(self, peer: Peer) -> None:
         """Send, ping and watch one connection until it is silent or closed."""
-        next_ping_ms = self.clock.now_ms() + self.parameters.ping_busy_ms
+        last_ping_ms = self.clock.now_ms()
         while not peer._closing:
-            interval_ms = self._ping_interval_ms(peer)
-            now_ms = self.clock.now_ms()
-            next_ping_ms = min(next_ping_ms, now_ms + interval_ms)
-            await self._wait(peer, next_ping_ms - now_ms)
+            next_ping_ms = last_ping_ms + self._ping_interval_ms(peer)
+            await self._wait(peer, next_ping_ms - self.clock.now_ms())
             now_ms = self.clock.now_ms()
-            if now_ms >= next_ping_ms:
-                next_ping_ms = now_ms + interval_ms
+            # The interval is longer again if an answer came meanwhile.
+            if now_ms >= last_ping_ms + self._ping_interval_ms(peer):
+                last_ping_ms = now_ms
                 if peer._up:
                     peer._queue.append(Ping())
                     peer._ping_sent_ms = peer._ping_sent_ms or now_ms
@@ -534,7 +534,24 @@
             return
         while peer._queue and peer._socket is not None:
             batch = take_batch(peer._queue)
-            await peer._socket.send(self._encode(batch, peer))
+            if not await self._send_now(peer, self._encode(batch, peer)):
+                peer._queue.extendleft(reversed(batch))
+                return
+
+    async def _send_now(self, peer: Peer, data: bytes) -> bool:
+        """Send on the connection in use; return False if it is gone.
+
+        A socket whose connection was refused or reset, and that does not connect
+        again by itself, would hold the sender up for ever.
+        """
+        assert peer._socket is not None
+        try:
+            await peer._socket.send(data, flags=zmq.NOBLOCK)
+        except zmq.Again:
+            peer._broken = True
+            peer._wake.set()
+            return False
+        return True
 
     def _encode(self, messages: list[Message], peer: Peer) -> bytes:
         data = encode_frame(
--- a/carobroute/placement/__init__.py
+++ b/carobroute/placement/__init__.py
@@ -11,6 +11,7 @@
     EngineStatus,
     GroupMember,
     GroupPeers,
+    PopularityReport,
     RankEngine,
 )
 from carobroute.placement._map import (
@@ -21,7 +22,7 @@
     make_map,
     map_error,
 )
-from carobroute.placement._member import MemberParameters, RankMember
+from carobroute.placement._member import RankMember
 from carobroute.placement._planning import (
     EMPTY,
     Planner,
@@ -34,7 +35,14 @@
     step_skew,
 )
 from carobroute.placement._popularity import Popularity
+from carobroute.placement._promise import MemberParameters
+from carobroute.placement._runner import GroupRunner, RunnerParameters
 from carobroute.placement._service import LinkPeers, SwitchService
+from carobroute.placement._stragglers import (
+    RankHealth,
+    StragglerParameters,
+    StragglerWatch,
+)
 from carobroute.placement._weights import (
     HttpWeightSource,
     PeerWeightSource,
@@ -44,7 +52,7 @@
     WeightObject,
     WeightPiece,
     WeightSource,
-    answer_read,
+    serve_weights,
 )
 
 __all__ = [
@@ -55,6 +63,7 @@
     "ExpertMap",
     "GroupMember",
     "GroupPeers",
+    "GroupRunner",
     "HttpRankEngine",
     "HttpWeightSource",
     "LinkPeers",
@@ -64,9 +73,14 @@
     "Planner",
     "PlanningInput",
     "Popularity",
+    "PopularityReport",
     "RankEngine",
+    "RankHealth",
     "RankMember",
     "ReadWeight",
+    "RunnerParameters",
+    "StragglerParameters",
+    "StragglerWatch",
     "SwitchCoordinator",
     "SwitchReport",
     "SwitchService",
@@ -75,7 +89,6 @@
     "WeightObject",
     "WeightPiece",
     "WeightSource",
-    "answer_read",
     "initial_map",
     "initial_slots",
     "layers_of",
@@ -83,6 +96,7 @@
     "map_error",
     "moved_copies",
     "planners",
+    "serve_weights",
     "slots_of",
     "step_skew",
 ]
--- a/carobroute/standins/_rank_state.py
+++ b/carobroute/standins/_rank_state.py
@@ -2,6 +2,7 @@
 
 import random as random_module
 from collections import Counter, deque
+from collections.abc import Iterable
 
 import msgspec
 
@@ -55,6 +56,7 @@
         self.begun: Version | None = None
         self.stalled_until_ms = 0.0
         self.slowness = 1.0
+        self.work_ms = 0.0
         self.loaded: dict[Version, frozenset[tuple[int, int]]] = {}
 
     def map_at(self, step: int) -> Version | None:
@@ -66,7 +68,6 @@
     def reset(self, owner: str) -> None:
         """Start anew, with nothing loaded."""
         fresh = RankState(rank=self.rank)
-        fresh.slowness = self.slowness
         fresh.owner = owner
         self.__dict__.update(fresh.__dict__)
 
@@ -84,6 +85,9 @@
         Expert copies that a rank's memory holds over all layers.
     random : random.Random
         Draws the jitter of step times.
+    weights : list of float, default=None
+        Relative popularity of each expert, by which ranks have more or less work;
+        without it all ranks have the same.
     """
 
     def __init__(
@@ -93,7 +97,9 @@
         step_ms: float,
         memory_experts: int,
         random: random_module.Random,
+        weights: list[float] | None = None,
     ):
+        self.weights = weights or []
         self.ranks = [RankState(rank=number) for number in range(ranks)]
         self.step_ms = step_ms
         self.memory_experts = memory_experts
@@ -129,12 +135,19 @@
         self, states: list[RankState], version: Version, experts: list[list[list[int]]]
     ) -> str:
         """Load the experts of each rank; return what kept it from that."""
+        refusal = self.reserve(states, experts)
+        if not refusal:
+            for state, pairs in zip(states, experts, strict=True):
+                state.loaded[version] = frozenset((la, ex) for la, ex in pairs)
+        return refusal
+
+    def reserve(self, states: list[RankState], experts: list[list[list[int]]]) -> str:
+        """Return which rank has no memory for the experts beside those loaded."""
         for state, pairs in zip(states, experts, strict=True):
             wanted = frozenset((layer, expert) for layer, expert in pairs)
             union = wanted.union(*state.loaded.values())
             if len(union) > self.memory_experts:
                 return f"rank {state.rank}: {len(union)} experts do not fit"
-            state.loaded[version] = wanted
         return ""
 
     def unload(self, states: list[RankState], kept: list[Version]) -> None:
@@ -205,10 +218,22 @@
         """Return the time that each rank works in the step begun."""
         jitter = self._random.uniform
         return [
-            self.step_ms * state.slowness * (1 + jitter(0, STRAGGLER_JITTER))
-            for state in self.ranks
+            self.step_ms * state.slowness * load * (1 + jitter(0, STRAGGLER_JITTER))
+            for state, load in zip(self.ranks, self._loads(), strict=True)
         ]
 
+    def _loads(self) -> list[float]:
+        """Return each rank's share of the work, 1 on average."""
+        if not self.weights:
+            return [1.0] * len(self.ranks)
+        held: list[Iterable[tuple[int, int]]] = [
+            state.loaded[state.begun] if state.begun else () for state in self.ranks
+        ]
+        copies = Counter(pair for pairs in held for pair in pairs)
+        loads = [sum(self.weights[p[1]] / copies[p] for p in pairs) for pairs in held]
+        mean = sum(loads) / len(loads) or 1.0
+        return [load / mean for load in loads]
+
     def end(self, *, waited_ms: float, work_ms: list[float]) -> None:
         """Record the step that all ranks have begun, and pass on to the next."""
         versions = sorted({state.begun for state in self.ranks if state.begun})
