--- a/carobroute/requests/_subset.py
+++ b/carobroute/requests/_subset.py
@@ -59,19 +59,21 @@
     far = [view.name for view in views if view.data_centre != data_centre]
     far_size = max(size - len(near), round(size * REMOTE_SHARE) if far else 0)
     near_size = size - min(far_size, len(far))
-    return _arc(near, entry, entries, near_size) + _arc(far, entry, entries, far_size)
+    chosen = _arc(near, entry, entries, near_size, data_centre)
+    return chosen + _arc(far, entry, entries, far_size, data_centre)
 
 
 def _arc(
-    names: Sequence[str], entry: str, entries: Sequence[str], size: int
+    names: Sequence[str], entry: str, entries: Sequence[str], size: int, salt: str
 ) -> list[str]:
     if size <= 0 or not names:
         return []
-    circle = sorted(names, key=_position)
-    order = sorted({*entries, entry}, key=_position)
+    # Each data centre has a circle of its own, or all would begin at the same targets.
+    circle = sorted(names, key=lambda name: _position(salt, name))
+    order = sorted({*entries, entry}, key=lambda name: _position(salt, name))
     start = order.index(entry) * len(circle) // len(order)
     return [circle[(start + n) % len(circle)] for n in range(min(size, len(circle)))]
 
 
-def _position(name: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(name.encode()), name
+def _position(salt: str, name: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(f"{salt}\0{name}".encode()), name
