--- a/carobroute/entry/_run.py
+++ b/carobroute/entry/_run.py
@@ -105,8 +105,12 @@
         self._alone = checked.unwrap() is Verdict.ALONE
         if self._alone:
             return self._choose_for_trial()
-        query = self._query()
-        choice = self._services.router.choose(query)
+        choice = self._services.router.choose(self._query())
+        if isinstance(choice, Failure) and self._excluded:
+            # Every target was tried. A link that failed may be back by now, and the
+            # retry policy bounds the attempts.
+            self._excluded.clear()
+            choice = self._services.router.choose(self._query())
         if isinstance(choice, Failure):
             return choice
         chosen = choice.unwrap()
@@ -189,8 +193,12 @@
         if end.fault is None:
             news = services.quarantine.end_ok(suspect, exchange.target)
         elif crash := self._crash_of(exchange, end):
+            # A local process that is gone cannot say which of its calls was running.
+            alone = suspect if self._alone else ""
+            if not end.crash:
+                alone = services.quarantine.trial_at(crash)
             news = services.quarantine.target_crashed(
-                exchange.target, crash, alone=suspect if self._alone else ""
+                exchange.target, crash, alone=alone
             )
         else:
             return
