--- a/carobroute/placement/_loads.py
+++ b/carobroute/placement/_loads.py
@@ -30,6 +30,7 @@
         self._loaded: set[MapVersion] = set()
         self._task: asyncio.Task | None = None
         self._loading: MapVersion | None = None
+        self._lowest: MapVersion | None = None
         self._refusal = ""
 
     def __contains__(self, version: MapVersion) -> bool:
@@ -41,6 +42,8 @@
 
     def obstacle(self, version: MapVersion) -> str:
         """Return why a load of `version` cannot begin, or an empty string."""
+        if self._lowest is not None and version < self._lowest:
+            return f"version {version} is overridden by ticket {self._lowest.ticket}"
         if self._loading is not None and version < self._loading:
             return f"version {self._loading} is being loaded"
         return ""
@@ -60,7 +63,9 @@
         return ""
 
     def stop_below(self, version: MapVersion) -> None:
-        """Stop a load of a lower version."""
+        """Stop a load of a lower version, and begin none any more."""
+        if self._lowest is None or self._lowest < version:
+            self._lowest = version
         if self._loading is not None and self._loading < version:
             self._stop()
 
--- a/carobroute/placement/tests/test_switch.py
+++ b/carobroute/placement/tests/test_switch.py
@@ -251,6 +251,24 @@
     run(scenario)
 
 
+def test_ticket_stops_a_load_and_no_coordinator_begins_it_again():
+    async def scenario(world):
+        for member in world.members.values():
+            member.engine._load_ms = 5_000.0
+        first = make_expert_map(ranks=RANKS, revision=1)
+        task = asyncio.create_task(world.coordinator().switch(first))
+        await world.steps(5)
+        began = world.clock.now_ms()
+        for member in world.members.values():
+            member.stop_loads_below(MapVersion(2, 0))
+        assert "overridden by ticket 2" in (await task).failure().detail
+        assert world.clock.now_ms() - began < 1_000
+        await world.steps(300)
+        assert set(world.versions()) == {world.versions()[0]}
+
+    run(scenario)
+
+
 @pytest.mark.parametrize("seed", [*range(8), 60, 219, 334])
 def test_one_map_and_no_hang_under_random_faults(seed):
     """Loss, delay, duplicates, pauses, replacements and lost coordinators."""
