--- a/carobroute/placement/_engine_watch.py
+++ b/carobroute/placement/_engine_watch.py
@@ -46,13 +46,15 @@
     async def attach(self) -> None:
         """Make the member the owner of its ranks, which begins a new epoch."""
         member = self._member
+        delay_ms = member.parameters.retry_ms
         while True:
             epoch = await member.engine.attach()
             if isinstance(epoch, Success):
                 self.attached = True
                 member.notice_epoch(epoch.unwrap())
                 return
-            await member.clock.sleep_ms(member.parameters.retry_ms)
+            await member.clock.sleep_ms(delay_ms)
+            delay_ms = min(2 * delay_ms, member.parameters.poll_ms)
 
     async def read_status(self) -> EngineStatus | None:
         """Read the engine's status, and have the member take it in."""
