--- a/carobroute/tests/conftest.py
+++ b/carobroute/tests/conftest.py
@@ -36,11 +36,16 @@
     )
 
 
+@pytest.fixture(scope="module")
+def fleet_options(request):
+    """Options of the file's fleet; `FLEET` in the file changes its shape."""
+    return getattr(request.module, "FLEET", {})
+
+
 @pytest_asyncio.fixture(loop_scope="module", scope="module")
-async def fleet(request, tmp_path_factory):
-    """The fleet of a test file; `FLEET` in the file changes its shape."""
-    options = getattr(request.module, "FLEET", {})
-    async with make_fleet(tmp_path_factory.mktemp("fleet"), **options) as fleet:
+async def fleet(fleet_options, tmp_path_factory):
+    """The fleet of a test file."""
+    async with make_fleet(tmp_path_factory.mktemp("fleet"), **fleet_options) as fleet:
         yield fleet
 
 
