--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -14,6 +14,7 @@
 from carobroute.testing._fleet import Fleet, FleetShape, FleetTarget
 from carobroute.testing._order_data import FakeObjects, make_order, make_submit
 from carobroute.testing._processes import Child, ProcessGroup
+from carobroute.testing._random_faults import cause_pair, random_faults
 from carobroute.testing._ticket_data import (
     make_instance,
     make_service,
@@ -45,6 +46,7 @@
     "ProcessGroup",
     "ProxiedPort",
     "Witness",
+    "cause_pair",
     "make_instance",
     "make_order",
     "make_service",
@@ -53,6 +55,7 @@
     "make_team",
     "make_ticket",
     "order_faults",
+    "random_faults",
     "stream_faults",
     "wait_until",
 ]
--- a/carobroute/testing/_witness.py
+++ b/carobroute/testing/_witness.py
@@ -104,7 +104,7 @@
 
     def __init__(self, *, fleet: Fleet, timeout_s: float = 60.0):
         self._fleet = fleet
-        self._timeout_s = timeout_s
+        self.timeout_s = timeout_s
         self.streams: list[Answer] = []
         self.orders: list[Answer] = []
         self.lookups: list[Answer] = []
@@ -164,7 +164,7 @@
                 self._fleet.entry_url(entry) + path,
                 data=answer.body or None,
                 headers=headers,
-                timeout=aiohttp.ClientTimeout(total=self._timeout_s),
+                timeout=aiohttp.ClientTimeout(total=self.timeout_s),
             ) as response:
                 answer.status = response.status
                 answer.request_id = response.headers.get(REQUEST_HEADER, "")
