--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -296,10 +296,24 @@
     def _follow_key_ring(self, configuration: Configuration) -> None:
         ring = configuration.key_ring()
         if ring is not None:
+            self._reload_keys()
             self.endpoint.use_key_ring(
                 KeyRing(accepted=ring.accepted, servers=ring.servers)
             )
 
+    def _reload_keys(self) -> None:
+        """Read the key files again, which may have got the keys of the new ring."""
+        curve, security = self.settings.links.curve, self.endpoint.security
+        if curve is None or security is None:
+            return
+        loaded = load_link_security(curve)
+        if isinstance(loaded, Failure):
+            self.telemetry.log.event(
+                "link_keys_unreadable", level="error", fault=str(loaded.failure())
+            )
+            return
+        security.use_pairs(loaded.unwrap().pairs)
+
     def _link_parameters(self) -> LinkParameters:
         links = self.settings.links
         return LinkParameters(
--- a/carobroute/links/_security.py
+++ b/carobroute/links/_security.py
@@ -87,6 +87,15 @@
         """Public keys in force."""
         return self._ring
 
+    @property
+    def pairs(self) -> KeyPairs:
+        """Secret keys held."""
+        return self._pairs
+
+    def use_pairs(self, pairs: KeyPairs) -> None:
+        """Hold other secret keys from here on, for new connections."""
+        self._pairs = pairs
+
     def start(self, context: zmq.asyncio.Context) -> None:
         """Have every connection to a protected socket of `context` checked."""
         self._authenticator = AsyncioAuthenticator(context)
--- a/carobroute/tests/test_security.py
+++ b/carobroute/tests/test_security.py
@@ -18,13 +18,12 @@
 
 
 def make_keys(directory):
-    """Two generations of certificates for the whole fleet, both held by everyone."""
+    """The first generation of certificates, held by the whole fleet."""
     own, servers, accepted = (directory / n for n in ("own", "servers", "accepted"))
     for place in (own, servers, accepted):
         place.mkdir(parents=True)
-    for name in ("1", "2"):
-        zmq.auth.create_certificates(own, name)
-        zmq.auth.create_certificates(servers, name)
+    zmq.auth.create_certificates(own, "1")
+    zmq.auth.create_certificates(servers, "1")
     (accepted / "1.key").write_bytes((own / "1.key").read_bytes())
     (directory / "tokens").write_text(OPERATOR_TOKEN + "\n")
     return {
@@ -112,7 +111,9 @@
 
 
 async def test_keys_are_rotated_by_ticket_under_load(fleet, witness, keys):
-    """Three tickets; streams and orders go on, none is cut or run twice."""
+    """New files, then three tickets; streams and orders go on, none is cut."""
+    for kind in ("own_directory", "servers_directory"):
+        zmq.auth.create_certificates(Path(keys[kind]), "2")
     stop = asyncio.Event()
 
     async def load(entry):
