Run a target's ranks in their group, and plan for it under a lease

Cause: the switch, the planners and the stragglers had no process to run in. After: a local process with 'ranks_url' keeps its ranks in the group of the ticket in force and takes part in the duty 'plan/GROUP'.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 SEED ?= 1
 QUICK ?=
 WORKERS ?= 6
+SECONDS ?= 600
 
 .PHONY: help setup test lint types check format demo report capacity soak clean
 
@@ -38,6 +39,15 @@
 demo: setup  ## run the whole path as separate processes
 	$(BIN)/python -m benchmarks.demo
 
+report: setup  ## run every benchmark with --quick and write docs/REPORT.md
+	$(BIN)/python -m benchmarks.report
+
+capacity: setup  ## regenerate the tables and plots of docs/CAPACITY.md
+	$(BIN)/python -m benchmarks.capacity --seed $(SEED)
+
+soak: setup  ## run both desks under random pairs of faults (SECONDS=n SEED=n)
+	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
+
 bench-%: setup  ## run one benchmark
 	$(BIN)/python -m benchmarks.$* --seed $(SEED) $(if $(QUICK),--quick)
 
--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -1,8 +1,11 @@
 """The local process."""
 
+import asyncio
+
 from returns.result import Failure
 
 from carobroute.daemon._process import Process
+from carobroute.daemon._ranks import RankHost
 from carobroute.engines import Engine, engine_adapters
 from carobroute.local import (
     CacheReporter,
@@ -53,6 +56,8 @@
         self._process: LocalProcess
         self._engine: Engine
         self._queue: FairQueue
+        self._ranks: RankHost
+        self._ranks_due = asyncio.Event()
         self._orders: OrderRunner
 
     @property
@@ -107,9 +112,17 @@
         self._process.start()
         self.telemetry.dump.register("local", self._process.dump)
         self.telemetry.dump.register("orders", self._orders.dump)
-        self.keeper.on_change(lambda _: self._follow_ticket())
+        self.keeper.on_change(lambda _: self._ticket_changed())
         self.directory.on_change(self._follow_list)
+        self._ranks = RankHost(
+            process=self,
+            target=self._local.target,
+            ranks_url=self._local.ranks_url,
+        )
+        self.telemetry.dump.register("ranks", self._ranks.dump)
         self._follow_ticket()
+        await self._ranks.follow_ticket()
+        self.tasks.spawn(self._follow_ranks(), name="ranks")
         self.tasks.spawn(self._watch_load(), name="engine-load")
         cache = CacheReporter(
             target=self._local.target,
@@ -125,6 +138,7 @@
         own = self.instance
         self.directory.mark_leaving(own.name, own.incarnation, LEAVE_BY_SHUTDOWN)
         await self._process.drain()
+        await self._ranks.stop()
         await self._orders.close()
         await self.poller.stop(withdraw=True)
         await self._process.stop()
@@ -180,6 +194,17 @@
         target = self._own_target()
         return target.concurrency if target is not None else DEFAULT_CONCURRENCY
 
+    def _ticket_changed(self) -> None:
+        self._follow_ticket()
+        self._ranks_due.set()
+
+    async def _follow_ranks(self) -> None:
+        """Take up groups and ranks one ticket after the other."""
+        while True:
+            await self._ranks_due.wait()
+            self._ranks_due.clear()
+            await self._ranks.follow_ticket()
+
     def _follow_ticket(self) -> None:
         """Serve or drain as the ticket in force says."""
         target = self._own_target()
--- a/carobroute/settings/_schema.py
+++ b/carobroute/settings/_schema.py
@@ -176,6 +176,8 @@
         Target that the process stands beside, and its service.
     url : str
         Base address of the target.
+    ranks_url : str
+        Where the target's ranks take orders; empty for a target without any.
     engine : str
         Engine adapter that outranks the service's; empty for the service's.
     token_file : str
@@ -191,6 +193,7 @@
     target: Name
     service: Name
     url: Url
+    ranks_url: Annotated[str, Meta(pattern=r"^(https?://[^\s]+)?$")] = ""
     engine: str = ""
     token_file: str = ""
     buffer_bytes: PositiveInt = 64 * 1024 * 1024
--- a/carobroute/testing/_fleet.py
+++ b/carobroute/testing/_fleet.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import sys
+from collections import Counter
 from collections.abc import Coroutine, Mapping
 from pathlib import Path
 from typing import Any
@@ -33,6 +34,8 @@
         Targets taken of the first ticket's model and plain services; -1 for all.
     engine_options, order_options, platform_options : list of str
         Further options of the stand-ins.
+    rank_groups : bool
+        Whether groups that are whole get a stand-in for their ranks.
     settings : dict
         Sections merged into every settings file.
     target_fields : dict
@@ -49,6 +52,7 @@
     engine_options: list[str] = []
     order_options: list[str] = []
     platform_options: list[str] = []
+    rank_groups: bool = False
     settings: dict[str, dict[str, Any]] = {}
     target_fields: dict[str, Any] = {}
     team_fields: dict[str, Any] = {}
@@ -97,6 +101,8 @@
         self.ticket = _read_yaml(desk / "ticket-1.yaml")
         self.team_keys: dict[str, str] = _read_yaml(desk / "team-keys.yaml")
         self.requests: list[dict[str, Any]] = _read_yaml(desk / "requests.yaml")
+        self.rank_groups: dict[str, Child] = {}
+        self._whole_groups: set[str] = set()
         self.platform: Child
         self.entries: list[Child] = []
         self.entry_files: list[Path] = []
@@ -134,6 +140,8 @@
         self.platform = await self._stand_in("platform", *self.shape.platform_options)
         first = await self.start_entry(0)
         await self.file_ticket(first)
+        if self.shape.rank_groups:
+            await self._start_rank_groups()
         starts: list[Coroutine[Any, Any, Any]] = [
             self.start_target(target) for target in self.targets
         ]
@@ -214,6 +222,7 @@
                     "target": target.name,
                     "service": target.service,
                     "url": url or target.stand_in.address,
+                    "ranks_url": self._ranks_url(target),
                 },
             },
         )
@@ -226,6 +235,10 @@
             str(target.settings_file),
         )
 
+    def _ranks_url(self, target: FleetTarget) -> str:
+        group = self.rank_groups.get(target.fields.get("group", ""))
+        return group.address if group is not None else ""
+
     async def file_ticket(self, entry: Child, fields: Mapping | None = None) -> str:
         """File a ticket with the command-line tool and return what it printed."""
         fields = dict(fields or self._first_ticket())
@@ -282,6 +295,8 @@
             for entry in self.ticket["objects"]
             if entry["type"] == "service"
         }
+        objects = self.ticket["objects"]
+        members = Counter(e["group"] for e in objects if e.get("group"))
         left = {
             ServiceKind.MODEL: self.shape.models,
             ServiceKind.PLAIN: self.shape.plains,
@@ -294,27 +309,39 @@
             if left[kind] != 0:
                 left[kind] -= 1
                 fields = {**entry, **self.shape.target_fields}
-                if self._cut_down:
-                    fields = {k: v for k, v in fields.items() if k not in GROUP_FIELDS}
                 chosen.append(FleetTarget(fields=fields, kind=kind))
+        kept = Counter(target.fields.get("group", "") for target in chosen)
+        self._whole_groups = {name for name in members if kept[name] == members[name]}
+        for target in chosen:
+            if target.fields.get("group") not in self._whole_groups:
+                for name in GROUP_FIELDS & target.fields.keys():
+                    del target.fields[name]
         return chosen
 
     def _first_ticket(self) -> dict[str, Any]:
         """Return the desk's first ticket with the targets and teams of this fleet."""
-        kept = {"service"} if self._cut_down else {"service", "group"}
         objects: list[dict[str, Any]] = []
         for entry in self.ticket["objects"]:
             if entry["type"] == "team":
                 objects.append({**entry, **self.shape.team_fields})
-            elif entry["type"] in kept:
+            elif (
+                entry["type"] == "service"
+                or entry["type"] == "group"
+                and entry["name"] in self._whole_groups
+            ):
                 objects.append(entry)
         objects += [target.fields for target in self.targets]
         return {**self.ticket, "objects": objects}
 
-    @property
-    def _cut_down(self) -> bool:
-        """Whether targets are left out, so that groups of ranks are not whole."""
-        return self.shape.models >= 0
+    async def _start_rank_groups(self) -> None:
+        """Start a stand-in for the ranks of each group that is whole."""
+        for entry in self.ticket["objects"]:
+            if entry["type"] == "group" and entry["name"] in self._whole_groups:
+                options = []
+                for name in ("ranks", "layers", "experts"):
+                    options += [f"--{name}", str(entry[name])]
+                child = await self._stand_in("rank-group", *options)
+                self.rank_groups[entry["name"]] = child
 
     def _instance(self, name: str, role: str, data_centre: str) -> dict[str, str]:
         return {
