--- a/carobroute/placement/_engine_orders.py
+++ b/carobroute/placement/_engine_orders.py
@@ -6,12 +6,14 @@
 
 from returns.result import Result, Success
 
-from carobroute.errors import Fault
+from carobroute.errors import ErrorKind, Fault
 from carobroute.placement._map import MapVersion
 
 if TYPE_CHECKING:
     from carobroute.placement._member import RankMember
 
+REFUSED = frozenset({ErrorKind.STALE_FENCE, ErrorKind.CONFLICT})
+
 
 class EngineOrders:
     """Sends a member's orders in turn, each until its result is definite.
@@ -78,8 +80,12 @@
         async with self._lock:
             number = self._next()
             while self._member.epoch == epoch and not self._member.retired:
-                if isinstance(await send(number), Success):
+                result = await send(number)
+                if isinstance(result, Success):
                     return True
+                if result.failure().kind in REFUSED:
+                    # A late unload may have freed the map's experts.
+                    await self._member.engine.load(self._member.in_force)
                 await self._member.clock.sleep_ms(self._member.parameters.retry_ms)
         return False
 
--- a/carobroute/placement/tests/test_switch.py
+++ b/carobroute/placement/tests/test_switch.py
@@ -223,6 +223,21 @@
     run(scenario)
 
 
+def test_experts_freed_by_a_late_unload_are_loaded_again():
+    async def scenario(world):
+        wanted = make_expert_map(ranks=RANKS, revision=1)
+        task = asyncio.create_task(world.coordinator().switch(wanted))
+        members = world.members.values()
+        await world.until(lambda: all(m.promise and m.promise.given for m in members))
+        for rank in world.state.ranks[:RANKS_EACH]:
+            del rank.loaded[key(wanted.version)]
+        report = (await task).unwrap()
+        await world.until(lambda: world.state.step > report.step + 1)
+        assert world.versions()[-1] == key(wanted.version)
+
+    run(scenario)
+
+
 def test_lower_version_is_refused():
     async def scenario(world):
         newer = make_expert_map(ranks=RANKS, revision=5)
--- a/carobroute/testing/_placement_data.py
+++ b/carobroute/testing/_placement_data.py
@@ -149,7 +149,7 @@
         if await self._lost() or not self._fresh(epoch, order):
             return self._gone()
         done = self._state.set_map(self._own(), key(version), step, order)
-        return self._gone() if await self._lost() or not done else Success(None)
+        return self._gone() if await self._lost() else _refused_unless(done)
 
     async def release_hold(self, *, epoch: int, order: int) -> Result[None, Fault]:
         """Release the ranks."""
@@ -165,7 +165,7 @@
         if await self._lost() or not self._fresh(epoch, order):
             return self._gone()
         done = self._state.join(self._own(), key(version), order)
-        return self._gone() if await self._lost() or not done else Success(None)
+        return self._gone() if await self._lost() else _refused_unless(done)
 
     def _own(self) -> list[RankState]:
         return self._state.owned(self._ranks, self._owner)
@@ -181,6 +181,10 @@
         return fail(ErrorKind.PEER_LOST, LOST)
 
 
+def _refused_unless(done: bool) -> Result[None, Fault]:
+    return Success(None) if done else fail(ErrorKind.CONFLICT, "not loaded")
+
+
 def key(version: MapVersion) -> tuple[int, int, str]:
     """Return the version as a rank group records it."""
     return (version.ticket, version.revision, version.digest)
