--- a/carobroute/testing/_fault_proxy.py
+++ b/carobroute/testing/_fault_proxy.py
@@ -56,6 +56,7 @@
         self._server_reader, self._server = server
         self.silent_up = False
         self.silent_down = False
+        self.given_up = False
         self.label = ""
 
     async def run(self) -> None:
@@ -110,6 +111,7 @@
             if faults.bytes_per_s:
                 due_s += len(data) / faults.bytes_per_s
             await queue.put((due_s, data))
+        self.given_up |= up
         if self._loses(up):
             # A path that has lost the connection does not carry its end either.
             await asyncio.Event().wait()
@@ -178,6 +180,14 @@
         """Number of connections that are open now."""
         return len(self._connections)
 
+    @property
+    def silent_in_use(self) -> int:
+        """Number of silenced connections that their clients still hold on to."""
+        return sum(
+            (connection.silent_up or connection.silent_down) and not connection.given_up
+            for connection in self._connections
+        )
+
     async def listen(self) -> None:
         """Take a free port and accept connections on it."""
         self._server = await asyncio.start_server(self._accept, self.host, 0)
