--- a/carobroute/requests/__init__.py
+++ b/carobroute/requests/__init__.py
@@ -33,11 +33,12 @@
     Blame,
     Quarantine,
     QuarantineParameters,
+    Trial,
     Verdict,
     request_fingerprint,
 )
 from carobroute.requests._retries import RetryDecision, RetryParameters, RetryPolicy
-from carobroute.requests._router import Router
+from carobroute.requests._router import Router, SentCall
 from carobroute.requests._spread import spread_retry_after_ms
 from carobroute.requests._subset import choose_subset
 from carobroute.requests._views import CandidateInputs, Choice, RouteQuery, TargetView
@@ -79,11 +80,13 @@
     "RouteQuery",
     "Router",
     "RoutingPolicy",
+    "SentCall",
     "Slot",
     "StoredAnswer",
     "TargetView",
     "TeamDemand",
     "TeamTotals",
+    "Trial",
     "Verdict",
     "choose_subset",
     "order_fingerprint",
--- a/carobroute/testing/_placement_data.py
+++ b/carobroute/testing/_placement_data.py
@@ -16,6 +16,7 @@
     GroupMember,
     GroupPeers,
     MapVersion,
+    PopularityReport,
     RankEngine,
     RankMember,
     make_map,
@@ -86,6 +87,7 @@
         self._random = random
         self._load_ms = load_ms
         self.loads = 0
+        self.reports: list[PopularityReport] = []
 
     @property
     def _state(self) -> GroupState:
@@ -104,9 +106,14 @@
                 roster=self._state.roster,
                 joined=all(s.joined_epoch == self._state.epoch for s in own),
                 held=any(s.hold is not None for s in own),
+                work_ms={s.rank: s.work_ms for s in own},
             )
         )
 
+    async def popularity(self, after: int) -> Result[list[PopularityReport], Fault]:
+        """Return the reports set by the test."""
+        return Success([r for r in self.reports if r.sequence > after])
+
     async def attach(self) -> Result[int, Fault]:
         """Replace the ranks."""
         return Success(self._state.attach(self._ranks, self._owner))
@@ -142,7 +149,7 @@
         if await self._lost() or not self._fresh(epoch, order):
             return self._gone()
         done = self._state.set_map(self._own(), key(version), step, order)
-        return self._gone() if await self._lost() or not done else Success(None)
+        return self._gone() if await self._lost() else _refused_unless(done)
 
     async def release_hold(self, *, epoch: int, order: int) -> Result[None, Fault]:
         """Release the ranks."""
@@ -158,7 +165,7 @@
         if await self._lost() or not self._fresh(epoch, order):
             return self._gone()
         done = self._state.join(self._own(), key(version), order)
-        return self._gone() if await self._lost() or not done else Success(None)
+        return self._gone() if await self._lost() else _refused_unless(done)
 
     def _own(self) -> list[RankState]:
         return self._state.owned(self._ranks, self._owner)
@@ -174,6 +181,10 @@
         return fail(ErrorKind.PEER_LOST, LOST)
 
 
+def _refused_unless(done: bool) -> Result[None, Fault]:
+    return Success(None) if done else fail(ErrorKind.CONFLICT, "not loaded")
+
+
 def key(version: MapVersion) -> tuple[int, int, str]:
     """Return the version as a rank group records it."""
     return (version.ticket, version.revision, version.digest)
--- a/carobroute/testing/_witness.py
+++ b/carobroute/testing/_witness.py
@@ -65,6 +65,17 @@
                 parts.append(event["choices"][0]["delta"].get("content", ""))
         return "".join(parts)
 
+    @property
+    def told(self) -> str:
+        """What the caller can conclude, in a word or two."""
+        if self.error:
+            return f"{self.outcome or 'stream'}: {self.error}"
+        if self.broken:
+            return f"broken: {self.broken}"
+        if self.ended or (self.status == 200 and self.key):
+            return "whole"
+        return f"status {self.status}"
+
     @property
     def ended(self) -> bool:
         """Whether a stream came to its regular end."""
@@ -93,7 +104,7 @@
 
     def __init__(self, *, fleet: Fleet, timeout_s: float = 60.0):
         self._fleet = fleet
-        self._timeout_s = timeout_s
+        self.timeout_s = timeout_s
         self.streams: list[Answer] = []
         self.orders: list[Answer] = []
         self.lookups: list[Answer] = []
@@ -153,7 +164,7 @@
                 self._fleet.entry_url(entry) + path,
                 data=answer.body or None,
                 headers=headers,
-                timeout=aiohttp.ClientTimeout(total=self._timeout_s),
+                timeout=aiohttp.ClientTimeout(total=self.timeout_s),
             ) as response:
                 answer.status = response.status
                 answer.request_id = response.headers.get(REQUEST_HEADER, "")
