--- a/carobroute/requests/_team_shares.py
+++ b/carobroute/requests/_team_shares.py
@@ -46,10 +46,14 @@
             self._refused[team] = self._refused.get(team, 0.0) + 1.0
 
     def flooding(self, team: str) -> bool:
-        """Whether targets lately refused much of what a team of some size sent."""
+        """Whether a team sends more than all others, and much of it is refused.
+
+        Where many teams are refused the service is short, and none of them floods it.
+        """
         refused = self._refused.get(team, 0.0)
-        much = refused > FLOOD_REFUSED * self._counts.get(team, 0.0)
-        return refused > FLOOD_LEAST and much and not self.light(team)
+        sent = self._counts.get(team, 0.0)
+        dominant = 2 * sent > sum(self._counts.values())
+        return dominant and refused > max(FLOOD_LEAST, FLOOD_REFUSED * sent)
 
     def light(self, team: str) -> bool:
         """Whether `team` sends no more than the mean of the teams seen lately."""
