--- a/carobroute/requests/tests/test_router.py
+++ b/carobroute/requests/tests/test_router.py
@@ -1,3 +1,4 @@
+import itertools
 import random
 
 import pytest
@@ -162,14 +163,26 @@
 def test_other_data_centre_is_chosen_only_where_it_helps(clock):
     views = [make_view("near"), make_view("far", data_centre=DATA_CENTRES[1])]
     router = make_router(clock, views)
-    router.note_report(make_report("near", 1, running=3))
-    router.note_report(make_report("far", 1, running=3))
-    assert count_choices(router, 20) == {"near": 20}
-    router.note_report(make_report("near", 2, running=8, queued=20))
-    assert router.choose(make_query()).unwrap().reason == "spill"
-    # Full as well, so that going there helps nobody.
-    router.note_report(make_report("far", 2, running=8, queued=16))
-    assert count_choices(router, 20) == {"near": 20}
+    for team, count in (("large", 30), ("small", 2)):
+        for _ in range(count):
+            router.note_end(router.note_sent("near", make_query(team=team)), True)
+
+    numbers = itertools.count(1)
+
+    def report(near, far):
+        for name, queued in (("near", near), ("far", far)):
+            running = 8 if queued else 3
+            router.note_report(
+                make_report(name, next(numbers), running=running, queued=queued)
+            )
+
+    report(0, 0)
+    assert count_choices(router, 20, team="large") == {"near": 20}
+    report(20, 0)
+    assert router.choose(make_query(team="large")).unwrap().reason == "spill"
+    # Less full, but too full to make the first-token target.
+    report(20, 8)
+    assert count_choices(router, 20, team="large") == {"near": 20}
 
 
 def test_failures_eject_a_bounded_share_and_return_by_degrees(clock):
