--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -228,6 +228,7 @@
         dump.register("link_keys", self._dump_link_keys)
         dump.register("configuration", self._dump_configuration)
         dump.register("directory", self._dump_directory)
+        dump.register("suspects", self.quarantine.dump)
 
     def _dump_process(self) -> dict[str, object]:
         instance = self.settings.instance
--- a/carobroute/entry/_feed.py
+++ b/carobroute/entry/_feed.py
@@ -71,6 +71,9 @@
                 "report_age_ms": round(record.report_age_ms),
                 "step_ms": record.step_ms,
                 "first_ms": round(record.first_ms, 1),
+                "available": record.available,
+                "ejected": record.health.ejected,
+                "share": round(record.health.share, 2),
             }
             for record in self._router.records
         ]
--- a/carobroute/requests/_quarantine.py
+++ b/carobroute/requests/_quarantine.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable
 
 import msgspec
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from carobroute.engines import prompt_text
 from carobroute.errors import ErrorKind, Fault, fail
@@ -120,6 +120,17 @@
         """Fingerprints that run alone or are refused."""
         return self._blames.suspects()
 
+    def dump(self) -> list[dict[str, object]]:
+        """Return each suspect with the crashes that it is held to, in plain data."""
+        return [
+            {
+                "fingerprint": fingerprint,
+                "crashes": self._blames.strikes(fingerprint),
+                "refused": isinstance(self.check(fingerprint), Failure),
+            }
+            for fingerprint in self.suspects
+        ]
+
     def check(self, fingerprint: str) -> Result[Verdict, Fault]:
         """Return how a request may run, or a `QUARANTINED` fault."""
         age_ms = self._blames.convicted_age_ms(fingerprint)
--- a/carobroute/requests/tests/test_quarantine.py
+++ b/carobroute/requests/tests/test_quarantine.py
@@ -32,6 +32,8 @@
     quarantine.target_crashed("runner-2", "crash-2", alone="poison")
     refused = quarantine.begin("poison", "runner-3").failure()
     assert refused.kind is ErrorKind.QUARANTINED and refused.not_run
+    shown = {entry["fingerprint"]: entry for entry in quarantine.dump()}
+    assert shown["poison"]["refused"] and not shown["innocent"]["refused"]
     assert verdict(quarantine, "innocent") is Verdict.ALONE
     clock.advance_ms(QuarantineParameters().refuse_ms + 1)
     assert verdict(quarantine, "poison") is Verdict.ALONE
