--- a/carobroute/placement/_loads.py
+++ b/carobroute/placement/_loads.py
@@ -86,10 +86,10 @@
             kept.add(self._loading)
         else:
             self._loading = None
+        self._known = {v: m for v, m in self._known.items() if v in kept}
         if self._loaded <= kept:
             return []
         self._loaded &= kept
-        self._known = {v: m for v, m in self._known.items() if v in kept}
         return sorted(kept)
 
     async def _run(self, expert_map: ExpertMap) -> None:
--- a/carobroute/placement/tests/test_switch.py
+++ b/carobroute/placement/tests/test_switch.py
@@ -149,6 +149,18 @@
     run(scenario)
 
 
+def test_refused_loads_leave_nothing_behind():
+    async def scenario(world):
+        world.state.memory_experts = 1
+        for revision in range(1, 20):
+            wanted = make_expert_map(ranks=RANKS, revision=revision)
+            await world.coordinator().switch(wanted)
+        await world.steps(60)
+        assert all(len(m._loads._known) <= 2 for m in world.members.values())
+
+    run(scenario)
+
+
 def test_members_settle_when_the_coordinator_dies_after_the_promises():
     async def scenario(world):
         coordinator = world.coordinator()
