--- a/carobroute/testing/_fault_proxy.py
+++ b/carobroute/testing/_fault_proxy.py
@@ -102,6 +102,7 @@
                 self.label = self._port.classify(data[:FIRST_BYTES])
             faults = self._port.faults
             if self._loses(up):
+                self._mute(up)
                 continue
             if not up and faults.drop_answers > 0:
                 faults.drop_answers -= 1
@@ -122,6 +123,7 @@
             if due_s > loop.time():
                 await asyncio.sleep(due_s - loop.time())
             if self._loses(up):
+                self._mute(up)
                 continue
             if not data:
                 writer.write_eof()
@@ -129,6 +131,13 @@
             writer.write(data)
             await writer.drain()
 
+    def _mute(self, up: bool) -> None:
+        """Keep a direction silent that has lost bytes; TCP never delivers a gap."""
+        if up:
+            self.silent_up = True
+        else:
+            self.silent_down = True
+
     def _loses(self, up: bool) -> bool:
         if up:
             return self.silent_up or self._port.faults.silent_up or self._cut_off
--- a/carobroute/testing/_faulty_fleet.py
+++ b/carobroute/testing/_faulty_fleet.py
@@ -96,9 +96,31 @@
         await super().start_local(target, url=url or own)
         self._links[name].forward_to(target.local.ready["link"])
 
+    def cut_off(self, data_centre: str) -> None:
+        """Have no link pass between `data_centre` and the others, until `heal`.
+
+        The platform stays within reach of all.
+        """
+        others = set(self.data_centres) - {data_centre}
+        for name, port in self._links.items():
+            inside = self.centre_of(name) == data_centre
+            port.silent_labels |= others if inside else {data_centre}
+
+    def centre_of(self, name: str) -> str:
+        """Return the data centre of a process."""
+        if name.startswith("entry-"):
+            number = int(name.removeprefix("entry-"))
+            return self.data_centres[number % len(self.data_centres)]
+        return self.target(name.removeprefix("local-")).fields["data_centre"]
+
+    def _centre_in(self, data: bytes) -> str:
+        """Return the data centre that a process names in its first message."""
+        found = [name for name in self.data_centres if name.encode() in data]
+        return found[0] if len(found) == 1 else ""
+
     async def _open_ports(self, name: str) -> None:
         if name not in self._links:
-            self._links[name] = await self.proxy.port()
+            self._links[name] = await self.proxy.port(classify=self._centre_in)
             self._platforms[name] = await self.proxy.port(self.platform.address)
 
     def _write_settings(self, name: str, sections: dict[str, Any]) -> Path:
