--- a/carobroute/tests/test_groups.py
+++ b/carobroute/tests/test_groups.py
@@ -53,6 +53,7 @@
 
 async def test_group_goes_on_when_a_member_is_replaced(fleet):
     """The ranks do not step without the member, and step on with the new one."""
+    await wait_until(lambda: steps(fleet), what="the group steps")
     target = fleet.targets[0]
     await target.local.kill()
     await fleet.start_local(target)
