Answer early calls, stop what was started, part the peer from the endpoint

Cause: a local process that was replaced at its old address dropped calls without a word until it had its configuration, so that callers waited until their deadline. A key with a slash could not be read by 'carobroute order'. The default of longest_call_ms kept a new process from orders for 10 minutes.

--- a/carobroute/cli/_app.py
+++ b/carobroute/cli/_app.py
@@ -94,7 +94,7 @@
     output: Output = OutputFormat.TABLE,
 ) -> None:
     """Print the record of one order."""
-    path = f"/operator/orders/{team}/{key}"
+    path = f"/operator/orders/{quote(team, safe='')}/{quote(key, safe='')}"
     print_result(_read(address, path, token_file), output=output)
 
 
--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -15,6 +15,7 @@
     LocalParameters,
     LocalProcess,
     OrderRunner,
+    refuse_early_calls,
 )
 from carobroute.requests import FairQueue, Ledger, LedgerParameters
 from carobroute.settings import Settings
@@ -53,6 +54,7 @@
         super().__init__(settings=settings)
         assert settings.local is not None
         self._local = settings.local
+        refuse_early_calls(self.endpoint)
         self._process: LocalProcess
         self._engine: Engine
         self._queue: FairQueue
--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -1,6 +1,7 @@
 """What an entry and a local process have in common."""
 
 import asyncio
+import contextlib
 import random
 import signal
 import ssl
@@ -85,6 +86,7 @@
         self.blames: BlameSpreader
         self._operator_site: WebSite | None = None
         self._stop_asked = asyncio.Event()
+        self._started = contextlib.AsyncExitStack()
 
     async def run(self) -> None:
         """Run until SIGTERM or SIGINT, then end without cutting anything."""
@@ -127,6 +129,9 @@
         return self.ticket_routes()
 
     async def _start(self) -> None:
+        # What was started is stopped in reverse, however far the start has come.
+        self._started.push_async_callback(self.platform.close)
+        self._started.push_async_callback(self.endpoint.stop)
         bound = await self.endpoint.start(self.settings.links.bind)
         address = self.settings.links.announce or bound
         self.instance = self.own_instance(address)
@@ -165,9 +170,12 @@
         self.keeper.on_change(self._follow_key_ring)
         self._register_dump()
         await self._start_operator_site()
+        self._started.push_async_callback(self.poller.stop, withdraw=False)
         await self.poller.start()
         self.blames.start()
+        self._started.push_async_callback(self.overlay.stop)
         await self.overlay.start()
+        self._started.push_async_callback(self.keeper.stop)
         await self.keeper.start()
         await self._wait_configured()
         await self.begin()
@@ -209,16 +217,12 @@
         self._operator_site = WebSite(
             application=interface.application(), bind=self.settings.operator.http_bind
         )
+        self._started.push_async_callback(self._operator_site.stop)
         self.operator_address = await self._operator_site.start()
 
     async def _stop(self) -> None:
-        if self._operator_site is not None:
-            await self._operator_site.stop()
         await self.tasks.close()
-        await self.keeper.stop()
-        await self.overlay.stop()
-        await self.endpoint.stop()
-        await self.platform.close()
+        await self._started.aclose()
 
     def _register_dump(self) -> None:
         dump = self.telemetry.dump
--- a/carobroute/links/__init__.py
+++ b/carobroute/links/__init__.py
@@ -1,7 +1,7 @@
 """Links between the system's processes: messages, frames, heartbeats."""
 
 from carobroute.links._codec import Frame, decode_body, decode_frame, encode_frame
-from carobroute.links._endpoint import Endpoint, LinkParameters, Peer
+from carobroute.links._endpoint import Endpoint
 from carobroute.links._messages import (
     Message,
     Nack,
@@ -9,6 +9,7 @@
     message,
     message_types,
 )
+from carobroute.links._peer import LinkParameters, Peer
 from carobroute.links._request_messages import (
     Ack,
     Attach,
--- a/carobroute/local/__init__.py
+++ b/carobroute/local/__init__.py
@@ -4,6 +4,7 @@
 from carobroute.local._attempts import Attempt, AttemptKey, AttemptTable
 from carobroute.local._cache_news import CacheNews, CacheReporter
 from carobroute.local._crashes import CrashWatch
+from carobroute.local._early import refuse_early_calls
 from carobroute.local._held import HeldAnswers
 from carobroute.local._orders import (
     LinkAsk,
@@ -38,4 +39,5 @@
     "OrderParameters",
     "OrderPermit",
     "OrderRunner",
+    "refuse_early_calls",
 ]
--- a/carobroute/local/_process.py
+++ b/carobroute/local/_process.py
@@ -140,8 +140,8 @@
 
     def start(self) -> None:
         """Register the handlers and start upkeep."""
-        self._endpoint.handle(Submit, self._on_submit)
-        self._endpoint.handle(Attach, self._on_attach)
+        self._endpoint.handle(Submit, self._on_submit, replace=True)
+        self._endpoint.handle(Attach, self._on_attach, replace=True)
         self._endpoint.handle(Cancel, self._on_cancel)
         self._endpoint.handle(Ack, self._on_ack)
         self._tasks.spawn(self._upkeep(), name="local-upkeep")
--- a/carobroute/settings/_schema.py
+++ b/carobroute/settings/_schema.py
@@ -187,7 +187,8 @@
     answer_keep_ms : float
         Time for which a finished answer is kept for a caller that comes back.
     longest_call_ms : float
-        Longest time that one call may run in the target.
+        Longest time that one order may run in the target; a new process waits it out
+        before its first order where the target ignores fencing numbers.
     """
 
     target: Name
@@ -198,7 +199,7 @@
     token_file: str = ""
     buffer_bytes: PositiveInt = 64 * 1024 * 1024
     answer_keep_ms: Ms = 60_000.0
-    longest_call_ms: PositiveMs = 600_000.0
+    longest_call_ms: PositiveMs = 60_000.0
 
 
 class OperatorSettings(
