--- a/carobroute/daemon/_entry.py
+++ b/carobroute/daemon/_entry.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from carobroute.daemon._duties import make_duties
+from carobroute.daemon._gauges import expose_entry, expose_process
 from carobroute.daemon._operator import operator_error, order_record
 from carobroute.daemon._process import Process, load_tls
 from carobroute.daemon._web import WebSite
@@ -115,6 +116,8 @@
         self.tasks.spawn(demand.run(), name="team-demand")
         self._duties = make_duties(self)
         await self._duties.start()
+        expose_process(self)
+        expose_entry(self, self._exchanges.counts)
         dump = self.telemetry.dump
         dump.register("duties", lambda: self._duties.held)
         dump.register("exchanges", self._dump_exchanges)
--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -4,6 +4,7 @@
 
 from returns.result import Failure
 
+from carobroute.daemon._gauges import expose_local, expose_process
 from carobroute.daemon._process import Process
 from carobroute.daemon._ranks import RankHost
 from carobroute.engines import Engine, engine_adapters
@@ -115,6 +116,8 @@
         )
         self._process.start()
         self.telemetry.dump.register("local", self._process.dump)
+        expose_process(self)
+        expose_local(self, self._process, self._orders)
         self.telemetry.dump.register("orders", self._orders.dump)
         self.keeper.on_change(lambda _: self._ticket_changed())
         self.directory.on_change(self._follow_list)
--- a/carobroute/entry/_app.py
+++ b/carobroute/entry/_app.py
@@ -86,6 +86,8 @@
         "_clock",
         "_configuration",
         "_events",
+        "_failures",
+        "_gaps",
         "_in_flight",
         "_latency",
         "_parameters",
@@ -121,6 +123,14 @@
         self._latency = metrics.histogram(
             "first_byte_ms", "Time to the first byte of an answer.", ["service"]
         )
+        self._gaps = metrics.histogram(
+            "between_writes_ms",
+            "Time between two writes of an answer, for one in 16.",
+            ["service"],
+        )
+        self._failures = metrics.counter(
+            "failures", "Calls that ended with a fault.", ["service", "kind"]
+        )
         self.stopping = False
 
     @property
@@ -255,6 +265,7 @@
             request_id=call.request_id,
             write_ms=self._parameters.write_timeout_ms,
             closing=lambda: self.stopping,
+            on_gap=self._gaps.labels(call.service).observe,
         )
         self._events.event(
             "call_received",
@@ -266,6 +277,8 @@
         run = CallRun(services=self._services, call=call, writer=writer)
         response = await run.answer()
         self._requests.labels(call.service, call.team, str(response.status)).inc()
+        if run.fault is not None:
+            self._failures.labels(call.service, run.fault.kind.value).inc()
         if writer.first_byte_ms:
             took_ms = writer.first_byte_ms - call.received_ms
             self._latency.labels(call.service).observe(took_ms)
@@ -275,6 +288,7 @@
         self, fault: Fault, request_id: str, *, team: str = "", service: str = ""
     ) -> web.Response:
         self._requests.labels(service, team, str(fault.answer.status)).inc()
+        self._failures.labels(service, fault.kind.value).inc()
         self._events.event(
             "call_refused",
             request=request_id,
--- a/carobroute/entry/_run.py
+++ b/carobroute/entry/_run.py
@@ -46,6 +46,7 @@
         "_resume_state",
         "_services",
         "_writer",
+        "fault",
     )
 
     def __init__(self, *, services: RelayServices, call: Call, writer: CallerWriter):
@@ -59,6 +60,7 @@
         self._redirect = ""
         self._redirects = 0
         self._resume_state = b""
+        self.fault: Fault | None = None
 
     async def answer(self) -> web.StreamResponse:
         """Return the response that the caller has been given."""
@@ -293,4 +295,5 @@
             attempts=self._attempt,
             chunks=self._expected,
         )
+        self.fault = fault
         return await self._writer.fail(fault)
--- a/carobroute/entry/_writer.py
+++ b/carobroute/entry/_writer.py
@@ -15,6 +15,7 @@
 RESEND_HEADER = "X-Carobroute-Resend"
 EVENT_STREAM = "text/event-stream"
 MS_PER_S = 1_000
+GAP_SAMPLE = 16
 
 
 class ErrorBody(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,6 +100,8 @@
         Identifier of the call.
     write_ms : float
         Longest time that a caller may take to accept one chunk.
+    on_gap : callable
+        Told of the time between two writes, in milliseconds, for a share of them.
     closing : callable
         Tells whether the entry is shutting down.
     clock : Clock or None, default=None
@@ -109,10 +112,12 @@
         "_chunks",
         "_clock",
         "_closing",
+        "_on_gap",
         "_request",
         "_request_id",
         "_response",
         "_write_ms",
+        "_written_ms",
         "first_byte_ms",
     )
 
@@ -123,6 +128,7 @@
         request_id: str,
         write_ms: float,
         closing: Callable[[], bool],
+        on_gap: Callable[[float], None] = lambda gap_ms: None,
         clock: Clock | None = None,
     ):
         self._clock = clock or Clock()
@@ -131,6 +137,8 @@
         self._request_id = request_id
         self._write_ms = write_ms
         self._closing = closing
+        self._on_gap = on_gap
+        self._written_ms = 0.0
         self._response: web.StreamResponse | None = None
         self._chunks = 0
 
@@ -174,6 +182,10 @@
         else:
             await self._write_slowly(data)
         self._chunks += 1
+        now_ms = self._clock.now_ms()
+        if not self._chunks % GAP_SAMPLE:
+            self._on_gap(now_ms - self._written_ms)
+        self._written_ms = now_ms
 
     async def finish(self) -> web.StreamResponse:
         """End a whole answer."""
--- a/carobroute/local/_process.py
+++ b/carobroute/local/_process.py
@@ -133,6 +133,21 @@
         """Why the target is leaving; empty while it serves."""
         return frozenset(self._leaving)
 
+    @property
+    def running(self) -> int:
+        """Calls that run in the target."""
+        return self._runner.running
+
+    @property
+    def queued(self) -> int:
+        """Calls that wait for the target."""
+        return self._runner.queued
+
+    @property
+    def crashes(self) -> int:
+        """Crashes of the target seen."""
+        return self._runner.crashes
+
     @property
     def in_flight(self) -> int:
         """Attempts that are running, waiting or not yet delivered."""
--- a/carobroute/local/_runner.py
+++ b/carobroute/local/_runner.py
@@ -96,6 +96,11 @@
         """Calls that wait for a slot."""
         return self._queue.queued
 
+    @property
+    def crashes(self) -> int:
+        """Crashes of the target seen."""
+        return self._crashes.count
+
     @property
     def concurrency(self) -> int:
         """Slots of the target."""
