Bound callers' connections and the time for their first headers

Cause: the setting max_connections had no effect, and a connection whose headers never came to an end stayed for ever. After: connections beyond the limit are closed at once, and one without a whole request head within body_timeout_ms is closed; both are counted in the dump. 4 tests. Conclusion: kept; later requests on a kept connection are bounded by the HTTP library's keep-alive time.

--- a/carobroute/daemon/_entry.py
+++ b/carobroute/daemon/_entry.py
@@ -99,6 +99,8 @@
             application=self._callers.application(),
             bind=self._entry.http_bind,
             tls=load_tls(self._entry.tls_certificate_file, self._entry.tls_key_file),
+            max_connections=self._entry.max_connections,
+            header_timeout_ms=self._entry.body_timeout_ms,
             options={
                 "max_line_size": MAX_LINE_BYTES,
                 "max_field_size": self._entry.max_header_bytes,
@@ -122,6 +124,7 @@
         dump.register("duties", lambda: self._duties.held)
         dump.register("exchanges", self._dump_exchanges)
         dump.register("targets", self._feed.dump)
+        dump.register("http_counts", lambda: dict(self._site.counts))
         dump.register("exchange_counts", lambda: dict(self._exchanges.counts))
 
     def _follow_changes(self) -> None:
--- a/carobroute/daemon/_web.py
+++ b/carobroute/daemon/_web.py
@@ -1,7 +1,9 @@
 """HTTP listening sockets of a process."""
 
+import asyncio
 import ssl
-from collections.abc import Mapping
+from collections import Counter
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 from aiohttp import web
@@ -9,6 +11,17 @@
 from carobroute.settings import split_host_port
 
 SHUTDOWN_TIMEOUT_S = 5.0
+BACKLOG = 1_024
+HEADER_TIMEOUT_MS = 30_000.0
+MAX_CONNECTIONS = 1_024
+MS_PER_S = 1_000
+
+
+class _RefusingProtocol(asyncio.Protocol):
+    """Closes a connection as soon as it is made."""
+
+    def connection_made(self, transport) -> None:
+        transport.abort()
 
 
 class WebSite:
@@ -22,11 +35,27 @@
         `host:port`; port 0 takes a free one.
     tls : ssl.SSLContext or None, default=None
         TLS towards clients.
+    max_connections : int, default=1024
+        Connections open at a time; further ones are closed at once.
+    header_timeout_ms : float, default=30000
+        Longest time from the opening of a connection to the end of its first
+        request's headers.
     options : mapping, default={}
         Further options of the HTTP server.
     """
 
-    __slots__ = ("_application", "_bind", "_options", "_runner", "_site", "_tls")
+    __slots__ = (
+        "_application",
+        "_bind",
+        "_header_timeout_ms",
+        "_listener",
+        "_max_connections",
+        "_options",
+        "_runner",
+        "_tls",
+        "_unserved",
+        "counts",
+    )
 
     def __init__(
         self,
@@ -34,39 +63,78 @@
         application: web.Application,
         bind: str,
         tls: ssl.SSLContext | None = None,
+        max_connections: int = MAX_CONNECTIONS,
+        header_timeout_ms: float = HEADER_TIMEOUT_MS,
         options: Mapping[str, Any] | None = None,
     ):
         self._application = application
         self._bind = bind
         self._tls = tls
+        self._max_connections = max_connections
+        self._header_timeout_ms = header_timeout_ms
         self._options = dict(options or {})
         self._runner: web.AppRunner | None = None
-        self._site: web.TCPSite | None = None
+        self._listener: asyncio.Server | None = None
+        self._unserved: set[web.RequestHandler] = set()
+        self.counts: Counter[str] = Counter()
 
     async def start(self) -> str:
         """Listen, and return the address as `host:port`."""
-        runner = web.AppRunner(
+        self._application.middlewares.insert(0, self._note_request)
+        self._runner = web.AppRunner(
             self._application,
             access_log=None,
             handler_cancellation=True,
             shutdown_timeout=SHUTDOWN_TIMEOUT_S,
             **self._options,
         )
-        await runner.setup()
+        await self._runner.setup()
         host, port = split_host_port(self._bind)
-        site = web.TCPSite(runner, host, port, ssl_context=self._tls, backlog=1024)
-        await site.start()
-        self._runner, self._site = runner, site
-        bound_host, bound_port = runner.addresses[0][:2]
+        self._listener = await asyncio.get_running_loop().create_server(
+            self._make_protocol, host, port, ssl=self._tls, backlog=BACKLOG
+        )
+        bound_host, bound_port = self._listener.sockets[0].getsockname()[:2]
         return f"{bound_host}:{bound_port}"
 
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on."""
-        if self._site is not None:
-            await self._site.stop()
-            self._site = None
+        if self._listener is not None:
+            self._listener.close()
+            self._listener = None
 
     async def stop(self) -> None:
         """Close everything."""
+        await self.stop_accepting()
         if self._runner is not None:
             await self._runner.cleanup()
+
+    @web.middleware
+    async def _note_request(
+        self,
+        request: web.Request,
+        handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        self._unserved.discard(request.protocol)
+        return await handler(request)
+
+    def _make_protocol(self) -> asyncio.Protocol:
+        assert self._runner is not None and self._runner.server is not None
+        server = self._runner.server
+        if len(server.connections) >= self._max_connections:
+            self.counts["refused_connections"] += 1
+            return _RefusingProtocol()
+        protocol = server()
+        loop = asyncio.get_running_loop()
+        timeout_s = self._header_timeout_ms / MS_PER_S
+        self._unserved.add(protocol)
+        loop.call_later(timeout_s, self._close_unless_served, protocol)
+        return protocol
+
+    def _close_unless_served(self, protocol: web.RequestHandler) -> None:
+        """Close a connection whose first request has not come to its headers' end."""
+        if protocol not in self._unserved:
+            return
+        self._unserved.discard(protocol)
+        if protocol.transport is not None:
+            self.counts["slow_headers"] += 1
+            protocol.transport.abort()
--- /dev/null
+++ b/carobroute/daemon/tests/test_web.py
@@ -0,0 +1,95 @@
+import asyncio
+
+import aiohttp
+from aiohttp import web
+
+from carobroute.daemon._web import WebSite
+
+
+async def hello(request):
+    return web.Response(text="hello")
+
+
+class Served:
+    """A site on a free port, for the length of a test."""
+
+    def __init__(self, **options):
+        application = web.Application()
+        application.router.add_get("/", hello)
+        self.site = WebSite(application=application, bind="127.0.0.1:0", **options)
+
+    async def __aenter__(self):
+        self.address = await self.site.start()
+        return self
+
+    async def __aexit__(self, *exc_info):
+        await self.site.stop()
+
+    async def connect(self):
+        host, _, port = self.address.rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+    async def get(self):
+        async with (
+            aiohttp.ClientSession() as session,
+            session.get(f"http://{self.address}/") as response,
+        ):
+            return await response.text()
+
+
+async def end_of(reader):
+    """Wait until the other side has closed the connection."""
+    try:
+        return await asyncio.wait_for(reader.read(), 20)
+    except ConnectionError:
+        return b""
+
+
+async def test_headers_that_do_not_come_to_an_end_cost_nothing_lasting():
+    async with Served(header_timeout_ms=50.0) as served:
+        reader, writer = await served.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: ")
+        assert await end_of(reader) == b""
+        assert served.site.counts["slow_headers"] == 1
+        assert await served.get() == "hello"
+        writer.close()
+
+
+async def test_served_connection_is_kept_beyond_the_time_for_headers():
+    async with Served(header_timeout_ms=50.0) as served:
+        reader, writer = await served.connect()
+        for _ in range(2):
+            writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+            head = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 20)
+            assert b" 200 " in head
+            assert await reader.readexactly(5) == b"hello"
+        assert served.site.counts["slow_headers"] == 0
+        writer.close()
+
+
+async def test_connections_beyond_the_limit_are_closed_at_once():
+    async with Served(max_connections=1) as served:
+        _, writer = await served.connect()
+        reader, other = await served.connect()
+        assert await end_of(reader) == b""
+        assert served.site.counts["refused_connections"] == 1
+        writer.close()
+        other.close()
+
+
+async def test_listening_ends_and_open_connections_go_on():
+    async with Served() as served:
+        reader, writer = await served.connect()
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        await asyncio.wait_for(reader.readuntil(b"hello"), 20)
+        await served.site.stop_accepting()
+        writer.write(b"GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert b"hello" in await asyncio.wait_for(reader.readuntil(b"hello"), 20)
+        try:
+            await served.connect()
+        except ConnectionError:
+            refused = True
+        else:
+            refused = False
+        assert refused
+        writer.close()
