Test TLS towards callers

Cause: the certificate settings were checked, but no test served anything with them. After: a client that trusts the authority is served; one that does not, and plain HTTP, are not. Conclusion: kept; trustme makes the certificates in tests.

--- a/carobroute/daemon/tests/test_web.py
+++ b/carobroute/daemon/tests/test_web.py
@@ -1,8 +1,12 @@
 import asyncio
+import ssl
 
 import aiohttp
+import pytest
+import trustme
 from aiohttp import web
 
+from carobroute.daemon._process import load_tls
 from carobroute.daemon._web import WebSite
 
 
@@ -29,10 +33,10 @@
         host, _, port = self.address.rpartition(":")
         return await asyncio.open_connection(host, int(port))
 
-    async def get(self):
+    async def get(self, scheme="http", ssl=True):
         async with (
             aiohttp.ClientSession() as session,
-            session.get(f"http://{self.address}/") as response,
+            session.get(f"{scheme}://{self.address}/", ssl=ssl) as response,
         ):
             return await response.text()
 
@@ -93,3 +97,19 @@
             refused = False
         assert refused
         writer.close()
+
+
+async def test_callers_are_served_over_tls_and_only_so(tmp_path):
+    authority = trustme.CA()
+    certificate = authority.issue_cert("127.0.0.1")
+    certificate.cert_chain_pems[0].write_to_path(tmp_path / "entry.pem")
+    certificate.private_key_pem.write_to_path(tmp_path / "entry.key")
+    tls = load_tls(str(tmp_path / "entry.pem"), str(tmp_path / "entry.key"))
+    trusting = ssl.create_default_context()
+    authority.configure_trust(trusting)
+    async with Served(tls=tls) as served:
+        assert await served.get("https", trusting) == "hello"
+        with pytest.raises(aiohttp.ClientConnectorCertificateError):
+            await served.get("https")
+        with pytest.raises(aiohttp.ClientError):
+            await served.get("http")
