--- a/carobroute/daemon/_entry.py
+++ b/carobroute/daemon/_entry.py
@@ -6,6 +6,7 @@
 from returns.result import Failure
 
 from carobroute.daemon._duties import make_duties
+from carobroute.daemon._gauges import expose_entry, expose_process
 from carobroute.daemon._operator import operator_error, order_record
 from carobroute.daemon._process import Process, load_tls
 from carobroute.daemon._web import WebSite
@@ -98,6 +99,8 @@
             application=self._callers.application(),
             bind=self._entry.http_bind,
             tls=load_tls(self._entry.tls_certificate_file, self._entry.tls_key_file),
+            max_connections=self._entry.max_connections,
+            header_timeout_ms=self._entry.body_timeout_ms,
             options={
                 "max_line_size": MAX_LINE_BYTES,
                 "max_field_size": self._entry.max_header_bytes,
@@ -115,10 +118,13 @@
         self.tasks.spawn(demand.run(), name="team-demand")
         self._duties = make_duties(self)
         await self._duties.start()
+        expose_process(self)
+        expose_entry(self, self._exchanges.counts)
         dump = self.telemetry.dump
         dump.register("duties", lambda: self._duties.held)
         dump.register("exchanges", self._dump_exchanges)
         dump.register("targets", self._feed.dump)
+        dump.register("http_counts", lambda: dict(self._site.counts))
         dump.register("exchange_counts", lambda: dict(self._exchanges.counts))
 
     def _follow_changes(self) -> None:
