Charge a target without a free slot, whatever stays were learned

Cause: in a trial with 8 targets an entry sent 256 long streams to its own data centre's four and left the others idle; some waited 30 s for a slot and were refused. Stays had been learned from short calls, so the queue looked cheap. The trial with 8 targets has not been repeated.

--- a/carobroute/requests/_carob.py
+++ b/carobroute/requests/_carob.py
@@ -36,6 +36,8 @@
         Time that a call to another data centre or region adds.
     spill_ms : float
         What another data centre must save to be chosen.
+    full_ms : float
+        Charge for a target without a free slot, in milliseconds.
     flood_share : float
         Share of the groups that a flooding team is kept to.
     smoothing : float
@@ -50,6 +52,7 @@
     other_data_centre_ms: float = 1.0
     other_region_ms: float = 30.0
     spill_ms: float = 10.0
+    full_ms: float = 100.0
     flood_share: float = 0.3
     smoothing: float = 0.05
 
@@ -226,6 +229,10 @@
         first_ms = steps * step_ms + self._link_ms(record, scene)
         cost_ms = first_ms + parameters.load_ms * load / record.concurrency
         cost_ms += self._pace_ms(step_ms, query, scene)
+        if waiting:
+            # How long calls stay is learned from those that ended; a call that must
+            # wait for long ones would look cheap.
+            cost_ms += parameters.full_ms
         return CandidateInputs(
             target=record.name,
             data_centre=record.view.data_centre,
--- a/carobroute/requests/tests/test_router.py
+++ b/carobroute/requests/tests/test_router.py
@@ -185,6 +185,20 @@
     assert count_choices(router, 20, team="large") == {"near": 20}
 
 
+def test_burst_of_long_calls_does_not_queue_beside_a_free_target(clock):
+    """Stays learned from short calls made the queue of the near target look cheap."""
+    views = [make_view("near"), make_view("far", data_centre=DATA_CENTRES[1])]
+    router = make_router(clock, views)
+    for _ in range(200):
+        router.note_end(router.note_sent("near", make_query()), True, 5.0)
+    counts = {"near": 0, "far": 0}
+    for _ in range(16):
+        target = router.choose(make_query()).unwrap().target
+        router.note_sent(target, make_query())
+        counts[target] += 1
+    assert counts == {"near": 8, "far": 8}
+
+
 def test_failures_eject_a_bounded_share_and_return_by_degrees(clock):
     router = make_three(clock)
     for name in ("runner-0", "runner-1", "runner-2"):
