Have the local process consult the quarantine before it runs a call

Cause: only entries did, so that a request could take down a third target when its caller resent it through an entry that the blame had not reached.

--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -109,6 +109,7 @@
             endpoint=self.endpoint,
             engine=self._engine,
             runner=runner,
+            quarantine=self.quarantine,
             configuration=lambda: self.keeper.current,
             wait_number=self.keeper.wait_number,
             clock=self.clock,
--- a/carobroute/local/_process.py
+++ b/carobroute/local/_process.py
@@ -14,6 +14,7 @@
 from carobroute.local._held import HeldAnswers
 from carobroute.local._load_reports import LoadReporter
 from carobroute.local._runner import CallRunner
+from carobroute.requests import Quarantine, Verdict
 from carobroute.telemetry import EventLog
 from carobroute.tickets import Configuration
 from carobroute.utils import Clock, TaskSet
@@ -70,6 +71,8 @@
         The target.
     runner : CallRunner
         Carries calls out.
+    quarantine : Quarantine
+        Knows requests that crash targets.
     configuration : callable
         Returns the configuration in force.
     wait_number : callable
@@ -90,6 +93,7 @@
         "_held",
         "_leaving",
         "_parameters",
+        "_quarantine",
         "_reporter",
         "_runner",
         "_tasks",
@@ -103,6 +107,7 @@
         endpoint: Endpoint,
         engine: Engine,
         runner: CallRunner,
+        quarantine: Quarantine,
         configuration: Callable[[], Configuration],
         wait_number: Callable[[int, float], Awaitable[bool]],
         clock: Clock,
@@ -112,6 +117,7 @@
         self._endpoint = endpoint
         self._engine = engine
         self._runner = runner
+        self._quarantine = quarantine
         self._configuration = configuration
         self._wait_number = wait_number
         self._clock = clock
@@ -259,7 +265,7 @@
         if peer.ticket > self._configuration().number and not pulled:
             self._tasks.spawn(self._pull_first(peer, submit), name="pull-first")
             return
-        fault = self._refusal(submit)
+        fault = self._refusal(submit) or self._judge(submit)
         if fault is not None:
             self._add_refused(peer, key, fault)
             return
@@ -324,6 +330,18 @@
             )
         return None
 
+    def _judge(self, submit: Submit) -> Fault | None:
+        """Refuse a request that is held to crash targets; run a suspect alone.
+
+        What is known of it may have reached this process before the entry.
+        """
+        checked = self._quarantine.check(submit.suspect_id)
+        if isinstance(checked, Failure):
+            return checked.failure()
+        if checked.unwrap() is Verdict.ALONE:
+            submit.alone = True
+        return None
+
     def _add_refused(self, peer: Peer, key: AttemptKey, fault: Fault) -> None:
         answer = Answer(window_bytes=self._parameters.window_bytes)
         answer.close(fault)
--- a/carobroute/testing/_call_data.py
+++ b/carobroute/testing/_call_data.py
@@ -56,6 +56,7 @@
         self.up = True
         self.silent_ms = 0.0
         self.full = False
+        self.ticket = 0
         self.sent: list[Message] = []
         self.unsent: list[Message] = []
         self.held = 0
@@ -88,7 +89,9 @@
 
 
 class FakeEndpoint:
-    """Links of an entry to fake peers, by address."""
+    """Links of a process to fake peers, by address."""
+
+    incarnation = "local~1"
 
     def __init__(self, peers: Iterable[FakePeer] = ()):
         self.by_address = {peer.address: peer for peer in peers}
@@ -104,7 +107,7 @@
         """Return the peer at `address`."""
         return self.by_address[address]
 
-    def handle(self, kind: type, handler: Any) -> None:
+    def handle(self, kind: type, handler: Any, *, replace: bool = False) -> None:
         """Note a handler."""
         self.handlers[kind] = handler
 
