--- a/benchmarks/drain.py
+++ b/benchmarks/drain.py
@@ -26,7 +26,6 @@
 ENTRIES = 3
 LOOPS = 18
 TOKENS = 40
-LONG_TOKENS = 900
 STEP_MS = 10.0
 MARK_LIMIT_S = 3.0
 
@@ -42,14 +41,17 @@
         Lag of the instance list.
     leave_within_s : float
         Time that a hot target has left.
+    long_tokens : int
+        Length of the streams that a hot target cannot end in that time.
     """
 
     watch_s: float = 3.0
     list_lag_ms: float = 4_000.0
     leave_within_s: float = 5.0
+    long_tokens: int = 900
 
 
-QUICK = Pace(watch_s=1.0, list_lag_ms=2_000.0, leave_within_s=3.5)
+QUICK = Pace(watch_s=1.0, list_lag_ms=2_000.0, leave_within_s=3.5, long_tokens=500)
 
 
 class Load:
@@ -202,7 +204,8 @@
         """Streams longer than the time left are moved to other targets."""
         target = next(self._targets)
         long_streams = [
-            asyncio.create_task(self._load.send(LONG_TOKENS)) for _ in range(MODELS * 3)
+            asyncio.create_task(self._load.send(self._pace.long_tokens))
+            for _ in range(MODELS * 3)
         ]
         await wait_until(
             lambda: self._long_running(target), what="long streams run there"
