Add the gateway: an entry that sends calls to targets itself, on the platform

Cause: plain services have no slot for a local process on the users' platform, and callers, targets and the store speak the platform's formats there.

- carobroute.platform decodes the platform's settings file, configuration, list of targets and headers once, and has a client of its row store.
- carobroute.gateway holds the decisions: configuration with the age of its proof, targets, central queue, repeats within a shared window, streams resumed by event, requests that crash their targets, stop and readiness.
- HttpTransport sends raw paths, adds no header, and keeps repeated headers; WebSite, Health and the error document moved to where both entries can use them.
- requirements.txt holds what runs; requirements-dev.txt what tests and plots need.

--- a/Makefile
+++ b/Makefile
@@ -12,9 +12,9 @@
 	@grep -hE '^[a-z-]+%?:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /  /'
 	@echo 'bench-NAME  run benchmarks/NAME.py (SEED=n QUICK=1)'
 
-$(VENV)/.installed: requirements.txt pyproject.toml
+$(VENV)/.installed: requirements.txt requirements-dev.txt pyproject.toml
 	$(PYTHON) -m venv $(VENV)
-	$(BIN)/pip install --quiet -r requirements.txt
+	$(BIN)/pip install --quiet -r requirements-dev.txt
 	$(BIN)/pip install --quiet --no-deps -e .
 	@touch $@
 
--- a/carobroute/daemon/_entry.py
+++ b/carobroute/daemon/_entry.py
@@ -9,7 +9,6 @@
 from carobroute.daemon._gauges import expose_entry, expose_process
 from carobroute.daemon._operator import operator_error, order_record
 from carobroute.daemon._process import Process, load_tls
-from carobroute.daemon._web import WebSite
 from carobroute.entry import (
     CallerInterface,
     CallerParameters,
@@ -24,6 +23,7 @@
 from carobroute.leases import Duties
 from carobroute.requests import Admission, RetryPolicy, Router, read_order
 from carobroute.settings import Settings
+from carobroute.web import WebSite
 from carobroute.world import Instance, InstanceRole
 
 DRAIN_CHECK_MS = 20.0
--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -11,7 +11,6 @@
 from returns.result import Failure
 
 from carobroute.daemon._operator import OperatorInterface
-from carobroute.daemon._web import WebSite
 from carobroute.links import (
     Endpoint,
     KeyRing,
@@ -31,6 +30,7 @@
     ticket_routes,
 )
 from carobroute.utils import Clock, TaskSet, new_incarnation
+from carobroute.web import WebSite
 from carobroute.world import Instance
 
 CONFIGURATION_WAIT_MS = 10_000.0
--- a/carobroute/engines/__init__.py
+++ b/carobroute/engines/__init__.py
@@ -1,5 +1,6 @@
 """Adapters to what a local process stands beside: model engines and plain services."""
 
+from carobroute.engines._http import HttpTransport, end_to_end
 from carobroute.engines._interface import (
     CacheEvent,
     CacheEvents,
@@ -34,12 +35,14 @@
     "EngineLoad",
     "EngineOrder",
     "EngineParameters",
+    "HttpTransport",
     "KvHandle",
     "OpenAiEngine",
     "OrderAction",
     "PlainEngine",
     "block_hashes",
     "count_tokens",
+    "end_to_end",
     "engine_adapters",
     "prompt_text",
 ]
--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -4,7 +4,9 @@
 from collections.abc import Mapping
 
 import aiohttp
+from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
+from yarl import URL
 
 from carobroute.engines._interface import EngineParameters
 from carobroute.engines._once import Guard, OnceBody
@@ -14,6 +16,8 @@
 PIECE_BYTES = 64 * 1024
 STALE_FENCE_STATUS = 409
 
+SKIPPED_HEADERS = ("User-Agent", "Content-Type", "Accept", "Accept-Encoding")
+
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -32,23 +36,25 @@
 )
 
 
-def end_to_end(headers: Mapping[str, str]) -> dict[str, str]:
-    """Return the headers that go on to the next hop.
+def end_to_end(headers: Mapping[str, str]) -> CIMultiDict[str]:
+    """Return the headers that go on to the next hop, repeated ones included.
 
     Examples
     --------
-    >>> end_to_end({"Connection": "close", "Content-Type": "text/plain"})
+    >>> dict(end_to_end({"Connection": "close", "Content-Type": "text/plain"}))
     {'Content-Type': 'text/plain'}
     """
+    kept: CIMultiDict[str] = CIMultiDict()
     named = {
         name.strip().lower()
-        for name in headers.get("Connection", "").lower().split(",")
-    }
-    return {
-        name: value
-        for name, value in headers.items()
-        if name.lower() not in HOP_HEADERS and name.lower() not in named
+        for field, value in headers.items()
+        if field.lower() == "connection"
+        for name in value.split(",")
     }
+    for name, value in headers.items():
+        if name.lower() not in HOP_HEADERS and name.lower() not in named:
+            kept.add(name, value)
+    return kept
 
 
 class HttpTransport:
@@ -158,7 +164,7 @@
             async with asyncio.timeout(first_byte_ms / MS_PER_S):
                 response = await session.request(
                     method,
-                    self._address + path,
+                    URL(self._address + path, encoded=True),
                     headers=headers,
                     data=body if body else None,
                     timeout=limit,
@@ -217,15 +223,20 @@
         return fail(ErrorKind.TARGET_FAILED, detail)
 
     def _session(self, *, force_close: bool) -> aiohttp.ClientSession:
-        connector = aiohttp.TCPConnector(
-            limit=self._parameters.max_connections, force_close=force_close
-        )
+        limit = self._parameters.max_connections
+        if force_close:
+            connector = aiohttp.TCPConnector(limit=limit, force_close=True)
+        else:
+            keep_alive_s = self._parameters.keep_alive_ms / MS_PER_S
+            connector = aiohttp.TCPConnector(
+                limit=limit, keepalive_timeout=keep_alive_s
+            )
         return aiohttp.ClientSession(
             connector=connector,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=PIECE_BYTES,
-            skip_auto_headers=("User-Agent", "Content-Type", "Accept"),
+            skip_auto_headers=SKIPPED_HEADERS,
         )
 
 
--- a/carobroute/engines/_interface.py
+++ b/carobroute/engines/_interface.py
@@ -34,6 +34,8 @@
         Connections open to the target at a time.
     max_event_bytes : int
         Largest single event of a stream.
+    keep_alive_ms : float
+        Longest time that an unused connection is kept.
     """
 
     connect_ms: float = 1_000.0
@@ -44,6 +46,7 @@
     side_call_ms: float = 2_000.0
     max_connections: int = 512
     max_event_bytes: int = 1 << 20
+    keep_alive_ms: float = 15_000.0
 
 
 class EngineCall(msgspec.Struct, frozen=True, kw_only=True):
--- a/carobroute/engines/_openai.py
+++ b/carobroute/engines/_openai.py
@@ -101,7 +101,7 @@
             return Success(
                 EngineAnswer(
                     status=response.status,
-                    headers=end_to_end(response.headers),
+                    headers=dict(end_to_end(response.headers)),
                     chunks=read_pieces(response),
                     streaming=False,
                     close=close,
@@ -113,7 +113,7 @@
         return Success(
             EngineAnswer(
                 status=response.status,
-                headers=end_to_end(response.headers),
+                headers=dict(end_to_end(response.headers)),
                 chunks=stream.events(),
                 streaming=True,
                 close=stream.close,
@@ -128,7 +128,7 @@
 
     async def connect(self, call: EngineCall) -> Result[aiohttp.ClientResponse, Fault]:
         """Send `call` on a new connection and check that a resumption is one."""
-        headers = end_to_end(call.headers)
+        headers = dict(end_to_end(call.headers))
         headers[PRIORITY_HEADER] = str(call.priority)
         headers[REQUEST_ID_HEADER] = call.request_id
         if call.resume_from:
--- a/carobroute/engines/_plain.py
+++ b/carobroute/engines/_plain.py
@@ -64,7 +64,7 @@
 
     async def open(self, call: EngineCall) -> Result[EngineAnswer, Fault]:
         """Send `call` and return the answer once it has begun."""
-        headers = end_to_end(call.headers)
+        headers = dict(end_to_end(call.headers))
         headers[REQUEST_HEADER] = call.request_id
         if call.fence:
             headers[FENCE_HEADER] = str(call.fence)
@@ -87,7 +87,7 @@
         return Success(
             EngineAnswer(
                 status=response.status,
-                headers=end_to_end(response.headers),
+                headers=dict(end_to_end(response.headers)),
                 chunks=read_pieces(response),
                 streaming=False,
                 close=close,
--- a/carobroute/entry/__init__.py
+++ b/carobroute/entry/__init__.py
@@ -8,7 +8,7 @@
 from carobroute.entry._parse import CallParser, call_class_of, key_hash
 from carobroute.entry._run import CallRun
 from carobroute.entry._services import RelayParameters, RelayServices
-from carobroute.entry._writer import CallerWriter, encode_error, error_response
+from carobroute.entry._writer import CallerWriter, error_response
 
 __all__ = [
     "Call",
@@ -25,7 +25,6 @@
     "RelayServices",
     "TargetFeed",
     "call_class_of",
-    "encode_error",
     "error_response",
     "key_hash",
 ]
--- /dev/null
+++ b/carobroute/gateway/__init__.py
@@ -0,0 +1,43 @@
+"""The entry that sends calls to targets itself, on the users' platform."""
+
+from carobroute.gateway._configuration import (
+    Caller,
+    ConfigurationInForce,
+    RoutingTable,
+    choose_service,
+)
+from carobroute.gateway._dispatch import (
+    Demand,
+    Dispatcher,
+    DispatchParameters,
+    Grant,
+)
+from carobroute.gateway._events import EventCutter
+from carobroute.gateway._exchange import Exchange
+from carobroute.gateway._parameters import GatewayParameters
+from carobroute.gateway._process import GatewayProcess, load_or_raise, settings_path
+from carobroute.gateway._retry_window import RetryWindow
+from carobroute.gateway._suspects import Suspects, fingerprint
+from carobroute.gateway._targets import Target, TargetDirectory
+
+__all__ = [
+    "Caller",
+    "ConfigurationInForce",
+    "Demand",
+    "DispatchParameters",
+    "Dispatcher",
+    "EventCutter",
+    "Exchange",
+    "GatewayParameters",
+    "GatewayProcess",
+    "Grant",
+    "RetryWindow",
+    "RoutingTable",
+    "Suspects",
+    "Target",
+    "TargetDirectory",
+    "choose_service",
+    "fingerprint",
+    "load_or_raise",
+    "settings_path",
+]
--- /dev/null
+++ b/carobroute/gateway/_answers.py
@@ -0,0 +1,22 @@
+"""The gateway's own answers to callers."""
+
+from aiohttp import web
+
+from carobroute.errors import Fault, encode_error
+from carobroute.platform import REQUEST_ID, RETRY_AFTER
+
+MS_PER_S = 1_000
+# Advice shorter than a few round trips would only add load.
+LEAST_RETRY_AFTER_MS = 50.0
+
+
+def refuse(fault: Fault, request_id: str) -> web.Response:
+    """Return the answer that tells a caller of `fault`."""
+    headers = {"Content-Type": "application/json"}
+    if request_id:
+        headers[REQUEST_ID] = request_id
+    if fault.answer.retry_after and fault.retry_after_ms > 0:
+        wait_ms = max(LEAST_RETRY_AFTER_MS, fault.retry_after_ms)
+        headers[RETRY_AFTER] = f"{wait_ms / MS_PER_S:.3f}"
+    body = encode_error(fault, request_id)
+    return web.Response(status=fault.answer.status, body=body, headers=headers)
--- /dev/null
+++ b/carobroute/gateway/_parameters.py
@@ -0,0 +1,68 @@
+"""Times and bounds of a gateway."""
+
+import msgspec
+
+
+class GatewayParameters(msgspec.Struct, frozen=True, kw_only=True):
+    """Times and bounds of a gateway that its settings file does not give.
+
+    Parameters
+    ----------
+    watch_ms : float
+        Time that one watch of the configuration lasts. Two of them fit well within
+        the time in which a revoked key must stop working.
+    targets_ms : float
+        Time between two readings of the list of targets; two of them and a lost one
+        fit within the time in which a leaving target must get no more calls.
+    retry_store_ms, retry_store_most_ms : float
+        First and longest wait after a failed call to the store.
+    lapsed_ms : float
+        Time after the store's return in which lapsed entries may come back.
+    outage_ms : float
+        Time without an answer after which entries may have lapsed.
+    proof_margin_ms : float
+        Part of the revocation time that is left for a call's way to its target.
+    connect_ms : float
+        Longest time to open a connection to a target; several round trips between
+        data centres and one lost packet.
+    keep_alive_ms : float
+        Longest time that a connection to a target is kept unused. Targets tell their
+        own in whole seconds, so no shorter one than a second exists.
+    answer_ms_share : float
+        Part of the time left that the first target of a repeatable call gets.
+    first_event_ms : float
+        Longest wait for a stream's first byte while another target may be tried.
+    least_left_ms : float
+        Time that a call needs at least to be worth sending.
+    stop_ready_ms : float
+        Time from the signal to stop to the closing of the listener, in which the
+        balancer asks for readiness three times.
+    stop_margin_ms : float
+        Time before the kill at which the last calls are given up.
+    max_connections : int
+        Callers' connections open at a time; half of the descriptors of a small
+        instance.
+    body_buffer_bytes : int
+        Largest answer that is held back until it is whole.
+    crash_limit : int
+        Crashes of targets after which a request that was in flight at all of them is
+        refused.
+    """
+
+    watch_ms: float = 1_200.0
+    targets_ms: float = 700.0
+    retry_store_ms: float = 100.0
+    retry_store_most_ms: float = 800.0
+    lapsed_ms: float = 2_200.0
+    outage_ms: float = 1_500.0
+    proof_margin_ms: float = 400.0
+    connect_ms: float = 400.0
+    keep_alive_ms: float = 1_500.0
+    answer_ms_share: float = 0.5
+    first_event_ms: float = 1_200.0
+    least_left_ms: float = 15.0
+    stop_ready_ms: float = 3_200.0
+    stop_margin_ms: float = 600.0
+    max_connections: int = 2_000
+    body_buffer_bytes: int = 1 << 20
+    crash_limit: int = 2
--- /dev/null
+++ b/carobroute/gateway/_process.py
@@ -0,0 +1,304 @@
+"""A gateway as a process: start, readiness, reload and stop."""
+
+import asyncio
+import os
+import random as random_module
+import signal
+import sys
+from pathlib import Path
+
+from aiohttp import web
+from returns.result import Failure
+
+from carobroute.errors import FaultError
+from carobroute.gateway._configuration import ConfigurationInForce
+from carobroute.gateway._dispatch import Dispatcher
+from carobroute.gateway._exchange import Exchange
+from carobroute.gateway._parameters import GatewayParameters
+from carobroute.gateway._records import CallRecorder
+from carobroute.gateway._retry_window import RetryWindow
+from carobroute.gateway._services import GatewayServices
+from carobroute.gateway._store_watch import ConfigurationWatch, TargetWatch
+from carobroute.gateway._suspects import Suspects
+from carobroute.gateway._target_pool import TargetPool
+from carobroute.gateway._targets import DirectoryChange, TargetDirectory
+from carobroute.platform import READY_PATH, ProcessSettings, RowStore, read_settings
+from carobroute.telemetry import EventLog, LineBuffer, Metrics
+from carobroute.utils import Clock, TaskSet, new_incarnation
+from carobroute.web import WebSite
+
+METRICS_PORT = 9464
+METRICS_PATH = "/metrics"
+# Longest header line; the configuration bounds headers only once it is known.
+MAX_HEADER_BYTES = 16_384
+MAX_BODY_BYTES = 1 << 24
+IDLE_MS = 75_000.0
+FIRST_HEADERS_MS = 10_000.0
+EVENTS_PER_S = 200.0
+MS_PER_S = 1_000
+
+
+class GatewayProcess:
+    """Takes callers' requests and sends them to targets itself.
+
+    Parameters
+    ----------
+    settings_path : Path
+        The platform's settings file.
+    settings : ProcessSettings
+        What it held at the start.
+    parameters : GatewayParameters, default=None
+        Times and bounds.
+    clock : Clock, default=None
+        Source of time.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_configuration",
+        "_directory",
+        "_dispatcher",
+        "_events",
+        "_lines",
+        "_metrics",
+        "_parameters",
+        "_pool",
+        "_random",
+        "_services",
+        "_settings",
+        "_settings_path",
+        "_sites",
+        "_stop",
+        "_store",
+        "_suspects",
+        "_tasks",
+    )
+
+    def __init__(
+        self,
+        *,
+        settings_path: Path,
+        settings: ProcessSettings,
+        parameters: GatewayParameters | None = None,
+        clock: Clock | None = None,
+    ):
+        self._settings_path = settings_path
+        self._settings = settings
+        self._parameters = parameters or GatewayParameters()
+        self._clock = clock or Clock()
+        self._random = random_module.Random()
+        self._lines = LineBuffer(descriptor=sys.stdout.fileno())
+        self._events = EventLog(
+            name=settings.name,
+            incarnation=new_incarnation(settings.name),
+            most_per_s=EVENTS_PER_S,
+            stream=self._lines.as_stream(),
+            clock=self._clock,
+        )
+        self._metrics = Metrics()
+        self._tasks = TaskSet(on_failure=self._note_failed_task)
+        self._sites: list[WebSite] = []
+        self._stop = asyncio.Event()
+        self._assemble()
+
+    def _assemble(self) -> None:
+        bounds, clock = self._settings.bounds, self._clock
+        self._store = RowStore(address=self._settings.store_address)
+        self._configuration = ConfigurationInForce(
+            clock=clock,
+            revoke_ms=bounds.revoke_ms,
+            margin_ms=self._parameters.proof_margin_ms,
+        )
+        self._directory = TargetDirectory(
+            clock=clock,
+            outage_ms=self._parameters.outage_ms,
+            lapsed_ms=self._parameters.lapsed_ms,
+        )
+        self._dispatcher = Dispatcher(
+            clock=clock,
+            random=self._random,
+            data_centre=self._settings.data_centre,
+            directory=self._directory,
+        )
+        self._pool = TargetPool(parameters=self._parameters, tasks=self._tasks)
+        self._suspects = Suspects(clock=clock, crash_limit=self._parameters.crash_limit)
+        self._services = GatewayServices(
+            clock=clock,
+            random=self._random,
+            parameters=self._parameters,
+            configuration=self._configuration,
+            directory=self._directory,
+            dispatcher=self._dispatcher,
+            pool=self._pool,
+            retries=RetryWindow(
+                clock=clock,
+                window_ms=bounds.retry_window_ms,
+                share=bounds.retry_share,
+                slack=bounds.retry_slack,
+            ),
+            suspects=self._suspects,
+            recorder=CallRecorder(events=self._events, metrics=self._metrics),
+        )
+        # Until peers are known, assume one gateway in each data centre.
+        self._services.retries.set_gateways(len(self._settings.data_centres))
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers should be sent here."""
+        known = self._configuration.table is not None
+        return known and not self._services.closes_connections
+
+    async def run(self) -> None:
+        """Serve until told to stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
+        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._lines.start(loop)
+        self._events.event(
+            "started",
+            data_centre=self._settings.data_centre,
+            callers=self._settings.caller_address,
+            store=self._settings.store_address,
+        )
+        self._spawn_watches()
+        callers = await self._listen()
+        await self._stop.wait()
+        await self._shut_down(callers)
+
+    def _spawn_watches(self) -> None:
+        configuration = ConfigurationWatch(
+            store=self._store,
+            configuration=self._configuration,
+            parameters=self._parameters,
+            events=self._events,
+            clock=self._clock,
+            random=self._random,
+        )
+        targets = TargetWatch(
+            store=self._store,
+            directory=self._directory,
+            on_change=self._note_change,
+            parameters=self._parameters,
+            events=self._events,
+            clock=self._clock,
+            random=self._random,
+        )
+        self._tasks.spawn(configuration.run(), name="watch configuration")
+        self._tasks.spawn(targets.run(), name="watch targets")
+        self._tasks.spawn(self._pump(), name="pump queues")
+
+    async def _pump(self) -> None:
+        """Look at the queues now and then, for slots that other gateways gave up."""
+        while True:
+            await self._clock.sleep_ms(self._dispatcher.check_ms)
+            self._dispatcher.pump_all()
+
+    def _note_change(self, change: DirectoryChange) -> None:
+        for run in change.gone:
+            blamed = self._suspects.crashed(run)
+            if blamed:
+                self._events.event(
+                    "requests_suspected", target=run, requests=",".join(blamed)
+                )
+        self._pool.drop_gone()
+
+    async def _listen(self) -> WebSite:
+        callers = web.Application(client_max_size=MAX_BODY_BYTES)
+        callers.router.add_route("*", "/{path:.*}", self._serve)
+        operations = web.Application()
+        operations.router.add_get(READY_PATH, self._answer_ready)
+        metrics = web.Application()
+        metrics.router.add_get(METRICS_PATH, self._answer_metrics)
+        options = {
+            "keepalive_timeout": IDLE_MS / MS_PER_S,
+            "max_line_size": MAX_HEADER_BYTES,
+            "max_field_size": MAX_HEADER_BYTES,
+        }
+        caller_site = WebSite(
+            application=callers,
+            bind=self._settings.caller_address,
+            max_connections=self._parameters.max_connections,
+            header_timeout_ms=FIRST_HEADERS_MS,
+            stop_timeout_ms=self._stop_timeout_ms,
+            options=options,
+        )
+        self._sites = [
+            WebSite(application=application, bind=bind, stop_timeout_ms=0.0)
+            for application, bind in (
+                (operations, self._settings.ready_address),
+                (metrics, f"{self._settings.ip}:{METRICS_PORT}"),
+            )
+        ]
+        for site in (caller_site, *self._sites):
+            await site.start()
+        return caller_site
+
+    @property
+    def _stop_timeout_ms(self) -> float:
+        """Time that calls have to end once the listener is closed."""
+        left_ms = self._settings.bounds.stop_ms - self._parameters.stop_ready_ms
+        return max(0.0, left_ms - self._parameters.stop_margin_ms)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        return await Exchange(services=self._services, request=request).answer()
+
+    async def _answer_ready(self, request: web.Request) -> web.Response:
+        return web.Response(status=200 if self.ready else 503)
+
+    async def _answer_metrics(self, request: web.Request) -> web.Response:
+        return web.Response(body=self._metrics.render())
+
+    def _reload(self) -> None:
+        loaded = read_settings(self._settings_path)
+        if isinstance(loaded, Failure):
+            self._events.event(
+                "reload_failed", level="error", why=loaded.failure().detail
+            )
+            return
+        changed = loaded.unwrap() != self._settings
+        self._settings = loaded.unwrap()
+        self._events.event("reloaded", changed=changed)
+
+    async def _shut_down(self, callers: WebSite) -> None:
+        """Leave the balancer's rotation first, then answer what is in flight."""
+        self._services.stopping = True
+        self._events.event("stopping")
+        await self._clock.sleep_ms(self._parameters.stop_ready_ms)
+        await callers.stop_accepting()
+        await callers.stop()
+        await self._tasks.close()
+        for site in self._sites:
+            await site.stop()
+        await self._pool.close()
+        await self._store.close()
+        self._events.event("stopped")
+        self._lines.close()
+
+    def _note_failed_task(self, name: str, error: BaseException) -> None:
+        self._events.event("task_failed", level="error", task=name, error=repr(error))
+
+
+def load_or_raise(path: Path) -> ProcessSettings:
+    """Return the settings at `path`.
+
+    Raises
+    ------
+    FaultError
+        If they cannot be read.
+    """
+    loaded = read_settings(path)
+    if isinstance(loaded, Failure):
+        raise FaultError(loaded.failure())
+    return loaded.unwrap()
+
+
+def settings_path(variable: str) -> Path:
+    """Return the path that the environment variable `variable` names.
+
+    Raises
+    ------
+    KeyError
+        If it is not set.
+    """
+    return Path(os.environ[variable])
--- a/carobroute/platform/__init__.py
+++ b/carobroute/platform/__init__.py
@@ -1,10 +1,22 @@
-"""Clients of the platform: table service, object store, instance list."""
+"""The platform: its store, its settings file, its headers, its formats."""
 
 from carobroute.platform._adapters import (
     PlatformAdapter,
     PlatformClients,
     platform_adapters,
 )
+from carobroute.platform._call_headers import (
+    READY_PATH,
+    REQUEST_ID,
+    RETRY_AFTER,
+    AnswerHead,
+    CallHead,
+    LoadReading,
+    call_headers,
+    decode_answer,
+    decode_call,
+    is_own_header,
+)
 from carobroute.platform._http import (
     HttpInstanceListClient,
     HttpObjectStoreClient,
@@ -21,25 +33,70 @@
     Transaction,
     TransactionOutcome,
 )
+from carobroute.platform._process_settings import (
+    SETTINGS_VARIABLE,
+    ProcessSettings,
+    TimeBounds,
+    decode_settings,
+    read_settings,
+)
 from carobroute.platform._retry import RetryPacer, RetryParameters, settle
+from carobroute.platform._routing_wire import decode_configuration, decode_target
+from carobroute.platform._row_store import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    TARGET_TABLE,
+    RowAddress,
+    RowCondition,
+    RowsAnswer,
+    RowStore,
+    RowWrite,
+    StoredRow,
+)
 
 __all__ = [
+    "AnswerHead",
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TABLE",
+    "CallHead",
     "Condition",
     "HttpInstanceListClient",
     "HttpObjectStoreClient",
     "HttpTableClient",
     "InstanceListClient",
+    "LoadReading",
     "ObjectStoreClient",
     "PlatformAdapter",
     "PlatformClients",
+    "ProcessSettings",
     "Put",
+    "READY_PATH",
+    "REQUEST_ID",
+    "RETRY_AFTER",
     "RetryPacer",
     "RetryParameters",
     "Row",
+    "RowAddress",
+    "RowCondition",
+    "RowStore",
+    "RowWrite",
+    "RowsAnswer",
+    "SETTINGS_VARIABLE",
+    "StoredRow",
+    "TARGET_TABLE",
     "TableClient",
+    "TimeBounds",
     "Transaction",
     "TransactionOutcome",
+    "call_headers",
+    "decode_answer",
+    "decode_call",
+    "decode_configuration",
+    "decode_settings",
+    "decode_target",
     "http_platform",
+    "is_own_header",
     "platform_adapters",
+    "read_settings",
     "settle",
 ]
--- a/carobroute/platform/_channel.py
+++ b/carobroute/platform/_channel.py
@@ -3,6 +3,7 @@
 import asyncio
 
 import aiohttp
+import msgspec
 from returns.result import Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
@@ -17,6 +18,13 @@
 KEEP_ALIVE_S = 15.0
 
 
+class ChannelAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Status and whole body of an answer."""
+
+    status: int
+    data: bytes
+
+
 class _Pool:
     """One session with its connections and the number of calls that use it."""
 
@@ -42,14 +50,24 @@
         Longest time for one call, in milliseconds.
     token : str, default=""
         Bearer token sent with each call; empty for none.
+    content_type : str, default="application/msgpack"
+        Type of the bodies.
     """
 
-    __slots__ = ("_base_url", "_pool", "_timeout_ms", "_token")
+    __slots__ = ("_base_url", "_content_type", "_pool", "_timeout_ms", "_token")
 
-    def __init__(self, *, base_url: str, timeout_ms: float, token: str = ""):
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        timeout_ms: float,
+        token: str = "",
+        content_type: str = CONTENT_TYPE,
+    ):
         self._base_url = base_url
         self._timeout_ms = timeout_ms
         self._token = token
+        self._content_type = content_type
         self._pool: _Pool | None = None
 
     async def call(
@@ -71,11 +89,22 @@
         body : Result
             The answer's body, None where there is nothing, or a fault.
         """
+        answered = await self.exchange(method, path, body, limit_ms=limit_ms)
+        return answered.bind(lambda answer: _judge(answer, f"{method} {path}"))
+
+    async def exchange(
+        self, method: str, path: str, body: bytes = b"", *, limit_ms: float = 0.0
+    ) -> Result[ChannelAnswer, Fault]:
+        """Send one request and return its answer, whatever the status.
+
+        Takes the parameters of `call`. A `STORE_UNAVAILABLE` fault leaves open
+        whether the request took effect.
+        """
         timeout_ms = min(self._timeout_ms, limit_ms or self._timeout_ms)
         pool = self._acquire()
         try:
             async with asyncio.timeout(timeout_ms / 1_000):
-                return await self._send(pool.session, method, path, body)
+                return Success(await self._send(pool.session, method, path, body))
         except TimeoutError:
             self._retire(pool)
             return fail(
@@ -97,24 +126,14 @@
 
     async def _send(
         self, session: aiohttp.ClientSession, method: str, path: str, body: bytes
-    ) -> Result[bytes | None, Fault]:
+    ) -> ChannelAnswer:
         url = self._base_url + path
         async with session.request(method, url, data=body or None) as response:
-            data = await response.read()
-            status = response.status
-        if status == OK_STATUS:
-            return Success(data)
-        if status in (NO_CONTENT_STATUS, NOT_FOUND_STATUS):
-            return Success(None)
-        if status in (UNAUTHENTICATED_STATUS, FORBIDDEN_STATUS):
-            return fail(ErrorKind.FORBIDDEN, f"the platform refused {method} {path}")
-        return fail(
-            ErrorKind.STORE_UNAVAILABLE, f"{method} {path} was answered with {status}"
-        )
+            return ChannelAnswer(status=response.status, data=await response.read())
 
     def _acquire(self) -> _Pool:
         if self._pool is None:
-            headers = {"Content-Type": CONTENT_TYPE}
+            headers = {"Content-Type": self._content_type}
             if self._token:
                 headers["Authorization"] = f"Bearer {self._token}"
             connector = aiohttp.TCPConnector(
@@ -135,3 +154,15 @@
         pool.calls -= 1
         if pool.retired and pool.calls == 0:
             await pool.session.close()
+
+
+def _judge(answer: ChannelAnswer, request: str) -> Result[bytes | None, Fault]:
+    if answer.status == OK_STATUS:
+        return Success(answer.data)
+    if answer.status in (NO_CONTENT_STATUS, NOT_FOUND_STATUS):
+        return Success(None)
+    if answer.status in (UNAUTHENTICATED_STATUS, FORBIDDEN_STATUS):
+        return fail(ErrorKind.FORBIDDEN, f"the platform refused {request}")
+    return fail(
+        ErrorKind.STORE_UNAVAILABLE, f"{request} was answered with {answer.status}"
+    )
--- a/carobroute/requests/__init__.py
+++ b/carobroute/requests/__init__.py
@@ -1,5 +1,6 @@
 """Decisions about requests: limits, routing, retries, quarantine."""
 
+from carobroute.health import HealthParameters
 from carobroute.requests._admission import (
     Admission,
     AdmissionParameters,
@@ -10,7 +11,6 @@
 from carobroute.requests._blames import BlameEntry
 from carobroute.requests._carob import CarobParameters, CarobPolicy
 from carobroute.requests._fair_queue import FairQueue, FairQueueParameters, Slot
-from carobroute.requests._health import HealthParameters
 from carobroute.requests._ledger import Ledger, read_order
 from carobroute.requests._ledger_claims import Ask
 from carobroute.requests._ledger_clean import CleanParameters, LedgerCleaner
--- a/carobroute/requests/_router.py
+++ b/carobroute/requests/_router.py
@@ -8,9 +8,9 @@
 
 from carobroute.engines import CacheEvents
 from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.health import HealthParameters
 from carobroute.links import LoadReport
 from carobroute.requests._carob import BLOCK_TOKENS
-from carobroute.requests._health import HealthParameters
 from carobroute.requests._policies import RoutingPolicy, routing_policies
 from carobroute.requests._prefix import PrefixIndex
 from carobroute.requests._subset import choose_subset
--- a/carobroute/requests/_target.py
+++ b/carobroute/requests/_target.py
@@ -2,8 +2,8 @@
 
 import msgspec
 
+from carobroute.health import Health, HealthParameters
 from carobroute.links import LoadReport
-from carobroute.requests._health import Health, HealthParameters
 from carobroute.requests._views import TargetView
 from carobroute.utils import Clock
 from carobroute.world import TargetState
--- a/carobroute/settings/__init__.py
+++ b/carobroute/settings/__init__.py
@@ -17,7 +17,6 @@
     OperatorSettings,
     PlatformSettings,
     Settings,
-    split_host_port,
 )
 from carobroute.settings._yaml import parse_yaml
 
@@ -38,5 +37,4 @@
     "parse_settings",
     "parse_yaml",
     "read_secret",
-    "split_host_port",
 ]
--- a/carobroute/settings/_schema.py
+++ b/carobroute/settings/_schema.py
@@ -263,15 +263,3 @@
     log: LogSettings = LogSettings()
     entry: EntrySettings | None = None
     local: LocalSettings | None = None
-
-
-def split_host_port(address: str) -> tuple[str, int]:
-    """Return host and port of `host:port`, without brackets of an IPv6 host.
-
-    Examples
-    --------
-    >>> split_host_port("[::1]:8080")
-    ('::1', 8080)
-    """
-    host, _, port = address.rpartition(":")
-    return host.strip("[]"), int(port)
--- a/carobroute/telemetry/__init__.py
+++ b/carobroute/telemetry/__init__.py
@@ -3,6 +3,7 @@
 from carobroute.telemetry._decisions import Decision, DecisionLog
 from carobroute.telemetry._dump import StateDump
 from carobroute.telemetry._events import EventLog, format_event
+from carobroute.telemetry._line_buffer import LineBuffer
 from carobroute.telemetry._metrics import BoundedMetric, Metrics
 from carobroute.telemetry._telemetry import Telemetry
 
@@ -11,6 +12,7 @@
     "Decision",
     "DecisionLog",
     "EventLog",
+    "LineBuffer",
     "Metrics",
     "StateDump",
     "Telemetry",
--- a/carobroute/utils/__init__.py
+++ b/carobroute/utils/__init__.py
@@ -1,5 +1,6 @@
 """Small helpers shared by every subpackage."""
 
+from carobroute.utils._addresses import split_host_port
 from carobroute.utils._clock import Clock, ManualClock
 from carobroute.utils._event_loop import forbid_io_uring, run_event_loop
 from carobroute.utils._identity import (
@@ -26,4 +27,5 @@
     "rendezvous_order",
     "rendezvous_winner",
     "run_event_loop",
+    "split_host_port",
 ]
--- a/carobroute/utils/_clock.py
+++ b/carobroute/utils/_clock.py
@@ -26,6 +26,14 @@
         """Return the monotonic time in milliseconds."""
         return time.monotonic() * MS_PER_S
 
+    def wake_safe_ms(self) -> float:
+        """Return a monotonic time in milliseconds that counts time asleep, too.
+
+        The monotonic clock stands still while the machine is suspended. What a process
+        knew before can be older than that clock says.
+        """
+        return time.clock_gettime(time.CLOCK_BOOTTIME) * MS_PER_S
+
     def wall_ms(self) -> float:
         """Return the wall-clock time in milliseconds, for logs and records only."""
         return time.time() * MS_PER_S
@@ -60,6 +68,10 @@
         """Return the time set so far, in milliseconds."""
         return self._time_ms
 
+    def wake_safe_ms(self) -> float:
+        """Return the time set so far, in milliseconds."""
+        return self._time_ms
+
     def wall_ms(self) -> float:
         """Return the time set so far, in milliseconds."""
         return self._time_ms
--- /dev/null
+++ b/carobroute/web/__init__.py
@@ -0,0 +1,5 @@
+"""HTTP listening sockets."""
+
+from carobroute.web._site import WebSite
+
+__all__ = ["WebSite"]
--- a/carobroute/daemon/_web.py
+++ b/carobroute/web/_site.py
@@ -8,9 +8,9 @@
 
 from aiohttp import web
 
-from carobroute.settings import split_host_port
+from carobroute.utils import split_host_port
 
-SHUTDOWN_TIMEOUT_S = 5.0
+STOP_TIMEOUT_MS = 5_000.0
 BACKLOG = 1_024
 HEADER_TIMEOUT_MS = 30_000.0
 MAX_CONNECTIONS = 1_024
@@ -40,6 +40,8 @@
     header_timeout_ms : float, default=30000
         Longest time from the opening of a connection to the end of its first
         request's headers.
+    stop_timeout_ms : float, default=5000
+        Time that requests in flight have to end when the site stops.
     options : mapping, default={}
         Further options of the HTTP server.
     """
@@ -52,6 +54,7 @@
         "_max_connections",
         "_options",
         "_runner",
+        "_stop_timeout_ms",
         "_tls",
         "_unserved",
         "counts",
@@ -65,6 +68,7 @@
         tls: ssl.SSLContext | None = None,
         max_connections: int = MAX_CONNECTIONS,
         header_timeout_ms: float = HEADER_TIMEOUT_MS,
+        stop_timeout_ms: float = STOP_TIMEOUT_MS,
         options: Mapping[str, Any] | None = None,
     ):
         self._application = application
@@ -72,6 +76,7 @@
         self._tls = tls
         self._max_connections = max_connections
         self._header_timeout_ms = header_timeout_ms
+        self._stop_timeout_ms = stop_timeout_ms
         self._options = dict(options or {})
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
@@ -85,7 +90,7 @@
             self._application,
             access_log=None,
             handler_cancellation=True,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
+            shutdown_timeout=self._stop_timeout_ms / MS_PER_S,
             **self._options,
         )
         await self._runner.setup()
@@ -103,7 +108,7 @@
             self._listener = None
 
     async def stop(self) -> None:
-        """Close everything."""
+        """Close everything, after what is in flight has had its time to end."""
         await self.stop_accepting()
         if self._runner is not None:
             await self._runner.cleanup()
--- a/carobroute/daemon/tests/test_web.py
+++ b/carobroute/web/tests/test_site.py
@@ -7,7 +7,7 @@
 from aiohttp import web
 
 from carobroute.daemon._process import load_tls
-from carobroute.daemon._web import WebSite
+from carobroute.web import WebSite
 
 
 async def hello(request):
--- a/carobroute/world/__init__.py
+++ b/carobroute/world/__init__.py
@@ -1,5 +1,16 @@
 """Objects that mirror the world: instances, data centres, targets, teams, groups."""
 
+from carobroute.world._routing import (
+    CallerBounds,
+    EngineProfile,
+    KeyHolder,
+    Route,
+    RoutingConfiguration,
+    ServiceProfile,
+    ServiceShare,
+    TargetCondition,
+    TargetEntry,
+)
 from carobroute.world._world import (
     CallClass,
     Instance,
@@ -11,9 +22,18 @@
 
 __all__ = [
     "CallClass",
+    "CallerBounds",
+    "EngineProfile",
     "Instance",
     "InstanceRole",
     "InstanceState",
+    "KeyHolder",
+    "Route",
+    "RoutingConfiguration",
     "ServiceKind",
+    "ServiceProfile",
+    "ServiceShare",
+    "TargetCondition",
+    "TargetEntry",
     "TargetState",
 ]
