Rebalance the experts of a rank group while its passes are too slow

Under map 0 the most loaded rank had 3.3 times the mean load of a set, and all ranks wait for it.

- carobroute.experts plans a layout (least largest load, within places and spare), switches the group (prepare, hold, arm, release; undone under a higher version), and recovers a group that a lost coordinator left held.
- The duty is one row of the platform's store, taken only when passes come near the gap target, so a quiet group costs nothing.

--- a/carobroute/gateway/_configuration.py
+++ b/carobroute/gateway/_configuration.py
@@ -75,6 +75,18 @@
             end = path.rfind("/", 0, end)
         return None
 
+    def gap_target_ms(self, service: str) -> float:
+        """Return the least gap target among the streaming routes of a service.
+
+        It is 0 where there is none.
+        """
+        targets = [
+            route.gap_target_ms
+            for route in self._configuration.routes
+            if route.gap_target_ms and service in {s.service for s in route.shares}
+        ]
+        return min(targets, default=0.0)
+
     def find_caller(self, key: str) -> Caller | None:
         """Return whose key `key` is, or None if nobody's."""
         return self._callers.get(key)
--- /dev/null
+++ b/carobroute/gateway/_duty.py
@@ -0,0 +1,131 @@
+"""A duty that one gateway has at a time, kept as a row of the platform's store."""
+
+import msgspec
+from returns.result import Failure
+
+from carobroute.errors import ErrorKind, Fault
+from carobroute.experts import Duty
+from carobroute.platform import RowCondition, RowStore, RowWrite
+from carobroute.telemetry import EventLog
+from carobroute.utils import Clock
+
+DUTY_TABLE = "duties"
+# Several switches of a map; a successor waits no longer than that for a holder that
+# is gone.
+TERM_MS = 3_000.0
+# The holder renews once less than this is left, which is more than a switch takes.
+RENEW_MS = 1_500.0
+
+
+class DutyRow(msgspec.Struct, frozen=True, kw_only=True):
+    """Holder of a duty, and the store's time at which its term ends."""
+
+    holder: str
+    until_ms: float
+
+
+class RowDuty(Duty):
+    """A duty with a term, measured on the store's clock.
+
+    Parameters
+    ----------
+    name : str
+        Name of the duty.
+    holder : str
+        Identity of this process, unique among all that ever ran.
+    store : RowStore
+        The platform's store.
+    events : EventLog
+        Where changes are logged.
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_events",
+        "_holder",
+        "_name",
+        "_next_ms",
+        "_store",
+        "_until_ms",
+        "_version",
+    )
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        holder: str,
+        store: RowStore,
+        events: EventLog,
+        clock: Clock,
+    ):
+        self._name = name
+        self._holder = holder
+        self._store = store
+        self._events = events
+        self._clock = clock
+        # Version of the own row, while the duty is held.
+        self._version: int | None = None
+        self._until_ms = 0.0
+        self._next_ms = 0.0
+
+    async def acquire(self) -> bool:
+        """Take or keep the duty, and return whether this process has it."""
+        now_ms = self._clock.wake_safe_ms()
+        if self._version is not None and now_ms < self._until_ms - RENEW_MS:
+            return True
+        if self._version is None and now_ms < self._next_ms:
+            return False
+        return await self._take(now_ms)
+
+    async def _take(self, sent_ms: float) -> bool:
+        held = self._version is not None
+        read = await self._store.read(
+            DUTY_TABLE, first=self._name, end=self._name + "\0"
+        )
+        if isinstance(read, Failure):
+            return self._lose(read.failure())
+        answer = read.unwrap()
+        version = 0
+        for row in answer.rows:
+            version = row.version
+            found = _decode(row.value)
+            taken = found is not None and found.holder != self._holder
+            if found is not None and taken and found.until_ms > answer.store_ms:
+                self._next_ms = sent_ms + found.until_ms - answer.store_ms
+                return self._lose(
+                    Fault(kind=ErrorKind.CONFLICT, detail=f"held by {found.holder}")
+                )
+        until_ms = answer.store_ms + TERM_MS
+        value = msgspec.json.encode(DutyRow(holder=self._holder, until_ms=until_ms))
+        written = await self._store.transact(
+            conditions=[
+                RowCondition(table=DUTY_TABLE, key=self._name, version=version)
+            ],
+            writes=[RowWrite(table=DUTY_TABLE, key=self._name, value=value)],
+            removals=[],
+        )
+        if isinstance(written, Failure):
+            return self._lose(written.failure())
+        self._version = written.unwrap().version
+        self._until_ms = sent_ms + TERM_MS
+        if not held:
+            self._events.event("duty_taken", duty=self._name, version=self._version)
+        return True
+
+    def _lose(self, fault: Fault) -> bool:
+        if self._version is not None:
+            self._events.event("duty_lost", duty=self._name, why=fault.detail)
+        self._version = None
+        self._next_ms = max(self._next_ms, self._clock.wake_safe_ms() + RENEW_MS)
+        return False
+
+
+def _decode(value: bytes) -> DutyRow | None:
+    try:
+        return msgspec.json.decode(value, type=DutyRow)
+    except msgspec.DecodeError:
+        # Whatever stands there names no holder, so the duty is free.
+        return None
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -461,15 +461,23 @@
 
     async def _stream(self, grant: Grant, response: aiohttp.ClientResponse) -> Attempt:
         self._cutter.drop_rest()
-        content = response.content
-        while True:
-            data = await content.readany()
-            if not data:
-                break
-            events = self._cutter.feed(data)
-            if events:
-                grant.target.event_ms = self._services.clock.now_ms()
+        pace = self._services.paces.of(grant.target.entry.group or grant.target.name)
+        event_ms: float | None = None
+        try:
+            while data := await response.content.readany():
+                events = self._cutter.feed(data)
+                if not events:
+                    continue
+                now_ms = self._services.clock.now_ms()
+                if event_ms is None:
+                    pace.note_begin()
+                else:
+                    pace.note_event(now_ms - event_ms)
+                event_ms = now_ms
                 await self._write(events, response)
+        finally:
+            if event_ms is not None:
+                pace.note_end()
         if self._cutter.rest:
             await self._write(self._cutter.rest, response)
         out = self._out or await self._begin(response)
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -14,6 +14,7 @@
 from carobroute.gateway._configuration import ConfigurationInForce
 from carobroute.gateway._dispatch import Dispatcher
 from carobroute.gateway._exchange import Exchange
+from carobroute.gateway._groups import GroupKeeper, GroupPaces
 from carobroute.gateway._parameters import GatewayParameters
 from carobroute.gateway._records import CallRecorder
 from carobroute.gateway._retry_window import RetryWindow
@@ -59,6 +60,7 @@
         "_directory",
         "_dispatcher",
         "_events",
+        "_incarnation",
         "_lines",
         "_metrics",
         "_parameters",
@@ -87,10 +89,11 @@
         self._parameters = parameters or GatewayParameters()
         self._clock = clock or Clock()
         self._random = random_module.Random()
+        self._incarnation = new_incarnation(settings.name)
         self._lines = LineBuffer(descriptor=sys.stdout.fileno())
         self._events = EventLog(
             name=settings.name,
-            incarnation=new_incarnation(settings.name),
+            incarnation=self._incarnation,
             most_per_s=EVENTS_PER_S,
             stream=self._lines.as_stream(),
             clock=self._clock,
@@ -137,6 +140,7 @@
                 slack=bounds.retry_slack,
             ),
             suspects=self._suspects,
+            paces=GroupPaces(clock=clock),
             recorder=CallRecorder(events=self._events, metrics=self._metrics),
         )
         # Until peers are known, assume one gateway in each data centre.
@@ -184,6 +188,19 @@
             clock=self._clock,
             random=self._random,
         )
+        groups = GroupKeeper(
+            holder=self._incarnation,
+            store=self._store,
+            configuration=self._configuration,
+            directory=self._directory,
+            pool=self._pool,
+            paces=self._services.paces,
+            events=self._events,
+            clock=self._clock,
+            random=self._random,
+            stopping=lambda: self._services.stopping,
+        )
+        self._tasks.spawn(groups.run(), name="rebalance groups")
         self._tasks.spawn(configuration.run(), name="watch configuration")
         self._tasks.spawn(targets.run(), name="watch targets")
         self._tasks.spawn(self._pump(), name="pump queues")
--- a/carobroute/gateway/_services.py
+++ b/carobroute/gateway/_services.py
@@ -4,6 +4,7 @@
 
 from carobroute.gateway._configuration import ConfigurationInForce
 from carobroute.gateway._dispatch import Dispatcher
+from carobroute.gateway._groups import GroupPaces
 from carobroute.gateway._parameters import GatewayParameters
 from carobroute.gateway._records import CallRecorder
 from carobroute.gateway._retry_window import RetryWindow
@@ -36,6 +37,8 @@
         Bound on repeats.
     suspects : Suspects
         Requests that were in flight when targets crashed.
+    paces : GroupPaces
+        Times of rank groups' passes.
     recorder : CallRecorder
         Logs and counts what happens to calls.
     """
@@ -45,6 +48,7 @@
         "configuration",
         "directory",
         "dispatcher",
+        "paces",
         "parameters",
         "pool",
         "random",
@@ -66,6 +70,7 @@
         pool: TargetPool,
         retries: RetryWindow,
         suspects: Suspects,
+        paces: GroupPaces,
         recorder: CallRecorder,
     ):
         self.clock = clock
@@ -77,6 +82,7 @@
         self.pool = pool
         self.retries = retries
         self.suspects = suspects
+        self.paces = paces
         self.recorder = recorder
         self.stopping = False
 
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -29,7 +29,6 @@
         "_others_ms",
         "_peers",
         "entry",
-        "event_ms",
         "gone",
         "health",
         "in_flight",
@@ -44,8 +43,6 @@
         self.health = Health(clock=clock, parameters=health)
         self.in_flight = 0
         self.gone = False
-        # When a stream of this target last had an event.
-        self.event_ms = 0.0
 
     @property
     def name(self) -> str:
--- a/carobroute/platform/__init__.py
+++ b/carobroute/platform/__init__.py
@@ -40,6 +40,17 @@
     decode_settings,
     read_settings,
 )
+from carobroute.platform._rank_calls import (
+    ArmedSwitch,
+    ExpertCounts,
+    HeldExperts,
+    OrderAction,
+    OrderResult,
+    RankClient,
+    RankOrder,
+    RankReport,
+    decode_rank_report,
+)
 from carobroute.platform._retry import RetryPacer, RetryParameters, settle
 from carobroute.platform._routing_wire import decode_configuration, decode_target
 from carobroute.platform._row_store import (
@@ -56,16 +67,21 @@
 
 __all__ = [
     "AnswerHead",
+    "ArmedSwitch",
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
     "CallHead",
     "Condition",
+    "ExpertCounts",
+    "HeldExperts",
     "HttpInstanceListClient",
     "HttpObjectStoreClient",
     "HttpTableClient",
     "InstanceListClient",
     "LoadReading",
     "ObjectStoreClient",
+    "OrderAction",
+    "OrderResult",
     "PlatformAdapter",
     "PlatformClients",
     "ProcessSettings",
@@ -73,6 +89,9 @@
     "READY_PATH",
     "REQUEST_ID",
     "RETRY_AFTER",
+    "RankClient",
+    "RankOrder",
+    "RankReport",
     "RetryPacer",
     "RetryParameters",
     "Row",
@@ -92,6 +111,7 @@
     "decode_answer",
     "decode_call",
     "decode_configuration",
+    "decode_rank_report",
     "decode_settings",
     "decode_target",
     "http_platform",
--- a/carobroute/platform/_routing_wire.py
+++ b/carobroute/platform/_routing_wire.py
@@ -10,6 +10,7 @@
     CallClass,
     CallerBounds,
     EngineProfile,
+    ExpertProfile,
     KeyHolder,
     Route,
     RoutingConfiguration,
@@ -70,6 +71,13 @@
     chunk: int = 0
     stride: int = 1
     form_ms: float = 0.0
+    sets: int = 0
+    experts: int = 0
+    placements: int = 0
+    spare: int = 0
+    expert_mb: float = msgspec.field(default=0.0, name="expertMb")
+    expert_share: float = msgspec.field(default=0.0, name="expertShare")
+    link_mbps: float = msgspec.field(default=0.0, name="linkMbps")
     usual: _WireUsual = msgspec.field(default_factory=_WireUsual)
 
 
@@ -119,6 +127,8 @@
     # Wall-clock time of the start.
     born: int = 0
     group: _WireGroup | None = None
+    # Ranks of the group, not of the target.
+    size: int = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_WireConfiguration)
@@ -180,6 +190,7 @@
             group=group.name,
             rank=group.rank,
             group_epoch=group.epoch,
+            group_size=wire.size,
             group_open=group.state == _GROUP_OPEN,
         )
     )
@@ -234,5 +245,20 @@
         "usual_prompt_tokens": wire.usual.prompt,
         "usual_output_tokens": wire.usual.answer,
         "forming_ms": wire.form_ms,
+        "experts": _experts(wire),
     }
     return EngineProfile(**values)
+
+
+def _experts(wire: _WireEngine) -> ExpertProfile | None:
+    if not wire.sets or not wire.experts:
+        return None
+    return ExpertProfile(
+        sets=wire.sets,
+        experts=wire.experts,
+        places=wire.placements,
+        spare=wire.spare,
+        expert_mb=wire.expert_mb,
+        link_mbps=wire.link_mbps,
+        share=wire.expert_share,
+    )
--- a/carobroute/world/__init__.py
+++ b/carobroute/world/__init__.py
@@ -3,6 +3,7 @@
 from carobroute.world._routing import (
     CallerBounds,
     EngineProfile,
+    ExpertProfile,
     KeyHolder,
     Route,
     RoutingConfiguration,
@@ -24,6 +25,7 @@
     "CallClass",
     "CallerBounds",
     "EngineProfile",
+    "ExpertProfile",
     "Instance",
     "InstanceRole",
     "InstanceState",
--- a/carobroute/world/_routing.py
+++ b/carobroute/world/_routing.py
@@ -77,6 +77,32 @@
         return self.call_class is CallClass.IDEMPOTENT
 
 
+class ExpertProfile(msgspec.Struct, frozen=True, kw_only=True):
+    """Experts of a service's engines, which run in groups of ranks.
+
+    Parameters
+    ----------
+    sets, experts : int
+        Sets of layers that are placed together, and experts in each.
+    places : int
+        Experts of one set that a rank holds at most.
+    spare : int
+        Experts of one set that a rank can take in while it holds its old ones.
+    expert_mb, link_mbps : float
+        Size of an expert, and speed at which a rank copies it.
+    share : float
+        Share of the work for tokens that experts do.
+    """
+
+    sets: int
+    experts: int
+    places: int
+    spare: int
+    expert_mb: float
+    link_mbps: float
+    share: float
+
+
 class EngineProfile(msgspec.Struct, frozen=True, kw_only=True):
     """Published speed and size of a service's engines.
 
@@ -101,6 +127,8 @@
         Mean sizes of calls.
     forming_ms : float
         Time that a rank group takes to open again.
+    experts : ExpertProfile or None
+        Experts, where ranks run in groups.
     """
 
     slots: int
@@ -115,6 +143,7 @@
     usual_prompt_tokens: float
     usual_output_tokens: float
     forming_ms: float
+    experts: ExpertProfile | None
 
 
 class ServiceProfile(msgspec.Struct, frozen=True, kw_only=True):
@@ -216,6 +245,8 @@
         Rank group that the target belongs to, and its rank; empty and -1 for none.
     group_epoch : int
         Times that the group has formed.
+    group_size : int
+        Ranks of the group.
     group_open : bool
         Whether the group runs calls.
     """
@@ -231,4 +262,5 @@
     group: str = ""
     rank: int = -1
     group_epoch: int = 0
+    group_size: int = 0
     group_open: bool = True
