Take an answer without a length for whole only if its connection ended well

Cause: an answer without a length ends with its connection, and the HTTP library takes a reset for that end as well.

Ruled out: dropping all answers without a length, since whole ones are the target's answers and must be delivered.

--- a/carobroute/engines/__init__.py
+++ b/carobroute/engines/__init__.py
@@ -23,6 +23,7 @@
     count_tokens,
     prompt_text,
 )
+from carobroute.engines._watched import WatchedResponse
 
 __all__ = [
     "BLOCK_CHARS",
@@ -40,6 +41,7 @@
     "OpenAiEngine",
     "OrderAction",
     "PlainEngine",
+    "WatchedResponse",
     "block_hashes",
     "count_tokens",
     "end_to_end",
--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -10,6 +10,7 @@
 
 from carobroute.engines._interface import EngineParameters
 from carobroute.engines._once import Guard, OnceBody
+from carobroute.engines._watched import WatchedResponse
 from carobroute.errors import ErrorKind, Fault, fail
 
 MS_PER_S = 1_000
@@ -102,7 +103,7 @@
         first_byte_ms: float,
         fresh: bool,
         guard: Guard | None = None,
-    ) -> Result[aiohttp.ClientResponse, Fault]:
+    ) -> Result[WatchedResponse, Fault]:
         """Send a request and return the response once its headers are there.
 
         Parameters
@@ -150,7 +151,7 @@
         body: bytes | OnceBody,
         first_byte_ms: float,
         fresh: bool,
-    ) -> Result[aiohttp.ClientResponse, Fault]:
+    ) -> Result[WatchedResponse, Fault]:
         session = self._fresh if fresh else self._pooled
         if session is None:
             return fail(ErrorKind.INTERNAL, "the adapter has not been started")
@@ -186,6 +187,7 @@
                 ErrorKind.TARGET_FAILED,
                 f"connection to {self._address} failed: {error!r}",
             )
+        assert isinstance(response, WatchedResponse)
         return Success(response)
 
     async def side_call(
@@ -233,6 +235,7 @@
             )
         return aiohttp.ClientSession(
             connector=connector,
+            response_class=WatchedResponse,
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=PIECE_BYTES,
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -9,7 +9,7 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
-from carobroute.engines import end_to_end
+from carobroute.engines import WatchedResponse, end_to_end
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.gateway._answers import refuse
 from carobroute.gateway._configuration import RoutingTable, choose_service
@@ -412,7 +412,7 @@
 
     # Answers.
 
-    async def _judge(self, grant: Grant, response: aiohttp.ClientResponse) -> Attempt:
+    async def _judge(self, grant: Grant, response: WatchedResponse) -> Attempt:
         head = decode_answer(response.headers)
         if head.load is not None:
             grant.target.note_reading(head.load)
@@ -426,7 +426,7 @@
             return await self._stream(grant, response)
         return await self._whole(response)
 
-    def _spoiled(self, head: AnswerHead, response: aiohttp.ClientResponse) -> str:
+    def _spoiled(self, head: AnswerHead, response: WatchedResponse) -> str:
         if head.not_run or response.status == MISDIRECTED_STATUS:
             return ""
         if head.request_id != self._head.request_id:
@@ -437,7 +437,7 @@
             return "the answer was re-coded on its way"
         return ""
 
-    def _not_run(self, grant: Grant, response: aiohttp.ClientResponse) -> Attempt:
+    def _not_run(self, grant: Grant, response: WatchedResponse) -> Attempt:
         target = grant.target
         if response.status == MISDIRECTED_STATUS:
             target.gone = True
@@ -448,8 +448,9 @@
         )
         return Attempt(end=AttemptEnd.NOT_RUN, fault=fault)
 
-    async def _whole(self, response: aiohttp.ClientResponse) -> Attempt:
+    async def _whole(self, response: WatchedResponse) -> Attempt:
         body = await response.read()
+        response.check_end()
         self._services.recorder.first_byte(self._record)
         answer = web.Response(
             status=response.status, body=body, headers=end_to_end(response.headers)
@@ -459,7 +460,7 @@
         fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=f"status {response.status}")
         return Attempt(end=AttemptEnd.FAILED, response=answer, fault=fault)
 
-    async def _stream(self, grant: Grant, response: aiohttp.ClientResponse) -> Attempt:
+    async def _stream(self, grant: Grant, response: WatchedResponse) -> Attempt:
         self._cutter.drop_rest()
         pace = self._services.paces.of(grant.target.entry.group or grant.target.name)
         event_ms: float | None = None
@@ -478,13 +479,14 @@
         finally:
             if event_ms is not None:
                 pace.note_end()
+        response.check_end()
         if self._cutter.rest:
             await self._write(self._cutter.rest, response)
         out = self._out or await self._begin(response)
         await out.write_eof()
         return Attempt(end=AttemptEnd.ANSWERED, response=out)
 
-    async def _begin(self, response: aiohttp.ClientResponse) -> web.StreamResponse:
+    async def _begin(self, response: WatchedResponse) -> web.StreamResponse:
         out = web.StreamResponse(
             status=response.status, headers=end_to_end(response.headers)
         )
@@ -495,7 +497,7 @@
         await out.prepare(self._request)
         return out
 
-    async def _write(self, data: bytes, response: aiohttp.ClientResponse) -> None:
+    async def _write(self, data: bytes, response: WatchedResponse) -> None:
         out = self._out or await self._begin(response)
         transport = self._request.transport
         try:
