--- a/carobroute/experts/_plan.py
+++ b/carobroute/experts/_plan.py
@@ -30,7 +30,7 @@
 
     places: int
     spare: int
-    least_gain: float = 0.06
+    least_gain: float = 0.12
     partners: int = 6
 
 
--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -106,7 +106,7 @@
     busy_share: float = 0.6
     least_fall: float = 0.12
     sample_ranks: int = 4
-    sample_ms: float = 350.0
+    sample_ms: float = 250.0
     rest_ms: float = 400.0
     stalled_ms: float = 600.0
 
