--- a/carobroute/experts/_plan.py
+++ b/carobroute/experts/_plan.py
@@ -66,7 +66,7 @@
     --------
     >>> bounds = PlanBounds(places=2, spare=1)
     >>> plan_layout([[[0], [1]]], [[0.75, 0.25]], bounds)
-    [[[0], [0, 1]]]
+    [[[0, 1], [0, 1]]]
     """
     return [
         _SetPlan(held, share, bounds).run()
--- /dev/null
+++ b/carobroute/experts/tests/test_switch.py
@@ -0,0 +1,173 @@
+"""Passing a group to another map while orders are lost, late, and coordinators die."""
+
+import asyncio
+import random
+
+import pytest
+
+from carobroute.experts import MapSwitch, SwitchEnd
+from carobroute.platform import OrderAction, OrderResult
+from carobroute.testing.rank_group_data import OrderFaults, StandInGroup
+from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
+
+SEEDS = range(40)
+# The platform's own shares of late orders are at most this.
+MANY_LATE = OrderFaults(late=0.35, answer_lost=0.1)
+
+
+def _attempt(group, *, version=1, ranks=None):
+    return MapSwitch(
+        ranks=ranks or group.ranks,
+        epoch=group.epoch,
+        version=version,
+        layout=group.layout,
+        current=group.layout,
+        pass_ms=group.pass_ms,
+        clock=group.clock,
+    )
+
+
+async def _reports(group):
+    return [await rank.report() for rank in group.ranks]
+
+
+def _play(scenario, *, seed=0, faults=None):
+    """Run a scenario beside the group's passes; return the group."""
+    loop = VirtualLoop()
+    group = StandInGroup(
+        clock=VirtualClock(loop=loop), random=random.Random(seed), faults=faults
+    )
+
+    async def main():
+        passes = asyncio.create_task(group.run())
+        await group.clock.sleep_ms(1_000)
+        await scenario(group)
+        # Late orders come after all else.
+        await group.clock.sleep_ms(15_000)
+        passes.cancel()
+
+    run_virtual(main(), loop)
+    return group
+
+
+def test_a_group_switches_between_two_passes():
+    ends = []
+
+    async def scenario(group):
+        ends.append(await _attempt(group).run(await _reports(group)))
+
+    group = _play(scenario)
+    assert ends == [SwitchEnd.SWITCHED]
+    assert not group.mixed
+    assert group.passes[-1] == [1, 1, 1, 1]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_no_pass_has_two_maps_when_orders_are_late(seed):
+    ends = []
+
+    async def scenario(group):
+        for version in (1, 11, 21):
+            attempt = _attempt(group, version=version)
+            ends.append(await attempt.run(await _reports(group)))
+            await group.clock.sleep_ms(500)
+
+    group = _play(scenario, seed=seed, faults=MANY_LATE)
+    assert not group.mixed
+    assert SwitchEnd.STUCK not in ends
+    # The group still makes passes.
+    assert group.step > 150
+
+
+class StoppingRank:
+    """Rank whose coordinator stops for good, or for a while, before an order."""
+
+    def __init__(self, rank, gate):
+        self._rank = rank
+        self._gate = gate
+
+    async def order(self, order):
+        await self._gate(order)
+        return await self._rank.order(order)
+
+    async def report(self):
+        return await self._rank.report()
+
+
+@pytest.mark.parametrize("action", list(OrderAction))
+@pytest.mark.parametrize("seed", range(8))
+@pytest.mark.parametrize("wakes", [False, True])
+def test_a_successor_frees_a_group_whose_coordinator_stopped(action, seed, wakes):
+    """The first coordinator stops before some order, and may wake up later."""
+    ends = []
+
+    async def scenario(group):
+        woken = asyncio.Event()
+        stopped = asyncio.Event()
+        source = random.Random(seed)
+
+        async def gate(order):
+            if order.action is action and source.random() < 0.4 and not woken.is_set():
+                stopped.set()
+                await woken.wait()
+
+        ranks = [StoppingRank(rank, gate) for rank in group.ranks]
+        attempt = _attempt(group, ranks=ranks)
+        first = asyncio.create_task(attempt.run(await _reports(group)))
+        await group.clock.sleep_ms(3_000)
+        reports = await _reports(group)
+        held = any(report.held_step is not None for report in reports)
+        if held:
+            recovery = _attempt(group)
+            if wakes:
+                asyncio.get_running_loop().call_later(
+                    source.uniform(0.0, 0.02), woken.set
+                )
+            ends.append(await recovery.recover(reports))
+        if wakes:
+            woken.set()
+            await asyncio.wait_for(first, 60)
+        else:
+            first.cancel()
+
+    group = _play(scenario, seed=seed, faults=OrderFaults(late=0.1))
+    assert not group.mixed
+    assert SwitchEnd.STUCK not in ends
+    assert group.step > 150
+
+
+def test_a_late_order_to_arm_is_refused_after_undoing():
+    """An armed rank would switch alone once the pass is released."""
+    results = []
+
+    async def scenario(group):
+        held = []
+        ranks = [StoppingRank(rank, _silence) for rank in group.ranks[:-1]]
+        ranks.append(_SilentRank(group.ranks[-1], OrderAction.ARM, held))
+        attempt = _attempt(group, ranks=ranks)
+        assert await attempt.run(await _reports(group)) is SwitchEnd.UNDONE
+        results.extend(group.ranks[-1].carry_out(order) for order in held)
+
+    group = _play(scenario)
+    assert results and set(results) == {OrderResult.REFUSED}
+    assert not group.mixed
+    assert group.passes[-1] == [0, 0, 0, 0]
+
+
+async def _silence(order):
+    return None
+
+
+class _SilentRank(StoppingRank):
+    """Rank that never gets the orders of one kind, but keeps them for later."""
+
+    def __init__(self, rank, action, kept):
+        super().__init__(rank, _silence)
+        self._action = action
+        self._kept = kept
+
+    async def order(self, order):
+        if order.action is self._action:
+            self._kept.append(order)
+            return OrderResult.UNANSWERED
+        return await super().order(order)
--- a/carobroute/testing/virtual_time.py
+++ b/carobroute/testing/virtual_time.py
@@ -66,6 +66,10 @@
         """Return the virtual time in milliseconds."""
         return self._loop.time() * MS_PER_S
 
+    def wake_safe_ms(self) -> float:
+        """Return the virtual time in milliseconds."""
+        return self.now_ms()
+
     def wall_ms(self) -> float:
         """Return the virtual time in milliseconds."""
         return self.now_ms()
