Free a group that was left held, and tell other gateways of calls at targets

The group stayed held; after the restart no stream had an event, so the silence of streams, which counted only streams that had begun, showed nothing.

- A duty is taken over at once if its holder has not been heard of by the others.
- Gateways send each other digests (UDP) of their calls at targets and of suspect requests, and learn how many share the allowance of repeats.

Test: carobroute/experts/tests/test_rebalancer.py; the case without a call failed before.

--- a/carobroute/experts/_pace.py
+++ b/carobroute/experts/_pace.py
@@ -17,14 +17,14 @@
         Source of time.
     """
 
-    __slots__ = ("_clock", "_event_ms", "_pass_ms", "streams")
+    __slots__ = ("_clock", "_event_ms", "_pass_ms", "calls")
 
     def __init__(self, *, clock: Clock):
         self._clock = clock
         self._pass_ms = 0.0
         self._event_ms = clock.now_ms()
-        # Streams that have had an event and have not ended.
-        self.streams = 0
+        # Calls at the group's ranks, with or without an event so far.
+        self.calls = 0
 
     @property
     def pass_ms(self) -> float:
@@ -33,22 +33,27 @@
 
     @property
     def silent_ms(self) -> float:
-        """Time without an event of any stream; 0 while there are no streams."""
-        return self._clock.now_ms() - self._event_ms if self.streams else 0.0
+        """Time without an event while there are calls; 0 without any."""
+        return self._clock.now_ms() - self._event_ms if self.calls else 0.0
 
     def note_begin(self) -> None:
-        """Count a stream that has its first event."""
-        self.streams += 1
+        """Count a call that is sent to one of the group's ranks."""
+        if not self.calls:
+            self._event_ms = self._clock.now_ms()
+        self.calls += 1
+
+    def note_first(self) -> None:
+        """Take the first event of a stream."""
         self._event_ms = self._clock.now_ms()
 
     def note_event(self, gap_ms: float) -> None:
         """Take the time between two events of a stream."""
         self._event_ms = self._clock.now_ms()
-        weight = SMOOTHING / max(1, self.streams)
+        weight = SMOOTHING / max(1, self.calls)
         if not self._pass_ms:
             self._pass_ms = gap_ms
         self._pass_ms += weight * (gap_ms - self._pass_ms)
 
     def note_end(self) -> None:
-        """Count a stream that has ended."""
-        self.streams -= 1
+        """Count a call that has ended."""
+        self.calls -= 1
--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -138,6 +138,7 @@
         "_epoch",
         "_events",
         "_layout",
+        "_looked_epoch",
         "_pace",
         "_parameters",
         "_random",
@@ -166,6 +167,8 @@
         self._switch = switch
         self._rest_until_ms = 0.0
         self._epoch = -1
+        # Formation of the group in which it was last found free.
+        self._looked_epoch = -1
         self._version = 0
         self._layout: Layout | None = None
 
@@ -175,19 +178,41 @@
             return
         stalled = self._pace.silent_ms > self._parameters.stalled_ms
         limit_ms = self._parameters.busy_share * group.gap_target_ms
-        if not stalled and (not limit_ms or self._pace.pass_ms < limit_ms):
+        if stalled or self._looked_epoch != group.epoch:
+            await self._look_for_hold(group)
+        elif limit_ms and self._pace.pass_ms >= limit_ms:
+            await self._relieve(group)
+        else:
             return
         self._rest_until_ms = self._clock.now_ms() + self._parameters.rest_ms
+
+    async def _look_for_hold(self, group: RankGroup) -> None:
+        """Free a group that a coordinator held before it was lost.
+
+        Nothing shows this but silence, and to a process that has just started not
+        even that, so it looks once by itself.
+        """
+        reports = await self._reports(group)
+        if reports is None:
+            return
+        self._looked_epoch = group.epoch
+        if not any(report.held_step is not None for report in reports):
+            return
+        # A coordinator that is at work keeps its duty, and frees the group itself.
+        self._looked_epoch = -1
+        if await self._duty.acquire():
+            await self._recover(group, reports)
+
+    async def _relieve(self, group: RankGroup) -> None:
         if not await self._duty.acquire():
             return
         reports = await self._reports(group)
         if reports is None:
             return
-        if stalled or any(report.held_step is not None for report in reports):
+        if any(report.held_step is not None for report in reports):
             await self._recover(group, reports)
         else:
             await self._rebalance(group, reports)
-        self._rest_until_ms = self._clock.now_ms() + self._parameters.rest_ms
 
     async def _reports(self, group: RankGroup) -> list[RankReport] | None:
         answered = await asyncio.gather(*(rank.report() for rank in group.ranks))
@@ -203,8 +228,6 @@
         return reports
 
     async def _recover(self, group: RankGroup, reports: list[RankReport]) -> None:
-        if all(report.held_step is None for report in reports):
-            return
         layout = await self._current_layout(group, reports)
         if layout is None:
             return
--- /dev/null
+++ b/carobroute/experts/tests/test_rebalancer.py
@@ -0,0 +1,140 @@
+"""When a group is rebalanced, and how one that was left held is freed."""
+
+import asyncio
+import io
+import random
+
+import pytest
+
+from carobroute.experts import Duty, GroupPace, GroupRebalancer
+from carobroute.telemetry import EventLog
+from carobroute.testing.rank_group_data import StandInGroup
+from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
+
+
+class FreeDuty(Duty):
+    """Duty that anybody gets, and that counts how often it was asked for."""
+
+    def __init__(self):
+        self.asked = 0
+
+    async def acquire(self):
+        self.asked += 1
+        return True
+
+
+def _rebalancer(group, pace, duty=None):
+    return GroupRebalancer(
+        duty=duty or FreeDuty(),
+        pace=pace,
+        events=EventLog(name="test", stream=io.StringIO(), clock=group.clock),
+        clock=group.clock,
+        random=random.Random(1),
+    )
+
+
+def _play(scenario):
+    loop = VirtualLoop()
+    clock = VirtualClock(loop=loop)
+    group = StandInGroup(clock=clock, random=random.Random(1))
+
+    async def main():
+        passes = asyncio.create_task(group.run())
+        await clock.sleep_ms(1_000)
+        await scenario(group)
+        passes.cancel()
+
+    run_virtual(main(), loop)
+    return group
+
+
+async def _step_for(rebalancer, group, duration_ms):
+    for _ in range(int(duration_ms / 50)):
+        await rebalancer.step(group.view)
+        await group.clock.sleep_ms(50)
+
+
+def _busy(group, gap_ms):
+    pace = GroupPace(clock=group.clock)
+    pace.note_begin()
+    for _ in range(50):
+        pace.note_event(gap_ms)
+    return pace
+
+
+def test_a_quick_group_is_left_alone():
+    duty = FreeDuty()
+
+    async def scenario(group):
+        pace = _busy(group, gap_ms=40.0)
+        rebalancer = _rebalancer(group, pace, duty)
+        for _ in range(20):
+            pace.note_event(40.0)
+            await _step_for(rebalancer, group, 100)
+
+    group = _play(scenario)
+    assert duty.asked == 0
+    assert group.passes[-1] == [0, 0, 0, 0]
+
+
+def test_a_slow_group_with_one_favourite_gets_another_map():
+    async def scenario(group):
+        pace = _busy(group, gap_ms=100.0)
+        rebalancer = _rebalancer(group, pace)
+        for _ in range(20):
+            pace.note_event(100.0)
+            await _step_for(rebalancer, group, 100)
+
+    group = _play(scenario)
+    assert len(set(group.passes[-1])) == 1
+    assert group.passes[-1][0] > 0
+    assert not group.mixed
+
+
+async def _abandon_while_held(group):
+    """Kill a coordinator after its hold, before the group is released."""
+    pace = _busy(group, gap_ms=100.0)
+    task = asyncio.create_task(_step_for(_rebalancer(group, pace), group, 5_000))
+    while all(rank.held_step is None for rank in group.ranks):
+        await group.clock.sleep_ms(1)
+    task.cancel()
+
+
+@pytest.mark.parametrize("calls_wait", [False, True])
+def test_a_gateway_that_starts_frees_a_group_left_held(calls_wait):
+    """No stream has had an event here, so their silence alone cannot show it."""
+    steps = []
+
+    async def scenario(group):
+        await _abandon_while_held(group)
+        await group.clock.sleep_ms(2_000)
+        steps.append(group.step)
+        pace = GroupPace(clock=group.clock)
+        if calls_wait:
+            pace.note_begin()
+        await _step_for(_rebalancer(group, pace), group, 3_000)
+        steps.append(group.step)
+
+    group = _play(scenario)
+    assert steps[1] > steps[0] + 10
+    assert not group.mixed
+
+
+def test_calls_that_wait_long_have_the_group_looked_at():
+    """The group was left held after this gateway had looked at it."""
+    steps = []
+
+    async def scenario(group):
+        pace = GroupPace(clock=group.clock)
+        rebalancer = _rebalancer(group, pace)
+        await _step_for(rebalancer, group, 500)
+        await _abandon_while_held(group)
+        await group.clock.sleep_ms(1_000)
+        steps.append(group.step)
+        pace.note_begin()
+        await _step_for(rebalancer, group, 3_000)
+        steps.append(group.step)
+
+    group = _play(scenario)
+    assert steps[1] > steps[0] + 10
+    assert not group.mixed
--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -4,7 +4,7 @@
 import heapq
 import random
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -134,6 +134,8 @@
         Targets.
     parameters : DispatchParameters, default=None
         Weights and times.
+    on_change : callable, default=None
+        Told when a call begins or ends at a target.
     """
 
     __slots__ = (
@@ -142,6 +144,7 @@
         "_directory",
         "_ended",
         "_number",
+        "_on_change",
         "_parameters",
         "_queues",
         "_random",
@@ -155,7 +158,9 @@
         data_centre: str,
         directory: TargetDirectory,
         parameters: DispatchParameters | None = None,
+        on_change: Callable[[], None] | None = None,
     ):
+        self._on_change = on_change or (lambda: None)
         self._clock = clock
         self._random = random
         self._data_centre = data_centre
@@ -197,6 +202,7 @@
         """Note that a granted call has ended."""
         target = grant.target
         target.in_flight -= 1
+        self._on_change()
         service = target.entry.service
         self._ended.setdefault(service, deque()).append(self._clock.now_ms())
         self.pump(service)
@@ -298,6 +304,7 @@
             list_age_ms=self._directory.age_ms,
         )
         target.in_flight += 1
+        self._on_change()
         return grant
 
     def _choose(self, demand: Demand) -> Target | None:
--- a/carobroute/gateway/_duty.py
+++ b/carobroute/gateway/_duty.py
@@ -1,5 +1,7 @@
 """A duty that one gateway has at a time, kept as a row of the platform's store."""
 
+from collections.abc import Callable
+
 import msgspec
 from returns.result import Failure
 
@@ -15,6 +17,8 @@
 TERM_MS = 3_000.0
 # The holder renews once less than this is left, which is more than a switch takes.
 RENEW_MS = 1_500.0
+# Wait after a refusal; another process has taken the duty, or the store is away.
+RETRY_MS = 400.0
 
 
 class DutyRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -39,12 +43,15 @@
         Where changes are logged.
     clock : Clock
         Source of time.
+    is_gone : callable
+        Tells whether another holder is known to be gone before its term is over.
     """
 
     __slots__ = (
         "_clock",
         "_events",
         "_holder",
+        "_is_gone",
         "_name",
         "_next_ms",
         "_store",
@@ -60,7 +67,9 @@
         store: RowStore,
         events: EventLog,
         clock: Clock,
+        is_gone: Callable[[str], bool],
     ):
+        self._is_gone = is_gone
         self._name = name
         self._holder = holder
         self._store = store
@@ -92,9 +101,11 @@
         for row in answer.rows:
             version = row.version
             found = _decode(row.value)
-            taken = found is not None and found.holder != self._holder
-            if found is not None and taken and found.until_ms > answer.store_ms:
-                self._next_ms = sent_ms + found.until_ms - answer.store_ms
+            if found is None or found.until_ms <= answer.store_ms:
+                continue
+            if found.holder != self._holder and not self._is_gone(found.holder):
+                left_ms = min(RENEW_MS, found.until_ms - answer.store_ms)
+                self._next_ms = sent_ms + left_ms
                 return self._lose(
                     Fault(kind=ErrorKind.CONFLICT, detail=f"held by {found.holder}")
                 )
@@ -119,7 +130,9 @@
         if self._version is not None:
             self._events.event("duty_lost", duty=self._name, why=fault.detail)
         self._version = None
-        self._next_ms = max(self._next_ms, self._clock.wake_safe_ms() + RENEW_MS)
+        now_ms = self._clock.wake_safe_ms()
+        if self._next_ms <= now_ms:
+            self._next_ms = now_ms + RETRY_MS
         return False
 
 
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -303,9 +303,12 @@
     async def _attempt(self, grant: Grant) -> Attempt:
         attempt: Attempt | None = None
         ran_before, self._may_have_run = self._may_have_run, True
+        pace = self._services.paces.of(grant.target.group)
+        pace.note_begin()
         try:
             attempt = await self._send(grant)
         finally:
+            pace.note_end()
             self._services.dispatcher.release(grant)
             self._note_attempt(grant, attempt)
         if attempt.end in (AttemptEnd.NOT_SENT, AttemptEnd.NOT_RUN):
@@ -462,24 +465,20 @@
 
     async def _stream(self, grant: Grant, response: WatchedResponse) -> Attempt:
         self._cutter.drop_rest()
-        pace = self._services.paces.of(grant.target.entry.group or grant.target.name)
+        pace = self._services.paces.of(grant.target.group)
         event_ms: float | None = None
-        try:
-            while data := await response.content.readany():
-                events = self._cutter.feed(data)
-                if not events:
-                    continue
-                now_ms = self._services.clock.now_ms()
-                if event_ms is None:
-                    pace.note_begin()
-                else:
-                    pace.note_event(now_ms - event_ms)
-                    self._record.note_gap(now_ms - event_ms)
-                event_ms = now_ms
-                await self._write(events, response)
-        finally:
-            if event_ms is not None:
-                pace.note_end()
+        while data := await response.content.readany():
+            events = self._cutter.feed(data)
+            if not events:
+                continue
+            now_ms = self._services.clock.now_ms()
+            if event_ms is None:
+                pace.note_first()
+            else:
+                pace.note_event(now_ms - event_ms)
+                self._record.note_gap(now_ms - event_ms)
+            event_ms = now_ms
+            await self._write(events, response)
         response.check_end()
         if self._cutter.rest:
             await self._write(self._cutter.rest, response)
--- a/carobroute/gateway/_groups.py
+++ b/carobroute/gateway/_groups.py
@@ -116,6 +116,8 @@
         Source of time.
     random : random.Random
         Source of chance.
+    is_gone : callable
+        Tells whether a gateway is known to be gone.
     stopping : callable
         Tells whether the process is about to end; no switch begins then.
     """
@@ -127,6 +129,7 @@
         "_directory",
         "_events",
         "_holder",
+        "_is_gone",
         "_paces",
         "_pool",
         "_random",
@@ -147,6 +150,7 @@
         events: EventLog,
         clock: Clock,
         random: random.Random,
+        is_gone: Callable[[str], bool],
         stopping: Callable[[], bool],
     ):
         self._holder = holder
@@ -158,6 +162,7 @@
         self._events = events
         self._clock = clock
         self._random = random
+        self._is_gone = is_gone
         self._stopping = stopping
         self._client = RankClient()
         self._rebalancers: dict[str, GroupRebalancer] = {}
@@ -182,6 +187,7 @@
                 store=self._store,
                 events=self._events,
                 clock=self._clock,
+                is_gone=self._is_gone,
             )
             rebalancer = self._rebalancers[group] = GroupRebalancer(
                 duty=duty,
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -16,6 +16,7 @@
 from carobroute.gateway._exchange import Exchange
 from carobroute.gateway._groups import GroupKeeper, GroupPaces
 from carobroute.gateway._parameters import GatewayParameters
+from carobroute.gateway._peers import PeerBoard, PeerLinks, PeerParameters
 from carobroute.gateway._records import CallRecorder
 from carobroute.gateway._retry_window import RetryWindow
 from carobroute.gateway._services import GatewayServices
@@ -55,6 +56,7 @@
     """
 
     __slots__ = (
+        "_board",
         "_clock",
         "_configuration",
         "_directory",
@@ -64,6 +66,7 @@
         "_lines",
         "_metrics",
         "_parameters",
+        "_peers",
         "_pool",
         "_random",
         "_services",
@@ -112,16 +115,19 @@
             revoke_ms=bounds.revoke_ms,
             margin_ms=self._parameters.proof_margin_ms,
         )
+        self._board = PeerBoard(clock=clock, forget_ms=PeerParameters().forget_ms)
         self._directory = TargetDirectory(
             clock=clock,
             outage_ms=self._parameters.outage_ms,
             lapsed_ms=self._parameters.lapsed_ms,
+            peer_calls=self._board.calls_at,
         )
         self._dispatcher = Dispatcher(
             clock=clock,
             random=self._random,
             data_centre=self._settings.data_centre,
             directory=self._directory,
+            on_change=lambda: self._peers.note_change(),
         )
         self._pool = TargetPool(parameters=self._parameters, tasks=self._tasks)
         self._suspects = Suspects(clock=clock, crash_limit=self._parameters.crash_limit)
@@ -145,6 +151,25 @@
         )
         # Until peers are known, assume one gateway in each data centre.
         self._services.retries.set_gateways(len(self._settings.data_centres))
+        self._peers = PeerLinks(
+            incarnation=self._incarnation,
+            name=self._settings.name,
+            bind=f"{self._settings.ip}:{self._settings.peer_ports[0]}",
+            store=self._store,
+            board=self._board,
+            directory=self._directory,
+            suspects=self._suspects,
+            on_peers=self._note_gateways,
+            events=self._events,
+            clock=clock,
+            random=self._random,
+            tasks=self._tasks,
+        )
+
+    def _note_gateways(self, count: int) -> None:
+        # A peer that is only cut off from here repeats all the same.
+        known = max(count, len(self._settings.data_centres))
+        self._services.retries.set_gateways(known)
 
     @property
     def ready(self) -> bool:
@@ -166,6 +191,7 @@
             store=self._settings.store_address,
         )
         self._spawn_watches()
+        await self._peers.start()
         callers = await self._listen()
         await self._stop.wait()
         await self._shut_down(callers)
@@ -198,6 +224,7 @@
             events=self._events,
             clock=self._clock,
             random=self._random,
+            is_gone=self._board.is_gone,
             stopping=lambda: self._services.stopping,
         )
         self._tasks.spawn(groups.run(), name="rebalance groups")
@@ -285,6 +312,7 @@
         await callers.stop_accepting()
         await callers.stop()
         await self._tasks.close()
+        await self._peers.stop()
         for site in self._sites:
             await site.stop()
         await self._pool.close()
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -1,5 +1,7 @@
 """Targets as listed and as the gateway's own calls find them."""
 
+from collections.abc import Callable
+
 import msgspec
 
 from carobroute.health import Health, HealthParameters
@@ -7,7 +9,8 @@
 from carobroute.utils import Clock
 from carobroute.world import TargetCondition, TargetEntry
 
-READING_USE_MS = 1_500.0
+# Readings show calls of gateways that are gone as well, but age fast.
+READING_USE_MS = 400.0
 
 
 class Target:
@@ -21,24 +24,33 @@
         Source of time.
     health : HealthParameters
         When a target is ejected, and how it comes back.
+    peer_calls : callable
+        Returns how many calls the other gateways have at a run.
     """
 
     __slots__ = (
         "_clock",
         "_others",
         "_others_ms",
-        "_peers",
+        "_peer_calls",
         "entry",
         "gone",
         "health",
         "in_flight",
     )
 
-    def __init__(self, *, entry: TargetEntry, clock: Clock, health: HealthParameters):
+    def __init__(
+        self,
+        *,
+        entry: TargetEntry,
+        clock: Clock,
+        health: HealthParameters,
+        peer_calls: Callable[[str], int],
+    ):
         self._clock = clock
+        self._peer_calls = peer_calls
         self._others = 0.0
         self._others_ms = -READING_USE_MS
-        self._peers = 0
         self.entry = entry
         self.health = Health(clock=clock, parameters=health)
         self.in_flight = 0
@@ -49,6 +61,11 @@
         """Identifier of the run."""
         return self.entry.incarnation
 
+    @property
+    def group(self) -> str:
+        """Rank group of the target, or its own name where it has none."""
+        return self.entry.group or self.entry.incarnation
+
     @property
     def usable(self) -> bool:
         """Whether new calls may be sent."""
@@ -60,7 +77,7 @@
         """Estimate of the calls that other gateways have there."""
         age_ms = self._clock.now_ms() - self._others_ms
         told = self._others if age_ms < READING_USE_MS else 0.0
-        return max(self._peers, told)
+        return max(self._peer_calls(self.name), told)
 
     @property
     def load(self) -> float:
@@ -73,10 +90,6 @@
         self._others = max(0.0, calls - self.in_flight)
         self._others_ms = self._clock.now_ms()
 
-    def note_peers(self, calls: int) -> None:
-        """Take the number of calls that the other gateways say they have there."""
-        self._peers = calls
-
 
 class DirectoryChange(msgspec.Struct, frozen=True, kw_only=True):
     """What one reading of the list changed: names of runs."""
@@ -102,6 +115,8 @@
         Time that they have to come back.
     health : HealthParameters, default=None
         When a target is ejected, and how it comes back.
+    peer_calls : callable, default=None
+        Returns how many calls the other gateways have at a run; None for none.
     """
 
     __slots__ = (
@@ -110,6 +125,7 @@
         "_health",
         "_lapsed_ms",
         "_outage_ms",
+        "_peer_calls",
         "_read_ms",
         "_services",
         "_targets",
@@ -122,11 +138,13 @@
         outage_ms: float,
         lapsed_ms: float,
         health: HealthParameters | None = None,
+        peer_calls: Callable[[str], int] | None = None,
     ):
         self._clock = clock
         self._outage_ms = outage_ms
         self._lapsed_ms = lapsed_ms
         self._health = health or HealthParameters()
+        self._peer_calls = peer_calls or (lambda run: 0)
         self._targets: dict[str, Target] = {}
         self._services: dict[str, list[Target]] = {}
         self._read_ms: float | None = None
@@ -182,6 +200,9 @@
             known.gone = True
             change.gone.append(entry.incarnation)
         self._targets[entry.incarnation] = Target(
-            entry=entry, clock=self._clock, health=self._health
+            entry=entry,
+            clock=self._clock,
+            health=self._health,
+            peer_calls=self._peer_calls,
         )
         change.joined.append(entry.incarnation)
--- a/carobroute/testing/rank_group_data.py
+++ b/carobroute/testing/rank_group_data.py
@@ -6,15 +6,23 @@
 
 import msgspec
 
-from carobroute.experts import Layout, RankPort, initial_layout
+from carobroute.experts import (
+    CountingPort,
+    Layout,
+    RankGroup,
+    initial_layout,
+)
 from carobroute.platform import (
     ArmedSwitch,
+    ExpertCounts,
+    HeldExperts,
     OrderAction,
     OrderResult,
     RankOrder,
     RankReport,
 )
 from carobroute.utils import Clock
+from carobroute.world import ExpertProfile
 
 REPORT_LAG_MS = 200.0
 ANSWER_MS = 2.0
@@ -38,7 +46,7 @@
     answer_lost: float = 0.0
 
 
-class StandInRank(RankPort):
+class StandInRank(CountingPort):
     """One rank: its maps, and the orders that it accepts.
 
     Parameters
@@ -99,6 +107,25 @@
             self._reports.popleft()
         return self._reports[0][1]
 
+    async def counts(self) -> ExpertCounts:
+        """Return choices that have all fallen on one expert."""
+        await self._group.clock.sleep_ms(ANSWER_MS)
+        chosen = [0] * (2 * len(self._group.ranks))
+        chosen[0] = self._group.step
+        return ExpertCounts(
+            epoch=self._group.epoch, step=self._group.step, counts=chosen
+        )
+
+    async def held(self) -> HeldExperts:
+        """Return the experts of map 0."""
+        await self._group.clock.sleep_ms(ANSWER_MS)
+        rank = self._group.ranks.index(self)
+        return HeldExperts(
+            epoch=self._group.epoch,
+            version=self.version,
+            sets=[experts[rank] for experts in self._group.layout],
+        )
+
     def remember(self) -> None:
         """Keep the present state for later reports."""
         self._finish_copy()
@@ -229,6 +256,27 @@
         size = len(self.ranks)
         return initial_layout(sets=1, experts=2 * size, ranks=size)
 
+    @property
+    def view(self) -> RankGroup:
+        """The group as a rebalancer sees it."""
+        size = len(self.ranks)
+        experts = ExpertProfile(
+            sets=1,
+            experts=2 * size,
+            places=4,
+            spare=2,
+            expert_mb=1.0,
+            link_mbps=1_000.0,
+            share=0.8,
+        )
+        return RankGroup(
+            name="g",
+            epoch=self.epoch,
+            ranks=list(self.ranks),
+            experts=experts,
+            gap_target_ms=120.0,
+        )
+
     @property
     def mixed(self) -> list[list[int]]:
         """Passes that began with two maps."""
