--- /dev/null
+++ b/carobroute/gateway/tests/test_peers.py
@@ -0,0 +1,142 @@
+"""Digests between gateways, over real datagrams on loopback."""
+
+import asyncio
+import io
+import random
+import socket
+
+import pytest
+import uvloop
+
+from carobroute.gateway._duty import RowDuty
+from carobroute.gateway._peers import PeerBoard, PeerLinks
+from carobroute.gateway._suspects import Suspects
+from carobroute.gateway._targets import TargetDirectory
+from carobroute.telemetry import EventLog
+from carobroute.testing import wait_until
+from carobroute.testing.gateway_data import make_target_entry
+from carobroute.testing.row_store_data import MemoryRowStore
+from carobroute.utils import Clock, ManualClock, TaskSet
+
+
+def _free_port():
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+class Gateway:
+    """The parts of a gateway that take part in digests."""
+
+    def __init__(self, name, store, clock):
+        self.gateways = []
+        self.board = PeerBoard(clock=clock, forget_ms=1_200.0)
+        self.directory = TargetDirectory(
+            clock=clock,
+            outage_ms=1_500.0,
+            lapsed_ms=2_200.0,
+            peer_calls=self.board.calls_at,
+        )
+        self.directory.update([make_target_entry()])
+        self.target = self.directory.everyone()[0]
+        self.suspects = Suspects(clock=clock, crash_limit=2)
+        self.tasks = TaskSet(on_failure=lambda task, error: None)
+        self.links = PeerLinks(
+            incarnation=f"{name}~1",
+            name=name,
+            bind=f"127.0.0.1:{_free_port()}",
+            store=store,
+            board=self.board,
+            directory=self.directory,
+            suspects=self.suspects,
+            on_peers=self.gateways.append,
+            events=EventLog(name=name, stream=io.StringIO(), clock=clock),
+            clock=clock,
+            random=random.Random(1),
+            tasks=self.tasks,
+        )
+
+    async def stop(self):
+        await self.tasks.close()
+        await self.links.stop()
+
+
+async def _two_gateways_hear_of_each_others_calls():
+    clock = Clock()
+    store = MemoryRowStore(clock=clock)
+    first, second = Gateway("a", store, clock), Gateway("b", store, clock)
+    for gateway in (first, second):
+        await gateway.links.start()
+    try:
+        first.target.in_flight = 3
+        first.suspects.blame("f1", "run-1")
+        first.links.note_change()
+        await wait_until(lambda: second.target.others == 3)
+        await wait_until(lambda: first.board.count == 1)
+        assert second.suspects.blames() == {"f1": ["run-1"]}
+        await wait_until(lambda: second.gateways[-1:] == [2])
+    finally:
+        await first.stop()
+        await second.stop()
+    assert not (await store.read("gateways")).unwrap().rows
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_gateways_hear_of_each_others_calls(run):
+    run(_two_gateways_hear_of_each_others_calls())
+
+
+def _duty(holder, store, clock, *, is_gone=lambda holder: False):
+    return RowDuty(
+        name="experts/g",
+        holder=holder,
+        store=store,
+        events=EventLog(name=holder, stream=io.StringIO(), clock=clock),
+        clock=clock,
+        is_gone=is_gone,
+    )
+
+
+async def test_a_duty_has_one_holder_until_its_term_ends():
+    clock = ManualClock()
+    store = MemoryRowStore(clock=clock)
+    first, second = _duty("a", store, clock), _duty("b", store, clock)
+    assert await first.acquire()
+    assert not await second.acquire()
+    clock.advance_ms(3_001)
+    assert await second.acquire()
+    assert not await first.acquire()
+
+
+async def test_a_duty_passes_on_at_once_from_a_gateway_that_is_gone():
+    clock = ManualClock()
+    store = MemoryRowStore(clock=clock)
+    first = _duty("a", store, clock)
+    second = _duty("b", store, clock, is_gone=lambda holder: holder == "a")
+    assert await first.acquire()
+    assert await second.acquire()
+
+
+async def test_a_duty_is_not_held_while_the_store_is_away():
+    clock = ManualClock()
+    store = MemoryRowStore(clock=clock)
+    duty = _duty("a", store, clock)
+    store.is_away = True
+    assert not await duty.acquire()
+    store.is_away = False
+    clock.advance_ms(401)
+    assert await duty.acquire()
+
+
+async def test_holding_a_duty_costs_no_call_until_it_must_be_renewed():
+    clock = ManualClock()
+    store = MemoryRowStore(clock=clock)
+    duty = _duty("a", store, clock)
+    assert await duty.acquire()
+    calls = store.calls
+    clock.advance_ms(1_000)
+    assert await duty.acquire()
+    assert store.calls == calls
+    clock.advance_ms(1_000)
+    assert await duty.acquire()
+    assert store.calls > calls
--- /dev/null
+++ b/carobroute/testing/gateway_data.py
@@ -0,0 +1,94 @@
+"""Builders of routes, targets and configurations for tests of the gateway."""
+
+from typing import Any
+
+from carobroute.world import (
+    CallClass,
+    CallerBounds,
+    EngineProfile,
+    KeyHolder,
+    Route,
+    RoutingConfiguration,
+    ServiceProfile,
+    ServiceShare,
+    TargetCondition,
+    TargetEntry,
+)
+
+
+def make_target_entry(**changes: Any) -> TargetEntry:
+    """Return an entry of a target that is ready."""
+    fields: dict[str, Any] = {
+        "incarnation": "i-1",
+        "started_ms": 1,
+        "service": "orders",
+        "address": "127.0.0.1:1",
+        "data_centre": "a",
+        "slots": 6,
+        "condition": TargetCondition.READY,
+        "cold_ms": 0.0,
+    }
+    return TargetEntry(**{**fields, **changes})
+
+
+def make_route(**changes: Any) -> Route:
+    """Return a route of idempotent calls to the service `orders`."""
+    fields: dict[str, Any] = {
+        "name": "r-1",
+        "host": "shop.example",
+        "path_prefix": "/orders/",
+        "call_class": CallClass.IDEMPOTENT,
+        "streaming": False,
+        "resumable": False,
+        "timeout_ms": 1_000.0,
+        "latency_target_ms": 150.0,
+        "gap_target_ms": 0.0,
+        "priority": 2,
+        "shares": [ServiceShare(service="orders", weight=1.0)],
+        "max_attempts": 2,
+        "anonymous": False,
+    }
+    return Route(**{**fields, **changes})
+
+
+def make_service(**changes: Any) -> ServiceProfile:
+    """Return the plain service `orders`."""
+    fields: dict[str, Any] = {
+        "name": "orders",
+        "health_path": "/health",
+        "max_connections": 96,
+        "engine": None,
+    }
+    return ServiceProfile(**{**fields, **changes})
+
+
+def make_engine(**changes: Any) -> EngineProfile:
+    """Return the profile of an engine without experts."""
+    fields: dict[str, Any] = {
+        "slots": 6,
+        "kv_capacity_tokens": 186_000,
+        "step_ms": 5.85,
+        "sequence_ms": 0.71,
+        "context_ms_per_1k": 0.072,
+        "prefill_tokens_per_s": 61_200.0,
+        "attention_ms_per_1m": 0.325,
+        "prefill_chunk_tokens": 512,
+        "steps_per_pass": 5,
+        "usual_prompt_tokens": 835.0,
+        "usual_output_tokens": 139.0,
+        "forming_ms": 600.0,
+        "experts": None,
+    }
+    return EngineProfile(**{**fields, **changes})
+
+
+def make_configuration(**changes: Any) -> RoutingConfiguration:
+    """Return a configuration with one route, one service and one team."""
+    fields: dict[str, Any] = {
+        "version": 1,
+        "routes": [make_route()],
+        "services": [make_service()],
+        "teams": [KeyHolder(name="lund", keys=["key-1"], priority=None)],
+        "bounds": CallerBounds(),
+    }
+    return RoutingConfiguration(**{**fields, **changes})
--- /dev/null
+++ b/carobroute/testing/row_store_data.py
@@ -0,0 +1,75 @@
+"""A row store in memory, for tests of what is kept there."""
+
+from returns.result import Result, Success
+
+from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.platform import (
+    RowAddress,
+    RowCondition,
+    RowsAnswer,
+    RowStore,
+    RowWrite,
+    StoredRow,
+)
+from carobroute.utils import Clock
+
+
+class MemoryRowStore(RowStore):
+    """Rows in memory, with outages that tests switch on.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of the store's time.
+    """
+
+    __slots__ = ("_clock", "_kept", "_version", "calls", "is_away")
+
+    def __init__(self, *, clock: Clock):
+        super().__init__(address="127.0.0.1:1")
+        self._clock = clock
+        self._kept: dict[tuple[str, str], StoredRow] = {}
+        self._version = 0
+        self.calls = 0
+        self.is_away = False
+
+    async def read(
+        self, table: str, *, part: str = "", first: str = "", end: str = ""
+    ) -> Result[RowsAnswer, Fault]:
+        """Return the rows of a table in key order."""
+        self.calls += 1
+        if self.is_away:
+            return fail(ErrorKind.STORE_UNAVAILABLE, "the store is away")
+        rows = [
+            row
+            for (name, key), row in sorted(self._kept.items())
+            if name == table and key >= first and (not end or key < end)
+        ]
+        return Success(self._answer(rows))
+
+    async def transact(
+        self,
+        *,
+        conditions: list[RowCondition],
+        writes: list[RowWrite],
+        removals: list[RowAddress],
+    ) -> Result[RowsAnswer, Fault]:
+        """Write and remove rows if all conditions hold."""
+        self.calls += 1
+        if self.is_away:
+            return fail(ErrorKind.STORE_UNAVAILABLE, "the store is away")
+        for condition in conditions:
+            row = self._kept.get((condition.table, condition.key))
+            if (row.version if row else 0) != condition.version:
+                return fail(ErrorKind.CONFLICT, "a row has another version")
+        self._version += 1
+        for write in writes:
+            self._kept[write.table, write.key] = StoredRow(
+                write.table, write.key, self._version, write.value
+            )
+        for removal in removals:
+            self._kept.pop((removal.table, removal.key), None)
+        return Success(self._answer([]))
+
+    def _answer(self, rows: list[StoredRow]) -> RowsAnswer:
+        return RowsAnswer(self._version, self._clock.now_ms(), rows)
