Ask again for an answer whose start was lost

Cause of the test that failed once, test_keys_are_rotated_by_ticket_under_load (status 500 from CallerWriter.write before start): an exchange took the chunk with the index that it expected, also when the start of the answer had not come. The start travels before it on the same connection, but a connection that falls silent can swallow the start, and the chunk arrives on the next one. Ruled out: the local process sending chunks first; it never does on one connection.

Test: a chunk and an end that overtake the start, without load; it failed before.

--- a/carobroute/entry/_exchange.py
+++ b/carobroute/entry/_exchange.py
@@ -188,23 +188,28 @@
         taken : bool
             False if it was a duplicate or out of order.
         """
-        if isinstance(entry, Chunk):
-            if entry.index != self._expected:
-                if entry.index > self._expected:
-                    self.attach()
-                return False
-            self._expected += 1
-        elif isinstance(entry, Start):
+        if isinstance(entry, Start):
             if self.started:
                 return False
             self.started = True
-        elif entry.fault is None and entry.chunks != self._expected:
+        elif isinstance(entry, Chunk):
+            if entry.index < self._expected:
+                return False
+            # The start may have been lost with a silent connection.
+            if entry.index > self._expected or not self.started:
+                self.attach()
+                return False
+            self._expected += 1
+        elif entry.fault is None and not self._is_whole(entry):
             self.attach()
             return False
         self._messages.append(entry)
         self._arrived.set()
         return True
 
+    def _is_whole(self, end: End) -> bool:
+        return self.started and end.chunks == self._expected
+
     def attach(self) -> None:
         """Ask for the answer from the first missing chunk on."""
         self.peer.send(
--- a/carobroute/entry/tests/test_exchange.py
+++ b/carobroute/entry/tests/test_exchange.py
@@ -143,3 +143,16 @@
     assert exchange.join_ready(first) == b"012"
     assert exchange.taken == 3
     assert isinstance(await exchange.next(), End)
+
+
+async def test_a_chunk_that_overtakes_the_start_is_asked_for_again(clock):
+    """The start was lost with a silent connection; the chunk came on the next one."""
+    peer = FakePeer()
+    exchange = make_exchange(clock, peer)
+    assert not exchange.push(chunk(0))
+    assert not exchange.push(end(chunks=0))
+    asked = peer.of_kind(Attach)
+    assert [(a.index, a.started) for a in asked] == [(0, False)] * 2
+    taken = [exchange.push(m) for m in (start(), chunk(0), end(chunks=1))]
+    assert taken == [True, True, True]
+    assert isinstance(await exchange.next(), Start)
