Keep calls from a group that is down, and move streams off a rank that is stuck

Cause: with a rank lost, all ranks refuse for seconds; each call was sent to two ranks, then refused with a Retry-After taken from the rate of ended calls, and refused again when it came back. And a fixed wait of 1.2 s for the first event had calls leave the queue of a rank whose whole group stood still, for the end of another rank's queue.

- A gate per group: three refusals in a row without an event, or the list, show it to be down; one call in 250 ms looks whether it is back; Retry-After is what past outages took, less the time that this one has lasted.
- A stream moves only if its rank (or, once begun, the stream itself) is silent for 700 ms while others of the group have events.

--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.gateway._group_gate import GroupGate
 from carobroute.gateway._targets import Target, TargetDirectory
 from carobroute.utils import Clock
 from carobroute.world import ServiceProfile
@@ -143,6 +144,7 @@
         "_data_centre",
         "_directory",
         "_ended",
+        "_gates",
         "_number",
         "_on_change",
         "_parameters",
@@ -168,6 +170,7 @@
         self._parameters = parameters or DispatchParameters()
         self._queues: dict[str, list[_Waiter]] = {}
         self._ended: dict[str, deque[float]] = {}
+        self._gates: dict[str, GroupGate] = {}
         self._number = 0
 
     @property
@@ -189,6 +192,13 @@
             wait would be too long; both with the time at which to come back.
         """
         service = demand.service.name
+        closed = self._closed_gate(service)
+        if closed is not None:
+            return fail(
+                ErrorKind.NO_TARGET,
+                f"the rank group of service {service!r} is down",
+                retry_after_ms=closed.retry_after_ms,
+            )
         if not self._queues.get(service):
             target = self._choose(demand)
             if target is not None:
@@ -198,6 +208,23 @@
             return Failure(refusal)
         return await self._wait(demand)
 
+    def gate(self, target: Target) -> GroupGate:
+        """Return the gate of a target's rank group."""
+        gate = self._gates.get(target.group)
+        if gate is None:
+            gate = self._gates[target.group] = GroupGate(clock=self._clock)
+        return gate
+
+    def _closed_gate(self, service: str) -> GroupGate | None:
+        """Return the gate that keeps a call back; None if one is open."""
+        targets = self._directory.targets(service)
+        gates = {target.group: self.gate(target) for target in targets}
+        if not gates or any(not gate.is_down for gate in gates.values()):
+            return None
+        if any(gate.admits() for gate in gates.values()):
+            return None
+        return min(gates.values(), key=lambda gate: gate.retry_after_ms)
+
     def release(self, grant: Grant) -> None:
         """Note that a granted call has ended."""
         target = grant.target
@@ -249,7 +276,7 @@
             return Fault(
                 kind=ErrorKind.NO_TARGET,
                 detail=f"service {service!r} has no target that takes calls",
-                retry_after_ms=self._parameters.broken_retry_ms,
+                retry_after_ms=self._back_ms(service),
             )
         expected_ms = self.expected_wait_ms(service)
         if expected_ms <= self._longest_wait_ms(demand):
@@ -260,6 +287,14 @@
             retry_after_ms=expected_ms,
         )
 
+    def _back_ms(self, service: str) -> float:
+        """Return when a service without a target is expected to have one again."""
+        gates = [
+            self.gate(t) for t in self._directory.targets(service) if t.entry.group
+        ]
+        known_ms = [gate.retry_after_ms for gate in gates if gate.is_down]
+        return min(known_ms, default=self._parameters.broken_retry_ms)
+
     def _longest_wait_ms(self, demand: Demand) -> float:
         share_ms = demand.latency_target_ms * self._parameters.wait_share
         wait_ms = max(self._parameters.least_wait_ms, share_ms)
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import enum
+from collections.abc import Coroutine
+from typing import Any
 
 import aiohttp
 import msgspec
@@ -18,6 +20,7 @@
 from carobroute.gateway._records import CallRecord
 from carobroute.gateway._services import GatewayServices
 from carobroute.gateway._suspects import fingerprint
+from carobroute.gateway._targets import Target
 from carobroute.platform import (
     AnswerHead,
     CallHead,
@@ -36,6 +39,11 @@
 WRITE_TIMEOUT_MS = 5_000.0
 
 
+# Time between two looks at a rank that has not answered.
+STUCK_CHECK_MS = 200.0
+
+Sending = Result[WatchedResponse, Fault]
+
 # Faults of an attempt that say nothing of the target.
 OWN_FAULTS = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.LEAVING})
 
@@ -87,6 +95,7 @@
         "_body",
         "_caller_priority",
         "_cutter",
+        "_event_ms",
         "_excluded",
         "_expires_ms",
         "_fingerprint",
@@ -123,6 +132,8 @@
         self._excluded: set[str] = set()
         self._expires_ms = float("inf")
         self._cutter = EventCutter()
+        # When this attempt last had an event; 0 before its first.
+        self._event_ms = 0.0
         self._out: web.StreamResponse | None = None
 
     async def answer(self) -> web.StreamResponse:
@@ -349,14 +360,17 @@
         target = grant.target
         transport = await self._services.pool.transport(target)
         headers = self._headers(target.name)
-        sent = await transport.send(
-            self._request.method,
-            self._request.raw_path,
-            headers=headers,
-            body=self._body,
-            first_byte_ms=self._first_byte_ms(),
-            fresh=not self._route.repeatable,
-            guard=lambda: self._objection(grant),
+        sent = await self._unless_stuck(
+            target,
+            transport.send(
+                self._request.method,
+                self._request.raw_path,
+                headers=headers,
+                body=self._body,
+                first_byte_ms=self._first_byte_ms(target),
+                fresh=not self._route.repeatable,
+                guard=lambda: self._objection(grant),
+            ),
         )
         if isinstance(sent, Failure):
             fault = sent.failure()
@@ -402,17 +416,51 @@
             return Fault(kind=ErrorKind.LEAVING, detail=detail)
         return None
 
-    def _first_byte_ms(self) -> float:
+    @property
+    def _may_move(self) -> bool:
+        """Whether the call may go on at another target, even if it has run."""
+        return self._route.repeatable and self._sent + 1 < self._route.max_attempts
+
+    def _first_byte_ms(self, target: Target) -> float:
         """Return how long to wait for the first byte while a repeat is possible."""
         left_ms = max(1.0, self._left_ms)
-        another = self._sent + 1 < self._route.max_attempts
-        if not (self._route.repeatable and another):
+        if not self._may_move or (self._route.streaming and target.entry.group):
             return left_ms
         parameters = self._services.parameters
         if self._route.streaming:
             return min(left_ms, parameters.first_event_ms)
         return left_ms * parameters.answer_ms_share
 
+    def _is_stuck(self, target: Target, since_ms: float) -> bool:
+        """Return whether a rank is silent while its group makes passes.
+
+        A rank that has no free slot is not stuck, nor one whose whole group stands
+        still: another rank would not be quicker.
+        """
+        stuck_ms = self._services.parameters.stuck_ms
+        now_ms = self._services.clock.now_ms()
+        if now_ms - max(since_ms, target.event_ms) < stuck_ms:
+            return False
+        return self._services.paces.of(target.group).silent_ms < stuck_ms / 2
+
+    async def _unless_stuck(
+        self, target: Target, sending: Coroutine[Any, Any, Sending]
+    ) -> Sending:
+        """Wait for the first byte, unless the rank is found to be stuck."""
+        if not (self._may_move and self._route.streaming and target.entry.group):
+            return await sending
+        since_ms = self._services.clock.now_ms()
+        task = asyncio.ensure_future(sending)
+        try:
+            while not task.done():
+                await asyncio.wait({task}, timeout=STUCK_CHECK_MS / MS_PER_S)
+                if not task.done() and self._is_stuck(target, since_ms):
+                    detail = f"{target.name} is silent while its group goes on"
+                    return fail(ErrorKind.PEER_LOST, detail)
+            return task.result()
+        finally:
+            task.cancel()
+
     # Answers.
 
     async def _judge(self, grant: Grant, response: WatchedResponse) -> Attempt:
@@ -427,7 +475,7 @@
             return self._not_run(grant, response)
         if self._route.streaming and response.status < 300:
             return await self._stream(grant, response)
-        return await self._whole(response)
+        return await self._whole(grant, response)
 
     def _spoiled(self, head: AnswerHead, response: WatchedResponse) -> str:
         if head.not_run or response.status == MISDIRECTED_STATUS:
@@ -444,6 +492,8 @@
         target = grant.target
         if response.status == MISDIRECTED_STATUS:
             target.gone = True
+        elif target.entry.group:
+            self._services.dispatcher.gate(target).note_refused()
         detail = f"target {target.name} answered {response.status}: not run"
         expected_ms = self._services.dispatcher.expected_wait_ms(target.entry.service)
         fault = Fault(
@@ -451,10 +501,11 @@
         )
         return Attempt(end=AttemptEnd.NOT_RUN, fault=fault)
 
-    async def _whole(self, response: WatchedResponse) -> Attempt:
+    async def _whole(self, grant: Grant, response: WatchedResponse) -> Attempt:
         body = await response.read()
         response.check_end()
         self._services.recorder.first_byte(self._record)
+        self._services.dispatcher.gate(grant.target).note_event()
         answer = web.Response(
             status=response.status, body=body, headers=end_to_end(response.headers)
         )
@@ -465,26 +516,52 @@
 
     async def _stream(self, grant: Grant, response: WatchedResponse) -> Attempt:
         self._cutter.drop_rest()
-        pace = self._services.paces.of(grant.target.group)
-        event_ms: float | None = None
+        watch = asyncio.create_task(self._close_if_stuck(grant.target, response))
+        try:
+            await self._pass_on(grant.target, response)
+        finally:
+            watch.cancel()
+        response.check_end()
+        if self._cutter.rest:
+            await self._write(self._cutter.rest, response)
+        out = self._out or await self._begin(response)
+        await out.write_eof()
+        return Attempt(end=AttemptEnd.ANSWERED, response=out)
+
+    async def _pass_on(self, target: Target, response: WatchedResponse) -> None:
+        """Pass whole events on as they come, to the end of the answer."""
+        pace = self._services.paces.of(target.group)
+        gate = self._services.dispatcher.gate(target)
+        self._event_ms = 0.0
         while data := await response.content.readany():
             events = self._cutter.feed(data)
             if not events:
                 continue
             now_ms = self._services.clock.now_ms()
-            if event_ms is None:
-                pace.note_first()
+            if self._event_ms:
+                pace.note_event(now_ms - self._event_ms)
+                self._record.note_gap(now_ms - self._event_ms)
             else:
-                pace.note_event(now_ms - event_ms)
-                self._record.note_gap(now_ms - event_ms)
-            event_ms = now_ms
+                pace.note_first()
+            self._event_ms = target.event_ms = now_ms
+            gate.note_event()
             await self._write(events, response)
-        response.check_end()
-        if self._cutter.rest:
-            await self._write(self._cutter.rest, response)
-        out = self._out or await self._begin(response)
-        await out.write_eof()
-        return Attempt(end=AttemptEnd.ANSWERED, response=out)
+
+    async def _close_if_stuck(self, target: Target, response: WatchedResponse) -> None:
+        """Break off a stream that is silent while others of its group go on.
+
+        Each pass makes an event of every stream, so its connection or its rank is
+        lost, and it goes on at another rank.
+        """
+        clock, stuck_ms = self._services.clock, self._services.parameters.stuck_ms
+        pace = self._services.paces.of(target.group)
+        while self._may_move and target.entry.group:
+            await clock.sleep_ms(STUCK_CHECK_MS)
+            silent_ms = clock.now_ms() - self._event_ms if self._event_ms else 0.0
+            if silent_ms > stuck_ms and pace.silent_ms < stuck_ms / 2:
+                self._record.note("stream_stuck", silent_ms=round(silent_ms))
+                response.close()
+                return
 
     async def _begin(self, response: WatchedResponse) -> web.StreamResponse:
         out = web.StreamResponse(
--- a/carobroute/gateway/_parameters.py
+++ b/carobroute/gateway/_parameters.py
@@ -31,7 +31,12 @@
     answer_ms_share : float
         Part of the time left that the first target of a repeatable call gets.
     first_event_ms : float
-        Longest wait for a stream's first byte while another target may be tried.
+        Longest wait for a stream's first byte while another target may be tried, at
+        targets without a rank group.
+    stuck_ms : float
+        Silence of a rank, while others of its group have events, after which its
+        streams go on at another one. Several passes, and well within the two seconds
+        for which callers wait.
     least_left_ms : float
         Time that a call needs at least to be worth sending.
     stop_ready_ms : float
@@ -60,6 +65,7 @@
     keep_alive_ms: float = 1_500.0
     answer_ms_share: float = 0.5
     first_event_ms: float = 1_200.0
+    stuck_ms: float = 700.0
     least_left_ms: float = 15.0
     stop_ready_ms: float = 3_200.0
     stop_margin_ms: float = 600.0
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -34,6 +34,7 @@
         "_others_ms",
         "_peer_calls",
         "entry",
+        "event_ms",
         "gone",
         "health",
         "in_flight",
@@ -55,6 +56,8 @@
         self.health = Health(clock=clock, parameters=health)
         self.in_flight = 0
         self.gone = False
+        # When a stream of this target last had an event.
+        self.event_ms = 0.0
 
     @property
     def name(self) -> str:
