Test the gateway's decisions, and use the usual outage of a listed broken group

Cause: a group that the list shows as broken was refused with the default wait of one second instead of the learned outage; the test of it failed before. Also tested: routes and keys, the age of the proof on a machine that was suspended, leaving and lapsed targets, the queue under overload, a lost rank group.

--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -289,10 +289,13 @@
 
     def _back_ms(self, service: str) -> float:
         """Return when a service without a target is expected to have one again."""
-        gates = [
-            self.gate(t) for t in self._directory.targets(service) if t.entry.group
-        ]
-        known_ms = [gate.retry_after_ms for gate in gates if gate.is_down]
+        known_ms = []
+        for target in self._directory.targets(service):
+            gate = self.gate(target)
+            if not target.entry.group_open:
+                gate.note_down()
+            if gate.is_down:
+                known_ms.append(gate.retry_after_ms)
         return min(known_ms, default=self._parameters.broken_retry_ms)
 
     def _longest_wait_ms(self, demand: Demand) -> float:
