Never call a request "not run" once an attempt of it may have run

Cause: an idempotent call whose first attempt broke off, and which then found no other target, was refused with 503, which promises that it did not run. Only orders were safe.

carobroute/testing/gateway_harness.py: a gateway with scripted targets on loopback. Tested through it: what is passed on and what is not, keys without a proof, repeats, orders, answers that are torn, doubled, re-coded or another's, callers that leave, streams that break, go silent or go on elsewhere, the log of a failed request.

--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -638,6 +638,9 @@
         return self._refuse(Fault(kind=kind, detail="no answer in time"))
 
     def _refuse(self, fault: Fault) -> tuple[web.StreamResponse, str]:
+        if self._may_have_run and fault.not_run:
+            # An earlier attempt may have run, whatever became of this one.
+            fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=fault.detail)
         self._record.note("call_refused", kind=fault.kind.value, detail=fault.detail)
         return refuse(fault, self._head.request_id), fault.kind.value
 
--- /dev/null
+++ b/carobroute/gateway/tests/test_exchange.py
@@ -0,0 +1,311 @@
+"""Requests through a gateway to targets that answer well, badly, late or not at all."""
+
+import asyncio
+
+import aiohttp
+import pytest
+
+from carobroute.gateway import GatewayParameters
+from carobroute.testing import wait_until
+from carobroute.testing.gateway_data import make_configuration, make_route
+from carobroute.testing.gateway_harness import GatewayHarness
+from carobroute.utils import Clock
+from carobroute.world import CallClass
+
+ORDER = make_route(call_class=CallClass.NON_IDEMPOTENT, max_attempts=1)
+STREAM = make_route(streaming=True, resumable=True, timeout_ms=8_000.0)
+
+
+@pytest.fixture
+async def gateway(request):
+    routes = getattr(request, "param", [make_route()])
+    harness = GatewayHarness(configuration=make_configuration(routes=routes))
+    yield harness
+    await harness.stop()
+
+
+def orders(function):
+    return pytest.mark.parametrize("gateway", [[ORDER]], indirect=True)(function)
+
+
+def streams(function):
+    return pytest.mark.parametrize("gateway", [[STREAM]], indirect=True)(function)
+
+
+async def ok(call):
+    await call.answer()
+
+
+async def cut(call):
+    call.cut()
+
+
+async def busy(call):
+    await call.answer(503, b"full", Not_Run="1")
+
+
+async def test_a_request_is_passed_on_unchanged_but_for_its_own_headers(gateway):
+    (target,) = await gateway.start(ok)
+    path = "/orders/a%2Fb//c?x=%20&y=+"
+    status, body, headers = await gateway.call(
+        "POST", path, b"\x00\xffbody", Tenant="forged", X_Note="kept"
+    )
+    assert (status, body, headers["Server-Seal"]) == (200, b"ok", "seal")
+    (call,) = target.calls
+    assert call.line == f"POST {path} HTTP/1.1"
+    assert call.body == b"\x00\xffbody"
+    assert call.headers["host"] == "shop.example"
+    assert call.headers["tenant"] == "lund"
+    assert call.headers["expect-instance"] == "i-0"
+    assert call.headers["x-note"] == "kept"
+    assert "x-api-key" not in call.headers
+    assert 0 < int(call.headers["deadline-ms"]) <= 1_000
+
+
+@pytest.mark.parametrize(
+    ("path", "headers", "status"),
+    [
+        ("/nowhere/", {}, 404),
+        ("/orders/1", {"Host": "other.example"}, 404),
+        ("/orders/1", {"X_Api_Key": "wrong"}, 401),
+        ("/orders/1", {"X_Api_Key": ""}, 401),
+    ],
+)
+async def test_what_the_configuration_does_not_allow_reaches_no_target(
+    gateway, path, headers, status
+):
+    (target,) = await gateway.start(ok)
+    assert (await gateway.call(path=path, **headers))[0] == status
+    assert target.calls == []
+
+
+async def test_a_body_that_is_too_large_is_refused_and_the_next_caller_served(gateway):
+    (target,) = await gateway.start(ok)
+    large = b"x" * (4_194_304 + 1)
+    assert (await gateway.call("POST", body=large))[0] == 413
+    assert (await gateway.call())[0] == 200
+    assert len(target.calls) == 1
+
+
+async def test_keys_are_refused_as_not_run_without_a_proof(gateway):
+    (target,) = await gateway.start(ok)
+    gateway.configuration._proved_ms = Clock().wake_safe_ms() - 4_700
+    status, _, headers = await gateway.call()
+    assert (status, headers["Connection"]) == (503, "close")
+    assert float(headers["Retry-After"]) > 0
+    assert target.calls == []
+
+
+async def test_an_idempotent_call_is_sent_again_after_a_broken_connection(gateway):
+    targets = await gateway.start(cut, cut, ok)
+    statuses = {(await gateway.call(Request_Id=f"r-{n}"))[0] for n in range(6)}
+    # Two targets are tried at most, so a call that meets both broken ones fails.
+    assert statuses <= {200, 502}
+    assert all(call.line.startswith("GET") for t in targets for call in t.calls)
+
+
+@orders
+async def test_an_order_is_never_sent_again_once_it_may_have_run(gateway):
+    targets = await gateway.start(cut, cut)
+    assert (await gateway.call("POST"))[0] == 502
+    assert sum(len(target.calls) for target in targets) == 1
+
+
+@orders
+async def test_an_order_that_was_not_run_is_refused_with_a_time_to_come_back(gateway):
+    targets = await gateway.start(busy)
+    status, _, headers = await gateway.call("POST")
+    assert status == 503
+    assert float(headers["Retry-After"]) > 0
+    assert "Server-Seal" not in headers
+    assert sum(len(target.calls) for target in targets) == 1
+
+
+@orders
+async def test_an_order_goes_to_another_target_if_nothing_was_sent(gateway):
+    targets = await gateway.start(ok, ok)
+    await targets[0].stop()
+    assert {(await gateway.call("POST"))[0] for _ in range(4)} == {200}
+
+
+@orders
+async def test_a_targets_own_failure_is_passed_on_as_it_is(gateway):
+    async def fails(call):
+        await call.answer(500, b"own words")
+
+    await gateway.start(fails)
+    status, body, headers = await gateway.call("POST")
+    assert (status, body, headers["Server-Seal"]) == (500, b"own words", "seal")
+
+
+async def test_an_answer_to_another_request_is_not_delivered(gateway):
+    async def mixed(call):
+        await call.answer(200, b"somebody's", Request_Id="r-other")
+
+    await gateway.start(mixed)
+    status, body, _ = await gateway.call()
+    assert status == 502
+    assert b"somebody" not in body
+
+
+@pytest.mark.parametrize(
+    "spoil", [{"Server_Seal": ""}, {"Content_Encoding": "gzip"}], ids=str
+)
+async def test_a_success_that_is_not_the_targets_own_is_not_delivered(gateway, spoil):
+    async def spoiled(call):
+        await call.answer(200, b"whose?", **spoil)
+
+    await gateway.start(spoiled)
+    assert (await gateway.call())[0] == 502
+
+
+async def test_a_torn_answer_is_not_delivered(gateway):
+    async def torn(call):
+        await call.answer(200, b"half", Content_Length="100")
+        call.cut()
+
+    await gateway.start(torn)
+    assert (await gateway.call())[0] == 502
+
+
+async def test_bytes_after_an_answer_reach_no_other_caller(gateway):
+    async def doubled(call):
+        await call.answer(200, b"first")
+        await call.answer(200, b"extra", Request_Id="r-old")
+
+    await gateway.start(doubled)
+    for number in range(3):
+        status, body, _ = await gateway.call(Request_Id=f"r-{number}")
+        assert (status, body) in ((200, b"first"), (502, body))
+        assert b"extra" not in body
+
+
+async def test_a_caller_that_leaves_ends_the_targets_work(gateway):
+    left = asyncio.Event()
+
+    async def slow(call):
+        await call.reader.read()
+        left.set()
+
+    await gateway.start(slow)
+    task = asyncio.create_task(gateway.call(Deadline_Ms="5000"))
+    await wait_until(lambda: gateway.directory.find("i-0").in_flight == 1)
+    task.cancel()
+    await asyncio.wait_for(left.wait(), 5)
+    await wait_until(lambda: gateway.directory.find("i-0").in_flight == 0)
+
+
+@orders
+async def test_an_order_without_an_answer_in_time_is_not_called_not_run(gateway):
+    async def silent(call):
+        await call.reader.read()
+
+    await gateway.start(silent)
+    status, body, _ = await gateway.call("POST", Deadline_Ms="200")
+    assert status == 504
+    assert b'"outcome":"unknown"' in body
+
+
+def event(number):
+    return b"id: %d\ndata: word %d\n\n" % (number, number)
+
+
+@streams
+async def test_a_stream_that_breaks_goes_on_at_another_target(gateway):
+    async def answers(call):
+        if "last-event-id" in call.headers:
+            begin = int(call.headers["last-event-id"]) + 1
+            await call.begin_stream(*(event(n) for n in range(begin, 6)))
+            await call.end_stream()
+        else:
+            await call.begin_stream(event(1), event(2), b"id: 3\ndata: wo")
+            call.cut()
+
+    targets = await gateway.start(answers, answers)
+    status, body, _ = await gateway.call("POST", body=b"prompt", Deadline_Ms="5000")
+    assert status == 200
+    assert body == b"".join(event(n) for n in range(1, 6))
+    calls = [call for target in targets for call in target.calls]
+    assert sorted(c.headers.get("last-event-id", "") for c in calls) == ["", "2"]
+    assert {call.body for call in calls} == {b"prompt"}
+
+
+@streams
+async def test_a_stream_that_cannot_go_on_does_not_look_complete(gateway):
+    async def breaks(call):
+        await call.begin_stream(event(1))
+        call.cut()
+
+    await gateway.start(breaks)
+    with pytest.raises(aiohttp.ClientError):
+        await gateway.call("POST", Deadline_Ms="2000")
+
+
+@streams
+async def test_a_stream_keeps_the_callers_last_event(gateway):
+    async def resumes(call):
+        await call.begin_stream(event(13))
+        await call.end_stream()
+
+    (target,) = await gateway.start(resumes)
+    status, body, _ = await gateway.call("POST", Last_Event_Id="12", Deadline_Ms="2000")
+    assert (status, body) == (200, event(13))
+    assert target.calls[0].headers["last-event-id"] == "12"
+
+
+async def test_a_rank_that_is_silent_alone_loses_its_streams():
+    """Open connections may go silent while new ones work."""
+    parameters = GatewayParameters(stuck_ms=150.0)
+    gateway = GatewayHarness(
+        configuration=make_configuration(routes=[STREAM]), parameters=parameters
+    )
+    silenced = []
+
+    async def answers(call):
+        begin = int(call.headers.get("last-event-id", "0")) + 1
+        await call.begin_stream(event(begin))
+        if not silenced:
+            silenced.append(call)
+            await call.reader.read()
+            return
+        for number in range(begin + 1, 30):
+            await asyncio.sleep(0.05)
+            await call.send(event(number))
+        await call.end_stream()
+
+    await gateway.start(answers, answers, group="g", rank=0)
+    try:
+        first = asyncio.create_task(gateway.call("POST", Deadline_Ms="5000"))
+        await wait_until(lambda: silenced)
+        other = await gateway.call("POST", Request_Id="r-2", Deadline_Ms="5000")
+        status, body, _ = await first
+    finally:
+        await gateway.stop()
+    assert (status, body) == other[:2]
+    assert body == b"".join(event(n) for n in range(1, 30))
+
+
+async def test_a_failed_request_can_be_explained_from_its_log(gateway):
+    await gateway.start(cut)
+    assert (await gateway.call(Request_Id="r-77"))[0] == 502
+    lines = [line for line in gateway.log.getvalue().splitlines() if "r-77" in line]
+    names = [line.split("event=")[1].split()[0] for line in lines]
+    assert names == [
+        "target_chosen",
+        "attempt_ended",
+        "repeat_decided",
+        "call_refused",
+        "call_failed",
+    ]
+
+
+async def test_a_request_that_crashed_its_targets_is_refused(gateway):
+    (target,) = await gateway.start(cut)
+    for run in ("i-8", "i-9"):
+        await gateway.call(Request_Id=f"r-{run}")
+        for request in list(gateway.services.suspects._broken.get("i-0", {})):
+            gateway.services.suspects.blame(request, run)
+    calls = len(target.calls)
+    assert (await gateway.call(Request_Id="r-3"))[0] == 503
+    assert len(target.calls) == calls
+    assert (await gateway.call(path="/orders/2", Request_Id="r-4"))[0] == 502
--- /dev/null
+++ b/carobroute/testing/gateway_harness.py
@@ -0,0 +1,259 @@
+"""A gateway in this process, with scripted targets, on loopback."""
+
+import asyncio
+import io
+import random
+from collections.abc import Awaitable, Callable
+
+import aiohttp
+from aiohttp import web
+
+from carobroute.gateway import (
+    ConfigurationInForce,
+    Dispatcher,
+    Exchange,
+    GatewayParameters,
+    RetryWindow,
+    Suspects,
+    TargetDirectory,
+)
+from carobroute.gateway._groups import GroupPaces
+from carobroute.gateway._records import CallRecorder
+from carobroute.gateway._services import GatewayServices
+from carobroute.gateway._target_pool import TargetPool
+from carobroute.telemetry import EventLog, Metrics
+from carobroute.testing.gateway_data import make_configuration, make_target_entry
+from carobroute.utils import Clock, TaskSet
+from carobroute.web import WebSite
+from carobroute.world import RoutingConfiguration
+
+Script = Callable[["TargetCall"], Awaitable[None]]
+
+
+class TargetCall:
+    """One request that a scripted target has read.
+
+    Parameters
+    ----------
+    head : str
+        Request line and headers.
+    body : bytes
+        Request body.
+    writer : asyncio.StreamWriter
+        Connection to answer on.
+    reader : asyncio.StreamReader
+        The same connection's other direction.
+    """
+
+    def __init__(
+        self,
+        *,
+        head: str,
+        body: bytes,
+        writer: asyncio.StreamWriter,
+        reader: asyncio.StreamReader,
+    ):
+        self.head = head
+        self.body = body
+        self.writer = writer
+        self.reader = reader
+        lines = head.split("\r\n")
+        self.line = lines[0]
+        self.headers = {
+            name.lower(): value.strip()
+            for name, _, value in (line.partition(":") for line in lines[1:] if line)
+        }
+
+    async def answer(
+        self, status: int = 200, body: bytes = b"ok", **headers: str
+    ) -> None:
+        """Send a whole answer, marked as the target's own."""
+        fields = {
+            "Request-Id": self.headers.get("request-id", ""),
+            "Server-Seal": "seal",
+            "Content-Length": str(len(body)),
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        await self.begin(status, fields)
+        self.writer.write(body)
+        await self.writer.drain()
+
+    async def begin_stream(self, *events: bytes) -> None:
+        """Send the head of an event stream, and some events."""
+        fields = {
+            "Request-Id": self.headers.get("request-id", ""),
+            "Server-Seal": "seal",
+            "Content-Type": "text/event-stream",
+            "Transfer-Encoding": "chunked",
+        }
+        await self.begin(200, fields)
+        await self.send(*events)
+
+    async def begin(self, status: int, headers: dict[str, str]) -> None:
+        """Send a status line and headers."""
+        lines = [f"HTTP/1.1 {status} Scripted"]
+        lines += [f"{name}: {value}" for name, value in headers.items() if value]
+        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
+        await self.writer.drain()
+
+    async def send(self, *chunks: bytes) -> None:
+        """Send chunks of a chunked body."""
+        for chunk in chunks:
+            self.writer.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
+        await self.writer.drain()
+
+    async def end_stream(self) -> None:
+        """End a chunked body properly."""
+        self.writer.write(b"0\r\n\r\n")
+        await self.writer.drain()
+
+    def cut(self) -> None:
+        """Close the connection without another word."""
+        self.writer.close()
+
+
+class ScriptedTarget:
+    """Target that answers each request as its script says.
+
+    Parameters
+    ----------
+    script : callable
+        Answers one request.
+    """
+
+    def __init__(self, script: Script):
+        self._script = script
+        self._server: asyncio.Server | None = None
+        self.calls: list[TargetCall] = []
+
+    async def start(self) -> str:
+        """Listen, and return the address."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self) -> None:
+        """Stop listening."""
+        if self._server is not None:
+            self._server.close()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+                call = TargetCall(head=head, body=b"", writer=writer, reader=reader)
+                length = int(call.headers.get("content-length", "0"))
+                call.body = await reader.readexactly(length)
+                self.calls.append(call)
+                await self._script(call)
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+class GatewayHarness:
+    """The forwarding part of a gateway, with targets and a configuration.
+
+    Parameters
+    ----------
+    configuration : RoutingConfiguration, default=None
+        What is in force; None for one route to the service `orders`.
+    parameters : GatewayParameters, default=None
+        Times and bounds.
+    """
+
+    def __init__(
+        self,
+        *,
+        configuration: RoutingConfiguration | None = None,
+        parameters: GatewayParameters | None = None,
+    ):
+        self.clock = Clock()
+        self.log = io.StringIO()
+        self.parameters = parameters or GatewayParameters()
+        self.configuration = ConfigurationInForce(
+            clock=self.clock, revoke_ms=5_000.0, margin_ms=400.0
+        )
+        self.configuration.take(configuration or make_configuration())
+        self.configuration.prove(self.clock.wake_safe_ms())
+        self.directory = TargetDirectory(
+            clock=self.clock, outage_ms=1_500.0, lapsed_ms=2_200.0
+        )
+        self.tasks = TaskSet(on_failure=lambda name, error: None)
+        self.pool = TargetPool(parameters=self.parameters, tasks=self.tasks)
+        source = random.Random(1)
+        self.services = GatewayServices(
+            clock=self.clock,
+            random=source,
+            parameters=self.parameters,
+            configuration=self.configuration,
+            directory=self.directory,
+            dispatcher=Dispatcher(
+                clock=self.clock,
+                random=source,
+                data_centre="a",
+                directory=self.directory,
+            ),
+            pool=self.pool,
+            retries=RetryWindow(
+                clock=self.clock, window_ms=10_000.0, share=0.2, slack=20.0
+            ),
+            suspects=Suspects(clock=self.clock, crash_limit=2),
+            paces=GroupPaces(clock=self.clock),
+            recorder=CallRecorder(
+                events=EventLog(name="test", stream=self.log, most_per_s=1e6),
+                metrics=Metrics(),
+            ),
+        )
+        self._targets: list[ScriptedTarget] = []
+        self._site: WebSite | None = None
+        self.url = ""
+
+    async def start(self, *scripts: Script, **entry: object) -> list[ScriptedTarget]:
+        """Start a target for each script, and the gateway; return the targets."""
+        entries = []
+        for number, script in enumerate(scripts):
+            target = ScriptedTarget(script)
+            address = await target.start()
+            self._targets.append(target)
+            entries.append(
+                make_target_entry(incarnation=f"i-{number}", address=address, **entry)
+            )
+        self.directory.update(entries)
+        application = web.Application()
+        application.router.add_route("*", "/{path:.*}", self._serve)
+        self._site = WebSite(application=application, bind="127.0.0.1:0")
+        self.url = f"http://{await self._site.start()}"
+        return self._targets
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        if self._site is not None:
+            await self._site.stop()
+        await self.pool.close()
+        await self.tasks.close()
+        for target in self._targets:
+            await target.stop()
+
+    async def call(
+        self, method: str = "GET", path: str = "/orders/1", body: bytes = b"", **headers
+    ) -> tuple[int, bytes, dict[str, str]]:
+        """Send a request as a caller; return status, body and headers."""
+        fields = {
+            "Host": "shop.example",
+            "Request-Id": "r-1",
+            "Deadline-Ms": "1000",
+            "X-Api-Key": "key-1",
+        }
+        fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+        sent = {name: value for name, value in fields.items() if value}
+        async with (
+            aiohttp.ClientSession(auto_decompress=False) as session,
+            session.request(
+                method, self.url + path, data=body or None, headers=sent
+            ) as response,
+        ):
+            return response.status, await response.read(), dict(response.headers)
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        return await Exchange(services=self.services, request=request).answer()
