--- /dev/null
+++ b/carobroute/platform/tests/test_formats.py
@@ -0,0 +1,191 @@
+"""Decoding of what comes from outside: right, wrong and meaningless bytes."""
+
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from carobroute.platform import (
+    decode_answer,
+    decode_call,
+    decode_configuration,
+    decode_rank_report,
+    decode_settings,
+    decode_target,
+)
+from carobroute.world import CallClass, TargetCondition
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "a.example",
+            "pathPrefix": "/x/",
+            "kind": "stream",
+            "timeoutMs": 8000,
+            "targetLatencyMs": 402,
+            "priority": 1,
+            "backends": [
+                {"service": "one", "weight": 90},
+                {"service": "two", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "allowAnonymous": False,
+            "sticky": True,
+            "resumeStreams": True,
+            "gapTargetMs": 120,
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "pathPrefix": "/y/",
+            "kind": "unsafe",
+            "timeoutMs": 1000,
+            "service": "two",
+        },
+    ],
+    "services": [
+        {"name": "one", "maxConns": 248, "engine": {"slots": 6, "step_ms": 5.85}},
+        {"name": "two", "healthPath": "/health"},
+    ],
+    "limits": {"maxBodyBytes": 1024, "idleTimeoutMs": 15000},
+    "tenants": [{"name": "lund", "apiKeys": ["k1"], "priority": 0}],
+    "unheardOf": {"ignored": True},
+}
+ENTRY = {
+    "service": "one",
+    "address": "10.0.0.1:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "born": 1775504161076,
+    "seq": 4,
+    "group": {"name": "g", "epoch": 2, "rank": 3, "state": "broken"},
+    "size": 12,
+}
+REPORT = {
+    "group": {"name": "g", "epoch": 1, "rank": 0, "state": "open"},
+    "seq": 2,
+    "step": 60,
+    "map": 1,
+    "prepared": 2,
+    "armed": {"version": 2, "step": 64},
+    "held": 64,
+    "running": 4,
+}
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(),
+    lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+    max_leaves=10,
+)
+
+
+def test_a_configuration_is_decoded_into_our_own_words():
+    configuration = decode_configuration(json.dumps(CONFIGURATION).encode()).unwrap()
+    stream, order = configuration.routes
+    assert (stream.call_class, stream.resumable) == (CallClass.IDEMPOTENT, True)
+    assert [share.weight for share in stream.shares] == [90, 10]
+    assert order.call_class is CallClass.NON_IDEMPOTENT
+    assert order.max_attempts == 1
+    assert configuration.services[0].engine.slots == 6
+    assert configuration.services[1].engine is None
+    assert configuration.teams[0].keys == ["k1"]
+    assert configuration.bounds.body_bytes == 1024
+
+
+def test_a_stream_that_may_not_be_resumed_may_not_be_repeated():
+    route = {**CONFIGURATION["routes"][0], "resumeStreams": False}
+    data = json.dumps({**CONFIGURATION, "routes": [route]}).encode()
+    (decoded,) = decode_configuration(data).unwrap().routes
+    assert decoded.call_class is CallClass.NON_IDEMPOTENT
+
+
+def test_a_kind_that_is_not_known_is_a_fault():
+    route = {**CONFIGURATION["routes"][0], "kind": "whim"}
+    data = json.dumps({**CONFIGURATION, "routes": [route]}).encode()
+    assert isinstance(decode_configuration(data), Failure)
+
+
+def test_an_entry_is_decoded_with_its_group():
+    entry = decode_target("i-1", json.dumps(ENTRY).encode()).unwrap()
+    assert entry.condition is TargetCondition.READY
+    assert (entry.group, entry.rank, entry.group_size) == ("g", 3, 12)
+    assert not entry.group_open
+    assert entry.started_ms == 1775504161076
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"state": 7},
+        {"address": "nowhere"},
+        {"address": ":80"},
+        {"service": ""},
+        {"slots": "six"},
+        {"zone": None},
+    ],
+    ids=str,
+)
+def test_an_entry_of_another_writer_names_no_target(change):
+    data = json.dumps({**ENTRY, **change}).encode()
+    assert isinstance(decode_target("i-1", data), Failure)
+
+
+@pytest.mark.parametrize("missing", ["service", "address", "zone", "state"])
+def test_an_entry_with_a_field_missing_names_no_target(missing):
+    entry = {name: value for name, value in ENTRY.items() if name != missing}
+    assert isinstance(decode_target("i-1", json.dumps(entry).encode()), Failure)
+
+
+def test_a_report_is_decoded_with_its_hold():
+    report = decode_rank_report(json.dumps(REPORT).encode()).unwrap()
+    assert (report.held_step, report.armed.version, report.orders) == (64, 2, 2)
+
+
+@given(st.binary(max_size=200) | JSON.map(lambda value: json.dumps(value).encode()))
+def test_no_decoder_of_bodies_raises(data):
+    for decode in (
+        decode_configuration,
+        decode_settings,
+        decode_rank_report,
+        lambda body: decode_target("i-1", body),
+    ):
+        assert isinstance(decode(data), Failure | Success)
+
+
+@given(
+    st.sampled_from(sorted(ENTRY)), JSON | st.binary(max_size=20).map(lambda b: str(b))
+)
+def test_no_field_of_an_entry_makes_the_decoder_raise(field, value):
+    data = json.dumps({**ENTRY, field: value}).encode()
+    assert isinstance(decode_target("i-1", data), Failure | Success)
+
+
+@given(
+    st.dictionaries(
+        st.sampled_from(
+            [
+                "Request-Id",
+                "Deadline-Ms",
+                "Token-Counts",
+                "Length-Hint",
+                "Server-Load",
+                "Not-Run",
+                "Content-Encoding",
+            ]
+        ),
+        st.text(max_size=30),
+    )
+)
+def test_no_decoder_of_headers_raises(headers):
+    head = decode_call(headers)
+    assert head.patience_ms is None or head.patience_ms >= 0
+    assert head.prompt_tokens >= 0
+    answer = decode_answer(headers)
+    assert answer.load is None or answer.load.running >= 0
--- a/carobroute/testing/row_store_data.py
+++ b/carobroute/testing/row_store_data.py
@@ -23,7 +23,7 @@
         Source of the store's time.
     """
 
-    __slots__ = ("_clock", "_kept", "_version", "calls", "is_away")
+    __slots__ = ("_clock", "_kept", "_version", "calls", "history_from", "is_away")
 
     def __init__(self, *, clock: Clock):
         super().__init__(address="127.0.0.1:1")
@@ -32,6 +32,8 @@
         self._version = 0
         self.calls = 0
         self.is_away = False
+        # Watches from before this version are told that their history is gone.
+        self.history_from = 0
 
     async def read(
         self, table: str, *, part: str = "", first: str = "", end: str = ""
@@ -47,6 +49,24 @@
         ]
         return Success(self._answer(rows))
 
+    async def watch(
+        self, table: str, *, after: int, wait_ms: float
+    ) -> Result[RowsAnswer, Fault]:
+        """Return the changes after a version, or none at the end of the wait."""
+        self.calls += 1
+        if self.is_away:
+            return fail(ErrorKind.STORE_UNAVAILABLE, "the store is away")
+        if after < self.history_from:
+            return fail(ErrorKind.CONFLICT, "that history is gone")
+        rows = [
+            row
+            for (name, _), row in self._kept.items()
+            if name == table and row.version > after
+        ]
+        if not rows:
+            await self._clock.sleep_ms(wait_ms)
+        return Success(self._answer(rows))
+
     async def transact(
         self,
         *,
@@ -71,5 +91,20 @@
             self._kept.pop((removal.table, removal.key), None)
         return Success(self._answer([]))
 
+    def put(self, table: str, key: str, value: bytes) -> None:
+        """Write a row as the platform itself does."""
+        self._version += 1
+        self._kept[table, key] = StoredRow(table, key, self._version, value)
+
+    def remove(self, table: str, key: str) -> None:
+        """Remove a row as the platform itself does."""
+        self._version += 1
+        self._kept.pop((table, key), None)
+
+    @property
+    def version(self) -> int:
+        """Version of the last write."""
+        return self._version
+
     def _answer(self, rows: list[StoredRow]) -> RowsAnswer:
         return RowsAnswer(self._version, self._clock.now_ms(), rows)
