--- a/carobroute/cli/_app.py
+++ b/carobroute/cli/_app.py
@@ -12,6 +12,9 @@
 from carobroute.cli._output import print_result
 from carobroute.cli._ticket import Output as OutputFormat
 from carobroute.cli._ticket import exit_with, ticket_app
+from carobroute.telemetry import LogLine, explain_request, format_event
+
+EXIT_NOT_FOUND = 1
 
 app = typer.Typer(
     name="carobroute",
@@ -68,13 +71,25 @@
         str, typer.Argument(help="request id, ticket number, target or duty")
     ],
     address: Annotated[
-        list[str],
+        list[str] | None,
         typer.Option("--address", help="operators' interface; may be repeated"),
-    ],
+    ] = None,
+    log: Annotated[
+        list[Path] | None,
+        typer.Option("--log", help="log file to read instead; may be repeated"),
+    ] = None,
     token_file: TokenFile = None,
     output: Output = OutputFormat.TABLE,
 ) -> None:
-    """Print every decision about a request, ticket, target or duty, with its inputs."""
+    """Print every decision about a request, ticket, target or duty, with its inputs.
+
+    With a log, a request is explained from what its process wrote.
+    """
+    if log:
+        _explain_from_logs(subject, log)
+        return
+    if not address:
+        raise typer.BadParameter("either --address or --log is needed")
     rows: list[dict[str, Any]] = []
     for one in address:
         found = _read(one, f"/operator/explain/{quote(subject, safe='')}", token_file)
@@ -83,6 +98,35 @@
     print_result(rows, output=output)
 
 
+def _explain_from_logs(request_id: str, logs: list[Path]) -> None:
+    lines: list[str] = []
+    for path in logs:
+        try:
+            lines += path.read_text(errors="replace").splitlines()
+        except OSError as error:
+            raise typer.BadParameter(f"{path} cannot be read: {error}") from error
+    explanation = explain_request(lines, request_id)
+    if explanation is None:
+        typer.echo(f"no line of the log names request {request_id}", err=True)
+        raise typer.Exit(EXIT_NOT_FOUND)
+    typer.echo(f"request {request_id} at {explanation.steps[-1].process}")
+    typer.echo("what the process believed before:")
+    for event in explanation.context:
+        typer.echo(f"  {event.time} {event.event} {_fields(event)}")
+    typer.echo("what was decided:")
+    for event in explanation.steps:
+        typer.echo(
+            f"  {event.fields.get('at_ms', ''):>8} {event.event} {_fields(event)}"
+        )
+    typer.echo(f"cause: {explanation.cause}")
+
+
+def _fields(event: LogLine) -> str:
+    left_out = {"request", "at_ms", "level"}
+    shown = {name: v for name, v in event.fields.items() if name not in left_out}
+    return format_event(shown)
+
+
 @app.command()
 def order(
     team: Annotated[str, typer.Argument(help="team that placed the order")],
--- a/carobroute/daemon/_command.py
+++ b/carobroute/daemon/_command.py
@@ -8,6 +8,7 @@
 
 from carobroute.daemon._entry import EntryDaemon
 from carobroute.daemon._local import LocalDaemon
+from carobroute.platform import settings_faults
 from carobroute.settings import Settings, load_settings
 from carobroute.utils import run_event_loop
 from carobroute.world import InstanceRole
@@ -45,9 +46,14 @@
 
 @app.command()
 def check(
-    file: Annotated[Path, typer.Argument(help="YAML file with settings")],
+    file: Annotated[
+        Path, typer.Argument(help="YAML file with settings, or the platform's JSON")
+    ],
 ) -> None:
     """Check a settings file as a whole and name every fault in it."""
+    if file.suffix == ".json":
+        _check_platform_settings(file)
+        return
     loaded = load_settings(file)
     if isinstance(loaded, Failure):
         typer.echo(str(loaded.failure()), err=True)
@@ -55,6 +61,17 @@
     typer.echo(f"{file}: good settings for role {loaded.unwrap().instance.role.value}")
 
 
+def _check_platform_settings(file: Path) -> None:
+    try:
+        faults = settings_faults(file.read_bytes())
+    except OSError as error:
+        faults = [str(error)]
+    if faults:
+        typer.echo("\n".join(f"{file}: {fault}" for fault in faults), err=True)
+        raise typer.Exit(EXIT_SETTINGS)
+    typer.echo(f"{file}: good settings for a gateway")
+
+
 def _load(path: Path, role: InstanceRole) -> Settings:
     loaded = load_settings(path)
     if isinstance(loaded, Failure):
--- a/carobroute/platform/__init__.py
+++ b/carobroute/platform/__init__.py
@@ -39,6 +39,7 @@
     TimeBounds,
     decode_settings,
     read_settings,
+    settings_faults,
 )
 from carobroute.platform._rank_calls import (
     ArmedSwitch,
@@ -118,5 +119,6 @@
     "is_own_header",
     "platform_adapters",
     "read_settings",
+    "settings_faults",
     "settle",
 ]
--- a/carobroute/platform/_process_settings.py
+++ b/carobroute/platform/_process_settings.py
@@ -141,6 +141,34 @@
     )
 
 
+def settings_faults(data: bytes) -> list[str]:
+    """Return every fault of a settings file, by field; none if it is good.
+
+    Examples
+    --------
+    >>> for fault in settings_faults(b'{"node": 7, "zone": "a"}')[:2]:
+    ...     print(fault)
+    node: Expected `str`, got `int`
+    ip: missing
+    """
+    try:
+        fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
+    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        return [f"not a JSON object: {error}"]
+    faults = []
+    for field in msgspec.structs.fields(_WireSettings):
+        value = fields.get(field.encode_name)
+        if value is None:
+            if field.required:
+                faults.append(f"{field.encode_name}: missing")
+            continue
+        try:
+            msgspec.json.decode(value, type=field.type)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            faults.append(f"{field.encode_name}: {error}")
+    return faults
+
+
 def read_settings(path: Path) -> Result[ProcessSettings, Fault]:
     """Return the settings in the file at `path`, or why there are none."""
     try:
--- a/carobroute/telemetry/__init__.py
+++ b/carobroute/telemetry/__init__.py
@@ -3,6 +3,12 @@
 from carobroute.telemetry._decisions import Decision, DecisionLog
 from carobroute.telemetry._dump import StateDump
 from carobroute.telemetry._events import EventLog, format_event
+from carobroute.telemetry._explain import (
+    Explanation,
+    LogLine,
+    explain_request,
+    parse_line,
+)
 from carobroute.telemetry._line_buffer import LineBuffer
 from carobroute.telemetry._metrics import BoundedMetric, Metrics
 from carobroute.telemetry._telemetry import Telemetry
@@ -12,9 +18,13 @@
     "Decision",
     "DecisionLog",
     "EventLog",
+    "Explanation",
     "LineBuffer",
+    "LogLine",
     "Metrics",
     "StateDump",
     "Telemetry",
+    "explain_request",
     "format_event",
+    "parse_line",
 ]
