Plan layouts for slow ranks: fewer tokens for those that pace the others

The planner spread tokens as if all ranks were alike, and the slow one paces all. Ranks report their pace; loads are now weighed with it. Ruled out: keeping calls from the slow rank alone; its own part per call is small, and its fixed part of a pass stays whatever it is given.

--- a/carobroute/experts/_layout.py
+++ b/carobroute/experts/_layout.py
@@ -37,18 +37,35 @@
     return [sum(shares[e] / copies[e] for e in experts) for experts in held]
 
 
-def imbalance(layout: Layout, shares: Sequence[Sequence[float]]) -> float:
-    """Return the most loaded rank's load in mean loads, averaged over the sets.
+def imbalance(
+    layout: Layout,
+    shares: Sequence[Sequence[float]],
+    paces: Sequence[float] | None = None,
+) -> float:
+    """Return the slowest rank's time in mean loads, averaged over the sets.
+
+    Parameters
+    ----------
+    layout : Layout
+        Which ranks hold which experts.
+    shares : sequence of sequence of float
+        Each expert's share of its set's tokens.
+    paces : sequence of float, default=None
+        How much slower than published each rank is; None if none is.
 
     Examples
     --------
     >>> imbalance([[[0], [1]]], [[0.75, 0.25]])
     1.5
+    >>> imbalance([[[0], [1]]], [[0.5, 0.5]], [1.0, 4.0])
+    4.0
     """
-    peaks = [
-        max(rank_loads(held, share)) * len(held)
-        for held, share in zip(layout, shares, strict=True)
-    ]
+    peaks = []
+    for held, share in zip(layout, shares, strict=True):
+        slow = paces or [1.0] * len(held)
+        loads = rank_loads(held, share)
+        times = [pace * load for pace, load in zip(slow, loads, strict=True)]
+        peaks.append(max(times) * len(held))
     return sum(peaks) / len(peaks)
 
 
--- a/carobroute/experts/_plan.py
+++ b/carobroute/experts/_plan.py
@@ -45,13 +45,16 @@
 
 
 def plan_layout(
-    layout: Layout, shares: Sequence[Sequence[float]], bounds: PlanBounds
+    layout: Layout,
+    shares: Sequence[Sequence[float]],
+    bounds: PlanBounds,
+    paces: Sequence[float] | None = None,
 ) -> Layout:
-    """Return a layout with less load on the most loaded rank of each set.
+    """Return a layout in which the slowest rank of each set takes less time.
 
-    All ranks wait for the most loaded one, set by set, so only its load counts. It is
-    taken down change by change: a copy of one of its experts goes to a rank with less
-    load, or one of its experts changes places with another.
+    All ranks wait for the slowest one, set by set, so only its time counts. It is taken
+    down change by change: a copy of one of its experts goes to a quicker rank, or one
+    of its experts changes places with another.
 
     Parameters
     ----------
@@ -61,6 +64,8 @@
         Each expert's share of its set's tokens.
     bounds : PlanBounds
         What ranks can hold and take in.
+    paces : sequence of float, default=None
+        How much slower than published each rank is; None if none is.
 
     Examples
     --------
@@ -69,7 +74,7 @@
     [[[0, 1], [0, 1]]]
     """
     return [
-        _SetPlan(held, share, bounds).run()
+        _SetPlan(held, share, bounds, paces or [1.0] * len(held)).run()
         for held, share in zip(layout, shares, strict=True)
     ]
 
@@ -82,15 +87,21 @@
         "_copies",
         "_held",
         "_holders",
-        "_loads",
         "_original",
+        "_paces",
         "_shares",
         "_taken",
+        "_times",
     )
 
     def __init__(
-        self, held: list[list[int]], shares: Sequence[float], bounds: PlanBounds
+        self,
+        held: list[list[int]],
+        shares: Sequence[float],
+        bounds: PlanBounds,
+        paces: Sequence[float],
     ):
+        self._paces = paces
         self._bounds = bounds
         self._shares = shares
         self._original = [frozenset(experts) for experts in held]
@@ -101,7 +112,7 @@
             for expert in experts:
                 self._holders[expert].add(rank)
         self._copies = [len(holders) for holders in self._holders]
-        self._loads = rank_loads(held, shares)
+        self._measure()
 
     def run(self) -> list[list[int]]:
         """Return the experts of each rank after all changes that are worth it."""
@@ -113,9 +124,13 @@
             self._apply(change)
         return [sorted(experts) for experts in self._held]
 
+    def _measure(self) -> None:
+        loads = rank_loads([list(experts) for experts in self._held], self._shares)
+        self._times = [p * load for p, load in zip(self._paces, loads, strict=True)]
+
     def _best_change(self) -> _Change | None:
-        hot = max(range(len(self._loads)), key=self._loads.__getitem__)
-        order = sorted(range(len(self._loads)), key=self._loads.__getitem__)
+        hot = max(range(len(self._times)), key=self._times.__getitem__)
+        order = sorted(range(len(self._times)), key=self._times.__getitem__)
         partners = [r for r in order[: self._bounds.partners] if r != hot]
         least = LEAST_LOAD / len(self._held)
         best: _Change | None = None
@@ -135,7 +150,7 @@
         changes = []
         for dropped in self._held[rank] if full else {None}:
             if dropped is None or self._copies[dropped] > 1:
-                gain = self._loads[hot] - self._after_copy(hot, expert, rank, dropped)
+                gain = self._times[hot] - self._after_copy(hot, expert, rank, dropped)
                 changes.append(_Change(gain, expert, rank, dropped, False))
         for swapped in [*self._held[rank], *([] if full else [None])]:
             if swapped is not None and (
@@ -145,28 +160,32 @@
             moved = self._part(expert) - (
                 0.0 if swapped is None else self._part(swapped)
             )
-            after = max(self._loads[rank] + moved, self._loads[hot] - moved)
-            gain = SWAP_WEIGHT * (self._loads[hot] - after)
+            after = max(
+                self._times[rank] + self._paces[rank] * moved,
+                self._times[hot] - self._paces[hot] * moved,
+            )
+            gain = SWAP_WEIGHT * (self._times[hot] - after)
             changes.append(_Change(gain, expert, rank, swapped, True))
         return changes
 
     def _after_copy(
         self, hot: int, expert: int, rank: int, dropped: int | None
     ) -> float:
-        """Return the largest load that a further copy leaves among ranks it touches."""
+        """Return the longest time that a further copy leaves to ranks it touches."""
         copies = self._copies[expert]
         fall = self._part(expert) - self._shares[expert] / (copies + 1)
-        own = self._loads[rank] + self._shares[expert] / (copies + 1)
-        most = self._loads[hot] - fall
+        added = self._shares[expert] / (copies + 1)
+        most = self._times[hot] - self._paces[hot] * fall
         if dropped is None:
-            return max(most, own)
+            return max(most, self._times[rank] + self._paces[rank] * added)
         part = self._part(dropped)
         rise = self._shares[dropped] / (self._copies[dropped] - 1) - part
-        most = max(most, own - part)
+        most = max(most, self._times[rank] + self._paces[rank] * (added - part))
         for other in self._holders[dropped]:
             if other != rank:
                 relief = fall if other in self._holders[expert] else 0.0
-                most = max(most, self._loads[other] + rise - relief)
+                change = self._paces[other] * (rise - relief)
+                most = max(most, self._times[other] + change)
         return most
 
     def _part(self, expert: int) -> float:
@@ -177,7 +196,7 @@
         return not new or self._taken[rank] < self._bounds.spare
 
     def _apply(self, change: _Change) -> None:
-        hot = max(range(len(self._loads)), key=self._loads.__getitem__)
+        hot = max(range(len(self._times)), key=self._times.__getitem__)
         if change.dropped is not None:
             self._drop(change.rank, change.dropped)
         if change.moves:
@@ -185,7 +204,7 @@
             if change.dropped is not None:
                 self._add(hot, change.dropped)
         self._add(change.rank, change.expert)
-        self._loads = rank_loads([list(h) for h in self._held], self._shares)
+        self._measure()
 
     def _add(self, rank: int, expert: int) -> None:
         self._held[rank].add(expert)
--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -247,8 +247,10 @@
             return
         shares = shares_of(counts, sets=experts.sets, experts=experts.experts)
         bounds = PlanBounds(places=experts.places, spare=experts.spare)
-        planned = plan_layout(layout, shares, bounds)
-        before, after = imbalance(layout, shares), imbalance(planned, shares)
+        paces = [report.pace for report in reports]
+        planned = plan_layout(layout, shares, bounds, paces)
+        before = imbalance(layout, shares, paces)
+        after = imbalance(planned, shares, paces)
         bought = after <= (1 - self._parameters.least_fall) * before
         self._events.event(
             "layout_planned",
@@ -256,6 +258,7 @@
             epoch=group.epoch,
             pass_ms=round(self._pace.pass_ms, 1),
             choices=sum(counts),
+            slowest_rank=max(paces),
             imbalance=round(before, 2),
             planned=round(after, 2),
             copies=_copies(layout, planned),
