Make a few calls to ranks at a time, so that large groups are switched

At most eight calls are under way now, a map has 600 ms, the pass that is held is the further ahead the larger the group, and ranks that are prepared are not asked again. Test: a group of 63 ranks under a process that needs 2 ms for a call; it failed before.

--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -23,9 +23,12 @@
 )
 from carobroute.platform import ExpertCounts, HeldExperts, RankReport
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock
+from carobroute.utils import Clock, gather_few
 from carobroute.world import ExpertProfile
 
+# Reports that are read at a time; more would wait for this process and its link.
+READ_WIDTH = 8
+
 
 class CountingPort(RankPort):
     """A rank that also tells which experts its calls chose, and which it holds."""
@@ -215,7 +218,7 @@
             await self._rebalance(group, reports)
 
     async def _reports(self, group: RankGroup) -> list[RankReport] | None:
-        answered = await asyncio.gather(*(rank.report() for rank in group.ranks))
+        answered = await gather_few([r.report for r in group.ranks], READ_WIDTH)
         reports = [report for report in answered if report is not None]
         whole = len(reports) == len(group.ranks) and all(
             report.epoch == group.epoch and report.group_open for report in reports
@@ -339,7 +342,7 @@
         known = self._epoch == group.epoch and versions == {self._version}
         if known and self._layout is not None:
             return self._layout
-        answered = await asyncio.gather(*(rank.held() for rank in group.ranks))
+        answered = await gather_few([r.held for r in group.ranks], READ_WIDTH)
         held = [held for held in answered if held is not None]
         agree = {(found.epoch, found.version) for found in held}
         if len(held) < len(group.ranks) or len(agree) != 1:
--- a/carobroute/experts/_switch.py
+++ b/carobroute/experts/_switch.py
@@ -1,8 +1,8 @@
 """Passing a rank group from one expert map to another between two passes."""
 
 import abc
-import asyncio
 import enum
+import functools
 from collections.abc import Awaitable, Callable, Sequence
 
 import msgspec
@@ -14,7 +14,7 @@
     RankOrder,
     RankReport,
 )
-from carobroute.utils import Clock
+from carobroute.utils import Clock, gather_few
 
 DEFINITE = frozenset({OrderResult.BEGUN, OrderResult.HOLDS_ALREADY})
 
@@ -48,6 +48,11 @@
         Longest time for which undoing is tried.
     report_ms : float
         Wait between two readings of reports.
+    width : int
+        Calls to ranks that are under way at a time. More would wait for this process
+        and its link, and be taken for lost.
+    rank_ms : float
+        Further lead for each rank of the group: the time that one order takes here.
     """
 
     lead_ms: float = 400.0
@@ -56,6 +61,8 @@
     arm_ms: float = 1_500.0
     undo_ms: float = 20_000.0
     report_ms: float = 60.0
+    width: int = 8
+    rank_ms: float = 2.0
 
 
 class HeldRank(msgspec.Struct, frozen=True, kw_only=True):
@@ -221,16 +228,22 @@
         )
 
     async def _wait_prepared(self) -> list[RankReport] | None:
+        """Return the ranks' reports once all are prepared; None if that fails."""
         limit_ms = self._clock.now_ms() + self._parameters.prepare_ms
+        known: dict[int, RankReport] = {}
         while self._clock.now_ms() < limit_ms:
-            reports = await asyncio.gather(*(rank.report() for rank in self._ranks))
-            known = [report for report in reports if report is not None]
-            if any(report.epoch != self._epoch for report in known):
-                return None
-            if len(known) == len(self._ranks) and all(
-                report.prepared == self._version for report in known
-            ):
-                return known
+            waiting = [i for i in range(len(self._ranks)) if i not in known]
+            reports = await gather_few(
+                [self._ranks[index].report for index in waiting],
+                self._parameters.width,
+            )
+            for index, report in zip(waiting, reports, strict=True):
+                if report is not None and report.epoch != self._epoch:
+                    return None
+                if report is not None and report.prepared == self._version:
+                    known[index] = report
+            if len(known) == len(self._ranks):
+                return list(known.values())
             await self._clock.sleep_ms(self._parameters.report_ms)
         return None
 
@@ -238,7 +251,9 @@
         """Hold the group back from a pass that is far enough ahead."""
         if any(report.armed or report.held_step is not None for report in reports):
             return False
-        lead = 1 + int(self._parameters.lead_ms / max(1.0, self._pass_ms))
+        lead_ms = self._parameters.lead_ms
+        lead_ms += self._parameters.rank_ms * len(self._ranks)
+        lead = 1 + int(lead_ms / max(1.0, self._pass_ms))
         self._step = max(report.step for report in reports) + lead
         order = RankOrder(action=OrderAction.HOLD, epoch=self._epoch, step=self._step)
         held = await self._insist(self._holder, order, self._parameters.arm_ms)
@@ -296,8 +311,8 @@
     # Orders.
 
     async def _all(self, act: Callable[[int], Awaitable[bool]]) -> bool:
-        done = await asyncio.gather(*(act(i) for i in range(len(self._ranks))))
-        return all(done)
+        calls = [functools.partial(act, index) for index in range(len(self._ranks))]
+        return all(await gather_few(calls, self._parameters.width))
 
     async def _insist(self, index: int, order: RankOrder, limit_ms: float) -> bool:
         """Send an order until it is answered; return whether it was accepted."""
--- a/carobroute/experts/tests/test_switch.py
+++ b/carobroute/experts/tests/test_switch.py
@@ -171,3 +171,59 @@
             self._kept.append(order)
             return OrderResult.UNANSWERED
         return await super().order(order)
+
+
+class BusyPort:
+    """Rank whose calls all pass through one process that makes them one by one."""
+
+    def __init__(self, rank, process):
+        self._rank = rank
+        self._process = process
+
+    async def order(self, order):
+        if not await self._process.take():
+            return OrderResult.UNANSWERED
+        return await self._rank.order(order)
+
+    async def report(self):
+        return await self._rank.report() if await self._process.take() else None
+
+
+class BusyProcess:
+    """Process that spends two milliseconds on a call, and gives up after 50."""
+
+    def __init__(self, clock):
+        self._clock = clock
+        self._free_ms = 0.0
+
+    async def take(self):
+        self._free_ms = max(self._free_ms, self._clock.now_ms()) + 2.0
+        waited_ms = self._free_ms - self._clock.now_ms()
+        await self._clock.sleep_ms(min(waited_ms, 50.0))
+        return waited_ms <= 50.0
+
+
+def test_a_large_group_is_switched_by_a_slow_process():
+    """All calls at once would wait for the process and be taken for lost."""
+    ends = []
+    loop = VirtualLoop()
+    clock = VirtualClock(loop=loop)
+    group = StandInGroup(clock=clock, random=random.Random(1), size=63)
+
+    async def main():
+        passes = asyncio.create_task(group.run())
+        await clock.sleep_ms(1_000)
+        process = BusyProcess(clock)
+        ranks = [BusyPort(rank, process) for rank in group.ranks]
+        attempt = _attempt(group, ranks=ranks)
+        reports = await _reports(group)
+        began_ms = clock.now_ms()
+        ends.append(await attempt.run(reports))
+        ends.append(clock.now_ms() - began_ms)
+        await clock.sleep_ms(1_000)
+        passes.cancel()
+
+    run_virtual(main(), loop)
+    assert ends[0] is SwitchEnd.SWITCHED
+    assert ends[1] < 1_500
+    assert not group.mixed
--- a/carobroute/platform/_rank_calls.py
+++ b/carobroute/platform/_rank_calls.py
@@ -205,14 +205,23 @@
     order_ms : float, default=50
         Longest wait for the answer to an order, after which it may be sent again: many
         round trips between data centres.
+    prepare_ms : float, default=600
+        The same for an order with a whole map, which slow links take a while to carry.
     read_ms : float, default=200
         The same for reports and counts.
     """
 
-    __slots__ = ("_order_ms", "_read_ms")
+    __slots__ = ("_order_ms", "_prepare_ms", "_read_ms")
 
-    def __init__(self, *, order_ms: float = 50.0, read_ms: float = 200.0):
+    def __init__(
+        self,
+        *,
+        order_ms: float = 50.0,
+        prepare_ms: float = 600.0,
+        read_ms: float = 200.0,
+    ):
         self._order_ms = order_ms
+        self._prepare_ms = prepare_ms
         self._read_ms = read_ms
 
     async def report(self, transport: HttpTransport) -> Result[RankReport, Fault]:
@@ -234,6 +243,8 @@
         self, transport: HttpTransport, incarnation: str, order: RankOrder
     ) -> OrderResult:
         """Send an order, and return what is known of it."""
+        whole_map = order.action is OrderAction.PREPARE
+        limit_ms = self._prepare_ms if whole_map else self._order_ms
         sent = await transport.send(
             "POST",
             ORDER_PATH,
@@ -242,7 +253,7 @@
                 EXPECTED_TARGET: incarnation,
             },
             body=msgspec.json.encode(order),
-            first_byte_ms=self._order_ms,
+            first_byte_ms=limit_ms,
             fresh=True,
         )
         if isinstance(sent, Failure):
--- a/carobroute/utils/__init__.py
+++ b/carobroute/utils/__init__.py
@@ -12,7 +12,7 @@
     rendezvous_winner,
 )
 from carobroute.utils._registry import Registry
-from carobroute.utils._tasks import TaskSet
+from carobroute.utils._tasks import TaskSet, gather_few
 
 __all__ = [
     "Clock",
@@ -21,6 +21,7 @@
     "TaskSet",
     "content_hash",
     "forbid_io_uring",
+    "gather_few",
     "is_public_key",
     "new_incarnation",
     "new_token",
--- a/carobroute/utils/_tasks.py
+++ b/carobroute/utils/_tasks.py
@@ -1,8 +1,32 @@
 """Tracking of background tasks."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from typing import Any
+from collections.abc import Awaitable, Callable, Coroutine, Iterable
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+
+async def gather_few(
+    calls: Iterable[Callable[[], Awaitable[T]]], width: int
+) -> list[T]:
+    """Make calls with at most `width` under way at a time; return their results.
+
+    Examples
+    --------
+    >>> async def double(number):
+    ...     return 2 * number
+    >>> calls = [lambda n=n: double(n) for n in range(3)]
+    >>> asyncio.run(gather_few(calls, 2))
+    [0, 2, 4]
+    """
+    slots = asyncio.Semaphore(width)
+
+    async def limited(call: Callable[[], Awaitable[T]]) -> T:
+        async with slots:
+            return await call()
+
+    return list(await asyncio.gather(*(limited(call) for call in calls)))
 
 
 class TaskSet:
