--- a/carobroute/gateway/_records.py
+++ b/carobroute/gateway/_records.py
@@ -36,8 +36,6 @@
     ----------
     clock : Clock
         Source of time.
-    request_id : str
-        The caller's identifier of the attempt.
     """
 
     __slots__ = (
@@ -52,13 +50,14 @@
         "team",
     )
 
-    def __init__(self, *, clock: Clock, request_id: str):
+    def __init__(self, *, clock: Clock):
         self._clock = clock
         self._received_ms = clock.now_ms()
         self._steps: list[Step] = []
         self._first_ms = 0.0
         self._gap_ms = 0.0
-        self.request_id = request_id
+        # The caller's identifier of the attempt.
+        self.request_id = ""
         self.route = ""
         self.service = ""
         self.team = ""
--- a/carobroute/gateway/tests/test_exchange.py
+++ b/carobroute/gateway/tests/test_exchange.py
@@ -241,6 +241,17 @@
         await gateway.call("POST", Deadline_Ms="2000")
 
 
+@streams
+async def test_a_stream_without_events_is_passed_on_whole(gateway):
+    async def empty(call):
+        await call.begin_stream()
+        await call.end_stream()
+
+    await gateway.start(empty)
+    status, body, headers = await gateway.call("POST", Deadline_Ms="2000")
+    assert (status, body, headers["Server-Seal"]) == (200, b"", "seal")
+
+
 @streams
 async def test_a_stream_keeps_the_callers_last_event(gateway):
     async def resumes(call):
