--- a/carobroute/gateway/tests/test_exchange.py
+++ b/carobroute/gateway/tests/test_exchange.py
@@ -6,9 +6,9 @@
 import pytest
 
 from carobroute.gateway import GatewayParameters
+from carobroute.gateway.tests.gateway_harness import GatewayHarness
 from carobroute.testing import wait_until
 from carobroute.testing.gateway_data import make_configuration, make_route
-from carobroute.testing.gateway_harness import GatewayHarness
 from carobroute.utils import Clock
 from carobroute.world import CallClass
 
