--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -100,6 +100,9 @@
         Time over which choices are counted: several passes.
     rest_ms : float
         Time between two plans.
+    unbought_ms : float
+        The same after a plan that took too little away: what slows the group is not
+        where its experts sit, and counts cost.
     stalled_ms : float
         Silence of all streams after which the group may be held by a coordinator
         that is gone.
@@ -111,6 +114,7 @@
     sample_ranks: int = 4
     sample_ms: float = 250.0
     rest_ms: float = 400.0
+    unbought_ms: float = 1_500.0
     stalled_ms: float = 600.0
 
 
@@ -187,7 +191,8 @@
             await self._relieve(group)
         else:
             return
-        self._rest_until_ms = self._clock.now_ms() + self._parameters.rest_ms
+        rest_ms = self._clock.now_ms() + self._parameters.rest_ms
+        self._rest_until_ms = max(self._rest_until_ms, rest_ms)
 
     async def _look_for_hold(self, group: RankGroup) -> None:
         """Free a group that a coordinator held before it was lost.
@@ -268,6 +273,8 @@
             bought=bought,
         )
         if not bought:
+            now_ms = self._clock.now_ms()
+            self._rest_until_ms = now_ms + self._parameters.unbought_ms
             return
         attempt = self._attempt(group, reports, planned, layout)
         began_ms = self._clock.now_ms()
--- a/carobroute/experts/tests/test_rebalancer.py
+++ b/carobroute/experts/tests/test_rebalancer.py
@@ -4,9 +4,11 @@
 import io
 import random
 
+import msgspec
 import pytest
 
 from carobroute.experts import Duty, GroupPace, GroupRebalancer
+from carobroute.platform import ExpertCounts
 from carobroute.telemetry import EventLog
 from carobroute.testing.rank_group_data import StandInGroup
 from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
@@ -91,6 +93,45 @@
     assert not group.mixed
 
 
+def test_a_group_that_is_slow_for_another_reason_is_counted_less_often():
+    """A slow rank, say: no layout helps, and counts cost."""
+    reads = []
+
+    async def scenario(group):
+        async def even(rank):
+            reads.append(group.clock.now_ms())
+            chosen = [group.step] * (2 * len(group.ranks))
+            return ExpertCounts(epoch=group.epoch, step=group.step, counts=chosen)
+
+        view = group.view
+        ranks = [EvenRank(rank, even) for rank in view.ranks]
+        view = msgspec.structs.replace(view, ranks=ranks)
+        pace = _busy(group, gap_ms=300.0)
+        rebalancer = _rebalancer(group, pace)
+        for _ in range(60):
+            pace.note_event(300.0)
+            await rebalancer.step(view)
+            await group.clock.sleep_ms(100)
+
+    _play(scenario)
+    # Two readings of four ranks for each plan, one plan in about two seconds.
+    assert len(reads) <= 8 * 4
+
+
+class EvenRank:
+    """Rank whose calls choose all experts alike."""
+
+    def __init__(self, rank, counts):
+        self._rank = rank
+        self._counts = counts
+
+    def __getattr__(self, name):
+        return getattr(self._rank, name)
+
+    async def counts(self):
+        return await self._counts(self._rank)
+
+
 async def _abandon_while_held(group):
     """Kill a coordinator after its hold, before the group is released."""
     pace = _busy(group, gap_ms=100.0)
