Keep no calls, paces and gates beyond their use

Cause, found in reading the change: times of calls were dropped only when a repeat was decided, so a calm gateway kept them all; the pace and gate of each run of a plain target stayed after it was gone. Test: carobroute/gateway/tests/test_retry_window.py; the last case failed before.

--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -219,6 +219,10 @@
             gate = self._gates[target.group] = GroupGate(clock=self._clock)
         return gate
 
+    def forget(self, group: str) -> None:
+        """Drop the gate of a group or target that is gone."""
+        self._gates.pop(group, None)
+
     def _closed_gate(self, service: str) -> GroupGate | None:
         """Return the gate that keeps a call back; None if one is open."""
         targets = self._directory.targets(service)
--- a/carobroute/gateway/_groups.py
+++ b/carobroute/gateway/_groups.py
@@ -51,6 +51,10 @@
             pace = self._paces[group] = GroupPace(clock=self._clock)
         return pace
 
+    def forget(self, group: str) -> None:
+        """Drop the pace of a group or target that is gone."""
+        self._paces.pop(group, None)
+
 
 class TargetRank(CountingPort):
     """A rank, reached as a target.
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -241,6 +241,9 @@
 
     def _note_change(self, change: DirectoryChange) -> None:
         for run in change.gone:
+            # Ranks share what is known of their group, which outlives them.
+            self._services.paces.forget(run)
+            self._dispatcher.forget(run)
             blamed = self._suspects.crashed(run)
             if blamed:
                 self._events.event(
--- a/carobroute/gateway/_retry_window.py
+++ b/carobroute/gateway/_retry_window.py
@@ -76,6 +76,8 @@
     def note_call(self, service: str) -> None:
         """Count a caller's call of `service`."""
         self._calls.setdefault(service, deque()).append(self._clock.now_ms())
+        # Drops those that have left the window, also while nothing is repeated.
+        self._recent(self._calls, service)
 
     def allowed(self, service: str) -> float:
         """Return how many more repeats of `service` this gateway may make now."""
