--- a/benchmarks/_control_node.py
+++ b/benchmarks/_control_node.py
@@ -16,7 +16,7 @@
 from carobroute.leases import Duties, Lease, LeaseKeeper
 from carobroute.links import Endpoint
 from carobroute.membership import Directory, ListPoller, Overlay
-from carobroute.platform import http_platform
+from carobroute.tables import open_platform
 from carobroute.tickets import ConfigurationKeeper, TicketLog, ticket_routes
 from carobroute.utils import Clock, new_incarnation, run_event_loop
 from carobroute.world import Instance, InstanceRole
@@ -32,7 +32,7 @@
         self.clock = Clock()
         self.incarnation = new_incarnation(arguments.name)
         self.random = random.Random(self.incarnation)
-        self.platform = http_platform(
+        self.platform = open_platform(
             table_url=arguments.platform,
             objects_url=arguments.platform,
             instances_url=arguments.platform,
--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -14,6 +14,9 @@
 LOAD_STREAMS = 24
 MORE_STREAMS = 12
 DRAIN_TIMEOUT_S = 30.0
+TOO_MANY = 429
+# The team's rate lets all streams through within a few times its Retry-After.
+MAX_REFUSALS = 10
 
 
 def say(text: str) -> None:
@@ -70,7 +73,7 @@
     target = fleet.targets_of(ServiceKind.MODEL)[0]
     request = model_request(fleet)
     streams = [
-        asyncio.create_task(send_example(fleet, number % 3, request))
+        asyncio.create_task(_send_until_served(fleet, number % 3, request))
         for number in range(LOAD_STREAMS)
     ]
     await wait_until(lambda: _is_running(fleet, target), what="the target has work")
@@ -82,17 +85,16 @@
     say("ticket status:\n" + status.rstrip())
     answers: list[CallerAnswer] = await asyncio.gather(*streams)
     whole = sum(answer.is_whole_stream for answer in answers)
-    for answer in answers:
-        if not answer.is_whole_stream:
-            say(f"cut: {answer.status} {answer.body[-300:]!r}")
+    _say_failures(answers)
     await wait_until(
         lambda: _is_empty(fleet, target),
         what="the target is empty",
         timeout_s=DRAIN_TIMEOUT_S,
     )
     before = await _target_runs(fleet, target)
-    later = [send_example(fleet, n % 3, request) for n in range(MORE_STREAMS)]
+    later = [_send_until_served(fleet, n % 3, request) for n in range(MORE_STREAMS)]
     more = await asyncio.gather(*later)
+    _say_failures(more)
     new_work = await _target_runs(fleet, target) - before
     say(
         f"drain: {target.name}: {whole} of {len(answers)} running streams whole; then"
@@ -103,6 +105,22 @@
     return whole == len(answers) and good and new_work == 0
 
 
+async def _send_until_served(fleet: Fleet, entry: int, request: dict) -> CallerAnswer:
+    """Send a request, again if the team was above its rate, as the answer says."""
+    for _ in range(MAX_REFUSALS):
+        answer = await send_example(fleet, entry, request)
+        if answer.status != TOO_MANY:
+            break
+        await asyncio.sleep(float(answer.headers["retry-after"]))
+    return answer
+
+
+def _say_failures(answers: list[CallerAnswer]) -> None:
+    for answer in answers:
+        if not answer.is_whole_stream:
+            say(f"not whole: {answer.status} {answer.body[-300:]!r}")
+
+
 def drain_ticket(target: FleetTarget) -> dict:
     """Return a ticket that drains `target`."""
     return {
--- a/benchmarks/drain.py
+++ b/benchmarks/drain.py
@@ -18,8 +18,11 @@
 
 from benchmarks._callers import expected_text, send_example, streamed_text
 from benchmarks._report import parse_arguments, print_result, print_table
+from carobroute.platform import RowStore
+from carobroute.tables import RowInstances
 from carobroute.testing import Child, Fleet, FleetShape, FleetTarget, wait_until
-from carobroute.world import ServiceKind
+from carobroute.utils import Clock
+from carobroute.world import InstanceState, ServiceKind
 
 DESK = Path("examples/klangbjallra")
 MODELS = 6
@@ -181,9 +184,7 @@
         async def mark() -> None:
             dump = await self._fleet.read_json(target.local.address, "/operator/dump")
             incarnation = dump["process"]["incarnation"]
-            url = f"{self._fleet.platform.address}/instances/{incarnation}"
-            async with self._fleet.session.delete(url) as response:
-                response.raise_for_status()
+            await list_as_leaving(self._fleet.platform.address, incarnation)
             # The mark is out once the list shows it to anybody.
             await asyncio.sleep(self._pace.list_lag_ms / 1_000)
 
@@ -248,6 +249,16 @@
         return not state["local"]["attempts"]
 
 
+async def list_as_leaving(address: str, incarnation: str) -> None:
+    """Mark an instance as leaving in the platform's list."""
+    instances = RowInstances(store=RowStore(base_url=address), clock=Clock())
+    listed = (await instances.fetch()).unwrap()
+    found = next(entry for entry in listed if entry.incarnation == incarnation)
+    leaving = msgspec.structs.replace(found, state=InstanceState.LEAVING)
+    (await instances.announce(leaving)).unwrap()
+    await instances.close()
+
+
 async def set_platform_faults(fleet: Fleet, **faults) -> None:
     """Set faults of the platform stand-in."""
     url = f"{fleet.platform.address}/_admin/faults"
--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -19,9 +19,9 @@
     load_link_security,
 )
 from carobroute.membership import Directory, ListPoller, Overlay
-from carobroute.platform import PlatformClients, platform_adapters
 from carobroute.requests import BlameSpreader, Quarantine
 from carobroute.settings import Settings, read_secret
+from carobroute.tables import PlatformClients, platform_adapters
 from carobroute.telemetry import Telemetry
 from carobroute.tickets import (
     Configuration,
@@ -343,6 +343,7 @@
             random=self.random,
             timeout_ms=platform.timeout_ms,
             token=token,
+            on_event=self.telemetry.log.event,
         )
 
     def record_duty(
--- a/carobroute/gateway/_duty.py
+++ b/carobroute/gateway/_duty.py
@@ -120,6 +120,9 @@
         )
         if isinstance(written, Failure):
             return self._lose(written.failure())
+        if not written.unwrap().committed:
+            detail = "another gateway took it at the same time"
+            return self._lose(Fault(kind=ErrorKind.CONFLICT, detail=detail))
         self._version = written.unwrap().version
         self._until_ms = sent_ms + TERM_MS
         if not held:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -109,7 +109,7 @@
 
     def _assemble(self) -> None:
         bounds, clock = self._settings.bounds, self._clock
-        self._store = RowStore(address=self._settings.store_address)
+        self._store = RowStore(base_url=f"http://{self._settings.store_address}")
         self._configuration = ConfigurationInForce(
             clock=clock,
             revoke_ms=bounds.revoke_ms,
--- a/carobroute/leases/_gate.py
+++ b/carobroute/leases/_gate.py
@@ -7,8 +7,8 @@
 
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.leases._lease import TABLE, LeaseRow
-from carobroute.membership import BoundedDict
-from carobroute.platform import TableClient
+from carobroute.tables import TableClient
+from carobroute.utils import BoundedDict
 
 MAX_DUTIES = 2_000
 
--- a/carobroute/leases/_lease.py
+++ b/carobroute/leases/_lease.py
@@ -12,9 +12,8 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.membership import BoundedDict
-from carobroute.platform import Condition, Put, Row, TableClient, Transaction
-from carobroute.utils import Clock, new_token
+from carobroute.tables import Condition, Put, Row, TableClient, Transaction
+from carobroute.utils import BoundedDict, Clock, new_token
 
 TABLE = "leases"
 MAX_WATCHED = 2_000
--- a/carobroute/membership/__init__.py
+++ b/carobroute/membership/__init__.py
@@ -1,6 +1,5 @@
 """Which instances there are, which are leaving, and which are suspected."""
 
-from carobroute.membership._bounded import BoundedDict
 from carobroute.membership._directory import Directory, DirectoryParameters
 from carobroute.membership._messages import (
     InstanceDigest,
@@ -12,7 +11,6 @@
 from carobroute.membership._suspicion import SuspicionParameters, Suspicions
 
 __all__ = [
-    "BoundedDict",
     "Directory",
     "DirectoryParameters",
     "InstanceDigest",
--- a/carobroute/membership/_directory.py
+++ b/carobroute/membership/_directory.py
@@ -11,8 +11,7 @@
 import msgspec
 import xxhash
 
-from carobroute.membership._bounded import BoundedDict
-from carobroute.utils import Clock
+from carobroute.utils import BoundedDict, Clock
 from carobroute.world import Instance, InstanceRole, InstanceState
 
 BUCKETS = 32
--- a/carobroute/membership/_poller.py
+++ b/carobroute/membership/_poller.py
@@ -8,7 +8,7 @@
 from returns.result import Failure
 
 from carobroute.membership._directory import Directory
-from carobroute.platform import InstanceListClient
+from carobroute.tables import InstanceListClient
 from carobroute.utils import Clock, TaskSet
 
 ENTRY_BYTES = 225
--- a/carobroute/membership/_suspicion.py
+++ b/carobroute/membership/_suspicion.py
@@ -9,8 +9,7 @@
 
 import msgspec
 
-from carobroute.membership._bounded import BoundedDict
-from carobroute.utils import Clock
+from carobroute.utils import BoundedDict, Clock
 
 
 class SuspicionParameters(msgspec.Struct, frozen=True, kw_only=True):
--- a/carobroute/platform/__init__.py
+++ b/carobroute/platform/__init__.py
@@ -1,10 +1,5 @@
 """The platform: its store, its settings file, its headers, its formats."""
 
-from carobroute.platform._adapters import (
-    PlatformAdapter,
-    PlatformClients,
-    platform_adapters,
-)
 from carobroute.platform._call_headers import (
     READY_PATH,
     REQUEST_ID,
@@ -17,22 +12,6 @@
     decode_call,
     is_own_header,
 )
-from carobroute.platform._http import (
-    HttpInstanceListClient,
-    HttpObjectStoreClient,
-    HttpTableClient,
-    http_platform,
-)
-from carobroute.platform._interface import (
-    Condition,
-    InstanceListClient,
-    ObjectStoreClient,
-    Put,
-    Row,
-    TableClient,
-    Transaction,
-    TransactionOutcome,
-)
 from carobroute.platform._process_settings import (
     SETTINGS_VARIABLE,
     ProcessSettings,
@@ -52,18 +31,23 @@
     RankReport,
     decode_rank_report,
 )
-from carobroute.platform._retry import RetryPacer, RetryParameters, settle
 from carobroute.platform._routing_wire import decode_configuration, decode_target
 from carobroute.platform._row_store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
+    MAX_NAME_BYTES,
+    MAX_TRANSACTION_ENTRIES,
     TARGET_TABLE,
+    ObjectNames,
+    PartsAnswer,
     RowAddress,
     RowCondition,
     RowsAnswer,
     RowStore,
+    RowTransaction,
     RowWrite,
     StoredRow,
+    WriteAnswer,
 )
 
 __all__ = [
@@ -72,42 +56,33 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
     "CallHead",
-    "Condition",
     "ExpertCounts",
     "HeldExperts",
-    "HttpInstanceListClient",
-    "HttpObjectStoreClient",
-    "HttpTableClient",
-    "InstanceListClient",
     "LoadReading",
-    "ObjectStoreClient",
+    "MAX_NAME_BYTES",
+    "MAX_TRANSACTION_ENTRIES",
+    "ObjectNames",
     "OrderAction",
     "OrderResult",
-    "PlatformAdapter",
-    "PlatformClients",
+    "PartsAnswer",
     "ProcessSettings",
-    "Put",
     "READY_PATH",
     "REQUEST_ID",
     "RETRY_AFTER",
     "RankClient",
     "RankOrder",
     "RankReport",
-    "RetryPacer",
-    "RetryParameters",
-    "Row",
     "RowAddress",
     "RowCondition",
     "RowStore",
+    "RowTransaction",
     "RowWrite",
     "RowsAnswer",
     "SETTINGS_VARIABLE",
     "StoredRow",
     "TARGET_TABLE",
-    "TableClient",
     "TimeBounds",
-    "Transaction",
-    "TransactionOutcome",
+    "WriteAnswer",
     "call_headers",
     "decode_answer",
     "decode_call",
@@ -115,10 +90,7 @@
     "decode_rank_report",
     "decode_settings",
     "decode_target",
-    "http_platform",
     "is_own_header",
-    "platform_adapters",
     "read_settings",
     "settings_faults",
-    "settle",
 ]
--- a/carobroute/platform/_channel.py
+++ b/carobroute/platform/_channel.py
@@ -5,15 +5,11 @@
 import aiohttp
 import msgspec
 from returns.result import Result, Success
+from yarl import URL
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform._wire import CONTENT_TYPE
 
-OK_STATUS = 200
-NO_CONTENT_STATUS = 204
-NOT_FOUND_STATUS = 404
-UNAUTHENTICATED_STATUS = 401
-FORBIDDEN_STATUS = 403
+CONTENT_TYPE = "application/json"
 MAX_CONNECTIONS = 32
 KEEP_ALIVE_S = 15.0
 
@@ -46,34 +42,27 @@
     ----------
     base_url : str
         Address of the service, as `http://host:port`.
-    timeout_ms : float
-        Longest time for one call, in milliseconds.
     token : str, default=""
         Bearer token sent with each call; empty for none.
-    content_type : str, default="application/msgpack"
-        Type of the bodies.
     """
 
-    __slots__ = ("_base_url", "_content_type", "_pool", "_timeout_ms", "_token")
+    __slots__ = ("_base_url", "_pool", "_token")
 
-    def __init__(
-        self,
-        *,
-        base_url: str,
-        timeout_ms: float,
-        token: str = "",
-        content_type: str = CONTENT_TYPE,
-    ):
+    def __init__(self, *, base_url: str, token: str = ""):
         self._base_url = base_url
-        self._timeout_ms = timeout_ms
         self._token = token
-        self._content_type = content_type
         self._pool: _Pool | None = None
 
-    async def call(
-        self, method: str, path: str, body: bytes = b"", *, limit_ms: float = 0.0
-    ) -> Result[bytes | None, Fault]:
-        """Send one request.
+    async def exchange(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        *,
+        limit_ms: float,
+        headers: dict[str, str] | None = None,
+    ) -> Result[ChannelAnswer, Fault]:
+        """Send one request and return its answer, whatever the status.
 
         Parameters
         ----------
@@ -81,35 +70,25 @@
             HTTP method, and path below the base URL.
         body : bytes, default=b""
             Request body.
-        limit_ms : float, default=0.0
-            Shortens the timeout of this call; 0 leaves it as it is.
+        limit_ms : float
+            Longest time for the call, in milliseconds.
+        headers : dict of str to str, default=None
+            Further headers.
 
         Returns
         -------
-        body : Result
-            The answer's body, None where there is nothing, or a fault.
-        """
-        answered = await self.exchange(method, path, body, limit_ms=limit_ms)
-        return answered.bind(lambda answer: _judge(answer, f"{method} {path}"))
-
-    async def exchange(
-        self, method: str, path: str, body: bytes = b"", *, limit_ms: float = 0.0
-    ) -> Result[ChannelAnswer, Fault]:
-        """Send one request and return its answer, whatever the status.
-
-        Takes the parameters of `call`. A `STORE_UNAVAILABLE` fault leaves open
-        whether the request took effect.
+        answer : Result
+            A `STORE_UNAVAILABLE` fault leaves open whether the request took effect.
         """
-        timeout_ms = min(self._timeout_ms, limit_ms or self._timeout_ms)
         pool = self._acquire()
         try:
-            async with asyncio.timeout(timeout_ms / 1_000):
-                return Success(await self._send(pool.session, method, path, body))
+            async with asyncio.timeout(limit_ms / 1_000):
+                return Success(await self._send(pool, method, path, body, headers))
         except TimeoutError:
             self._retire(pool)
             return fail(
                 ErrorKind.STORE_UNAVAILABLE,
-                f"no answer to {method} {path} within {timeout_ms:.0f} ms",
+                f"no answer to {method} {path} within {limit_ms:.0f} ms",
             )
         except (aiohttp.ClientError, OSError) as error:
             return fail(
@@ -125,15 +104,23 @@
             await pool.session.close()
 
     async def _send(
-        self, session: aiohttp.ClientSession, method: str, path: str, body: bytes
+        self,
+        pool: _Pool,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: dict[str, str] | None,
     ) -> ChannelAnswer:
-        url = self._base_url + path
-        async with session.request(method, url, data=body or None) as response:
+        # Names are quoted already; a second quoting would change them.
+        url = URL(self._base_url + path, encoded=True)
+        async with pool.session.request(
+            method, url, data=body or None, headers=headers
+        ) as response:
             return ChannelAnswer(status=response.status, data=await response.read())
 
     def _acquire(self) -> _Pool:
         if self._pool is None:
-            headers = {"Content-Type": self._content_type}
+            headers = {"Content-Type": CONTENT_TYPE}
             if self._token:
                 headers["Authorization"] = f"Bearer {self._token}"
             connector = aiohttp.TCPConnector(
@@ -154,15 +141,3 @@
         pool.calls -= 1
         if pool.retired and pool.calls == 0:
             await pool.session.close()
-
-
-def _judge(answer: ChannelAnswer, request: str) -> Result[bytes | None, Fault]:
-    if answer.status == OK_STATUS:
-        return Success(answer.data)
-    if answer.status in (NO_CONTENT_STATUS, NOT_FOUND_STATUS):
-        return Success(None)
-    if answer.status in (UNAUTHENTICATED_STATUS, FORBIDDEN_STATUS):
-        return fail(ErrorKind.FORBIDDEN, f"the platform refused {request}")
-    return fail(
-        ErrorKind.STORE_UNAVAILABLE, f"{request} was answered with {answer.status}"
-    )
--- a/carobroute/platform/_row_store.py
+++ b/carobroute/platform/_row_store.py
@@ -1,6 +1,6 @@
-"""Client of the platform's row store."""
+"""Client of the platform's store: rows in tables, and objects."""
 
-from urllib.parse import urlencode
+from urllib.parse import quote, urlencode
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -17,7 +17,15 @@
 WATCH_SLACK_MS = 500.0
 PAGE_ROWS = 500
 
+# Bounds that the platform publishes for its store.
+MAX_TRANSACTION_ENTRIES = 100
+MAX_NAME_BYTES = 200
+
 OK_STATUS = 200
+MALFORMED_STATUS = 400
+UNAUTHENTICATED_STATUS = 401
+FORBIDDEN_STATUS = 403
+NOT_FOUND_STATUS = 404
 GONE_STATUS = 410
 CONFLICT_STATUS = 412
 
@@ -69,6 +77,28 @@
     has_more: bool = msgspec.field(default=False, name="hasMore")
 
 
+class WriteAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """What became of a transaction.
+
+    Parameters
+    ----------
+    committed : bool
+        Whether all conditions held, and everything was written.
+    version : int
+        Version that the rows written have now, if it committed.
+    store_ms : float
+        The store's own steady clock, in milliseconds.
+    rows : list of StoredRow
+        If it did not commit: the rows of the conditions as they stand. A row that
+        does not exist has version 0 or is missing.
+    """
+
+    committed: bool
+    version: int = 0
+    store_ms: float = 0.0
+    rows: list[StoredRow] = []
+
+
 class RowCondition(msgspec.Struct, frozen=True, kw_only=True):
     """Requires a row to have a version; 0 requires that it does not exist."""
 
@@ -95,37 +125,68 @@
     part: str = ""
 
 
-class _WireTransaction(msgspec.Struct):
-    expect: list[RowCondition]
-    puts: list[RowWrite]
-    remove: list[RowAddress]
+class RowTransaction(msgspec.Struct, frozen=True):
+    """Conditions, and what is written and removed together if they hold."""
+
+    conditions: list[RowCondition] = msgspec.field(default=[], name="expect")
+    writes: list[RowWrite] = msgspec.field(default=[], name="puts")
+    removals: list[RowAddress] = msgspec.field(default=[], name="remove")
+
+
+class PartsAnswer(msgspec.Struct, frozen=True):
+    """Names of a table's partitions."""
+
+    parts: list[str] = []
+    has_more: bool = msgspec.field(default=False, name="hasMore")
+
+
+class ObjectNames(msgspec.Struct, frozen=True):
+    """Names of objects, in order."""
+
+    names: list[str] = []
+    has_more: bool = msgspec.field(default=False, name="hasMore")
 
 
 _rows_decoder = msgspec.json.Decoder(RowsAnswer)
+_parts_decoder = msgspec.json.Decoder(PartsAnswer)
+_names_decoder = msgspec.json.Decoder(ObjectNames)
 
 
 class RowStore:
-    """Rows in tables, kept by the platform.
+    """Rows in tables, and objects, kept by the platform.
 
     Every call is sent once; whoever calls decides whether and when to call again.
 
     Parameters
     ----------
-    address : str
-        `host:port` of the store.
+    base_url : str
+        Address of the store, as `http://host:port`.
+    timeout_ms : float, default=1000.0
+        Longest time for one call, in milliseconds; watches wait longer.
+    token : str, default=""
+        Bearer token sent with each call; empty for none.
     """
 
-    __slots__ = ("_channel",)
+    __slots__ = ("_channel", "_timeout_ms")
 
-    def __init__(self, *, address: str):
-        self._channel = HttpChannel(
-            base_url=f"http://{address}",
-            timeout_ms=float("inf"),
-            content_type="application/json",
-        )
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        timeout_ms: float = CALL_TIMEOUT_MS,
+        token: str = "",
+    ):
+        self._timeout_ms = timeout_ms
+        self._channel = HttpChannel(base_url=base_url, token=token)
 
     async def read(
-        self, table: str, *, part: str = "", first: str = "", end: str = ""
+        self,
+        table: str,
+        *,
+        part: str = "",
+        first: str = "",
+        end: str = "",
+        limit: int = PAGE_ROWS,
     ) -> Result[RowsAnswer, Fault]:
         """Return the first page of rows of one moment, in key order.
 
@@ -135,11 +196,13 @@
             Where the rows are.
         first, end : str, default=""
             Lowest key, and the key before which to stop; empty for no bound.
+        limit : int, default=500
+            Rows returned at most.
         """
-        query = {"table": table, "part": part, "limit": str(PAGE_ROWS)}
+        query = {"table": table, "part": part, "limit": str(min(limit, PAGE_ROWS))}
         query.update({"from": first} if first else {})
         query.update({"to": end} if end else {})
-        return await self._rows("/api/rows-get", query, CALL_TIMEOUT_MS)
+        return await self._rows("/api/rows-get", query, self._timeout_ms)
 
     async def read_all(
         self, table: str, *, part: str = ""
@@ -162,6 +225,15 @@
             more = answered.unwrap().has_more and bool(answered.unwrap().rows)
         return Success(msgspec.structs.replace(answer, rows=rows, has_more=False))
 
+    async def partitions(
+        self, table: str, *, after: str = ""
+    ) -> Result[PartsAnswer, Fault]:
+        """Return the first partitions of a table that follow `after`."""
+        query = {"table": table, **({"after": after} if after else {})}
+        path = f"/api/rows-parts?{urlencode(query)}"
+        answered = await self._call("GET", path)
+        return answered.bind(lambda answer: _decode(answer, _parts_decoder))
+
     async def watch(
         self, table: str, *, after: int, wait_ms: float
     ) -> Result[RowsAnswer, Fault]:
@@ -182,23 +254,69 @@
         conditions: list[RowCondition],
         writes: list[RowWrite],
         removals: list[RowAddress],
-    ) -> Result[RowsAnswer, Fault]:
+        limit_ms: float = 0.0,
+    ) -> Result[WriteAnswer, Fault]:
         """Write and remove rows if all conditions hold.
 
+        Parameters
+        ----------
+        conditions, writes, removals : list
+            What to require, to write and to remove; all in one partition.
+        limit_ms : float, default=0.0
+            Shortens the timeout of this call; 0 leaves it as it is.
+
         Returns
         -------
         answer : Result
-            A `CONFLICT` fault means that nothing was done; a `STORE_UNAVAILABLE`
-            fault leaves that open.
+            A `STORE_UNAVAILABLE` fault leaves open whether it was, or will be, done.
         """
-        wire = _WireTransaction(conditions, writes, removals)
-        answered = await self._channel.exchange(
-            "POST",
-            "/api/rows-tx",
-            msgspec.json.encode(wire),
-            limit_ms=CALL_TIMEOUT_MS,
+        body = msgspec.json.encode(RowTransaction(conditions, writes, removals))
+        limit_ms = min(limit_ms or self._timeout_ms, self._timeout_ms)
+        answered = await self._call("POST", "/api/rows-tx", body, limit_ms)
+        return answered.bind(_decode_written)
+
+    async def put_object(
+        self, name: str, data: bytes, *, replace: bool = True
+    ) -> Result[bool, Fault]:
+        """Store an object; return False if there is one that must not be replaced."""
+        headers = {} if replace else {"If-None-Match": "*"}
+        answered = await self._call(
+            "PUT", f"/api/blob-put/{quote(name, safe='')}", data, headers=headers
         )
-        return answered.bind(_decode_rows)
+        if isinstance(answered, Failure):
+            return answered
+        answer = answered.unwrap()
+        if answer.status == CONFLICT_STATUS:
+            return Success(False)
+        return _judge(answer).map(lambda _: True)
+
+    async def get_object(self, name: str) -> Result[bytes | None, Fault]:
+        """Return an object, or None if it does not exist."""
+        answered = await self._call("GET", f"/api/blob-get/{quote(name, safe='')}")
+        if isinstance(answered, Failure):
+            return answered
+        answer = answered.unwrap()
+        if answer.status == NOT_FOUND_STATUS:
+            return Success(None)
+        return _judge(answer).map(lambda data: data)
+
+    async def drop_object(self, name: str) -> Result[None, Fault]:
+        """Remove an object if it exists."""
+        answered = await self._call("DELETE", f"/api/blob-drop/{quote(name, safe='')}")
+        if isinstance(answered, Failure):
+            return answered
+        if answered.unwrap().status == NOT_FOUND_STATUS:
+            return Success(None)
+        return _judge(answered.unwrap()).map(lambda _: None)
+
+    async def list_objects(
+        self, prefix: str, *, after: str = ""
+    ) -> Result[ObjectNames, Fault]:
+        """Return the first names of objects with a prefix that follow `after`."""
+        # The wire's name says path; it is a prefix of the object's name.
+        query = {"pathPrefix": prefix, **({"after": after} if after else {})}
+        answered = await self._call("GET", f"/api/blob-list?{urlencode(query)}")
+        return answered.bind(lambda answer: _decode(answer, _names_decoder))
 
     async def close(self) -> None:
         """Close all connections."""
@@ -207,17 +325,63 @@
     async def _rows(
         self, path: str, query: dict[str, str], limit_ms: float
     ) -> Result[RowsAnswer, Fault]:
-        path = f"{path}?{urlencode(query)}"
-        answered = await self._channel.exchange("GET", path, limit_ms=limit_ms)
-        return answered.bind(_decode_rows)
+        answered = await self._call(
+            "GET", f"{path}?{urlencode(query)}", limit_ms=limit_ms
+        )
+        return answered.bind(lambda answer: _decode(answer, _rows_decoder))
+
+    async def _call(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        limit_ms: float = 0.0,
+        headers: dict[str, str] | None = None,
+    ) -> Result[ChannelAnswer, Fault]:
+        return await self._channel.exchange(
+            method,
+            path,
+            body,
+            limit_ms=limit_ms or self._timeout_ms,
+            headers=headers,
+        )
 
 
-def _decode_rows(answer: ChannelAnswer) -> Result[RowsAnswer, Fault]:
-    if answer.status in (GONE_STATUS, CONFLICT_STATUS):
-        return fail(ErrorKind.CONFLICT, f"the store answered {answer.status}")
-    if answer.status != OK_STATUS:
-        return fail(ErrorKind.STORE_UNAVAILABLE, f"the store answered {answer.status}")
+def _judge(answer: ChannelAnswer) -> Result[bytes, Fault]:
+    """Return the body of a success, or the fault that the status stands for."""
+    if answer.status == OK_STATUS:
+        return Success(answer.data)
+    detail = f"the store answered {answer.status}"
+    if answer.status in (UNAUTHENTICATED_STATUS, FORBIDDEN_STATUS):
+        return fail(ErrorKind.FORBIDDEN, detail)
+    if answer.status == GONE_STATUS:
+        return fail(ErrorKind.CONFLICT, detail)
+    if answer.status == MALFORMED_STATUS:
+        # The same call would be refused for ever.
+        return fail(ErrorKind.INTERNAL, f"{detail}: {answer.data[:200]!r}")
+    return fail(ErrorKind.STORE_UNAVAILABLE, detail)
+
+
+def _decode(answer: ChannelAnswer, decoder: msgspec.json.Decoder) -> Result:
+    judged = _judge(answer)
+    if isinstance(judged, Failure):
+        return judged
     try:
-        return Success(_rows_decoder.decode(answer.data))
+        return Success(decoder.decode(answer.data))
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         return fail(ErrorKind.STORE_UNAVAILABLE, f"the store's answer: {error}")
+
+
+def _decode_written(answer: ChannelAnswer) -> Result[WriteAnswer, Fault]:
+    committed = answer.status != CONFLICT_STATUS
+    if not committed:
+        answer = ChannelAnswer(status=OK_STATUS, data=answer.data)
+    decoded: Result[RowsAnswer, Fault] = _decode(answer, _rows_decoder)
+    return decoded.map(
+        lambda rows: WriteAnswer(
+            committed=committed,
+            version=rows.version,
+            store_ms=rows.store_ms,
+            rows=rows.rows,
+        )
+    )
--- a/carobroute/platform/tests/test_formats.py
+++ b/carobroute/platform/tests/test_formats.py
@@ -2,12 +2,17 @@
 
 import json
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 from returns.result import Failure, Success
 
+from carobroute.errors import ErrorKind
 from carobroute.platform import (
+    ObjectNames,
+    PartsAnswer,
+    RowsAnswer,
     decode_answer,
     decode_call,
     decode_configuration,
@@ -15,6 +20,8 @@
     decode_settings,
     decode_target,
 )
+from carobroute.platform._channel import ChannelAnswer
+from carobroute.platform._row_store import _decode
 from carobroute.world import CallClass, TargetCondition
 
 CONFIGURATION = {
@@ -189,3 +196,35 @@
     assert head.prompt_tokens >= 0
     answer = decode_answer(headers)
     assert answer.load is None or answer.load.running >= 0
+
+
+@given(
+    st.binary(max_size=80)
+    | st.sampled_from([b'{"rows":[{"value":"?"}]}', b'{"names":7}', b'{"ver":"x"}'])
+)
+@pytest.mark.parametrize("answer", [RowsAnswer, PartsAnswer, ObjectNames])
+def test_answers_of_the_store_are_values_or_faults(answer, data):
+    got = _decode(ChannelAnswer(status=200, data=data), msgspec.json.Decoder(answer))
+    if isinstance(got, Success):
+        assert isinstance(got.unwrap(), answer)
+    else:
+        assert got.failure().kind is ErrorKind.STORE_UNAVAILABLE
+
+
+@pytest.mark.parametrize(
+    ("status", "kind"),
+    [
+        (400, ErrorKind.INTERNAL),
+        (401, ErrorKind.FORBIDDEN),
+        (403, ErrorKind.FORBIDDEN),
+        (410, ErrorKind.CONFLICT),
+        (429, ErrorKind.STORE_UNAVAILABLE),
+        (503, ErrorKind.STORE_UNAVAILABLE),
+        (507, ErrorKind.STORE_UNAVAILABLE),
+    ],
+)
+def test_each_status_of_the_store_has_its_fault(status, kind):
+    got = _decode(
+        ChannelAnswer(status=status, data=b"{}"), msgspec.json.Decoder(RowsAnswer)
+    )
+    assert got.failure().kind is kind
--- a/carobroute/requests/_ledger.py
+++ b/carobroute/requests/_ledger.py
@@ -5,7 +5,6 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import ObjectStoreClient, TableClient
 from carobroute.requests._ledger_batch import GroupCommit
 from carobroute.requests._ledger_claims import Ask, Claimer
 from carobroute.requests._ledger_clock import LedgerClock
@@ -26,6 +25,7 @@
     order_row_decoder,
     order_row_key,
 )
+from carobroute.tables import ObjectStoreClient, TableClient
 from carobroute.utils import Clock, TaskSet, new_token
 
 START_RETRY_MS = 500.0
--- a/carobroute/requests/_ledger_batch.py
+++ b/carobroute/requests/_ledger_batch.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import Condition, Put, Row, TableClient, Transaction
+from carobroute.tables import Condition, Put, Row, TableClient, Transaction
 from carobroute.utils import Clock, TaskSet, new_token
 
 Address = tuple[str, str]
--- a/carobroute/requests/_ledger_claims.py
+++ b/carobroute/requests/_ledger_claims.py
@@ -7,7 +7,6 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import Condition, ObjectStoreClient, Put, Row
 from carobroute.requests._ledger_batch import GroupCommit, RowWrite
 from carobroute.requests._ledger_clock import LedgerClock
 from carobroute.requests._ledger_effects import EffectWriter
@@ -30,6 +29,7 @@
     encode_row,
     order_row_decoder,
 )
+from carobroute.tables import Condition, ObjectStoreClient, Put, Row
 from carobroute.utils import Clock
 
 MAX_CLAIM_ROUNDS = 8
--- a/carobroute/requests/_ledger_clean.py
+++ b/carobroute/requests/_ledger_clean.py
@@ -6,7 +6,10 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import Fault
-from carobroute.platform import (
+from carobroute.requests._ledger_clock import LedgerClock
+from carobroute.requests._ledger_effects import ExpiryRow, expiry_decoder
+from carobroute.requests._ledger_types import CLOCK_TABLE, EXPIRY_TABLE, ORDERS_TABLE
+from carobroute.tables import (
     Condition,
     ObjectStoreClient,
     Put,
@@ -14,9 +17,6 @@
     TableClient,
     Transaction,
 )
-from carobroute.requests._ledger_clock import LedgerClock
-from carobroute.requests._ledger_effects import ExpiryRow, expiry_decoder
-from carobroute.requests._ledger_types import CLOCK_TABLE, EXPIRY_TABLE, ORDERS_TABLE
 from carobroute.utils import Clock, new_token
 
 MAX_ROUNDS = 8
@@ -33,12 +33,13 @@
     busy_ms : float
         Time between two looks while there is a whole batch.
     max_batch : int
-        Records removed at a time.
+        Records removed at a time. Each takes up to four entries of a transaction, of
+        which the platform's store accepts a hundred.
     """
 
     interval_ms: float = 30_000.0
-    busy_ms: float = 1_000.0
-    max_batch: int = 200
+    busy_ms: float = 125.0
+    max_batch: int = 22
 
 
 class LedgerCleaner:
--- a/carobroute/requests/_ledger_clock.py
+++ b/carobroute/requests/_ledger_clock.py
@@ -4,8 +4,8 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import Fault
-from carobroute.platform import Condition, Put, Row, TableClient
 from carobroute.requests._ledger_types import CLOCK_KEY, CLOCK_TABLE, encode_row
+from carobroute.tables import Condition, Put, Row, TableClient
 from carobroute.utils import Clock
 
 
--- a/carobroute/requests/_ledger_effects.py
+++ b/carobroute/requests/_ledger_effects.py
@@ -8,7 +8,6 @@
 from returns.result import Failure, Result
 
 from carobroute.errors import Fault
-from carobroute.platform import Condition, ObjectStoreClient, Put, Row, TableClient
 from carobroute.requests._ledger_batch import GroupCommit, RowWrite
 from carobroute.requests._ledger_clock import LedgerClock
 from carobroute.requests._ledger_types import (
@@ -24,6 +23,7 @@
     order_row_decoder,
     order_row_key,
 )
+from carobroute.tables import Condition, ObjectStoreClient, Put, Row, TableClient
 from carobroute.utils import Clock, TaskSet
 
 RETRY_MS = 250.0
--- a/carobroute/requests/_ledger_fence.py
+++ b/carobroute/requests/_ledger_fence.py
@@ -6,8 +6,8 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import Condition, Put, Row, TableClient, Transaction
 from carobroute.requests._ledger_types import FENCES_TABLE, encode_row
+from carobroute.tables import Condition, Put, Row, TableClient, Transaction
 from carobroute.utils import Clock, new_token
 
 ACQUIRE_ROUNDS = 20
--- a/carobroute/requests/_ledger_types.py
+++ b/carobroute/requests/_ledger_types.py
@@ -168,7 +168,8 @@
     Parameters
     ----------
     max_batch : int
-        Rows written in one transaction.
+        Writes in one transaction. Each takes up to four entries, of which the
+        platform's store accepts a hundred.
     max_queued : int
         Claims that may wait for a transaction.
     workers : int
@@ -195,7 +196,7 @@
         How long the row of a released claim is kept.
     """
 
-    max_batch: int = 64
+    max_batch: int = 22
     max_queued: int = 2_000
     workers: int = 4
     pause_ms: float = 20.0
--- a/carobroute/requests/tests/test_ledger.py
+++ b/carobroute/requests/tests/test_ledger.py
@@ -4,7 +4,6 @@
 from returns.result import Failure, Success
 
 from carobroute.errors import ErrorKind, fail
-from carobroute.platform import Put, Transaction
 from carobroute.requests import (
     ClaimElsewhere,
     ClaimFinished,
@@ -16,6 +15,7 @@
     StoredAnswer,
     read_order,
 )
+from carobroute.tables import Put, Transaction
 from carobroute.testing import FakeObjects, FakeTable, make_order, wait_until
 from carobroute.utils import ManualClock
 
--- a/carobroute/standins/_platform.py
+++ b/carobroute/standins/_platform.py
@@ -1,21 +1,45 @@
-"""Stand-in of the platform: table service, object store, instances, weight store."""
+"""Stand-in of the platform's store, and of the store of weights."""
 
+import asyncio
 import itertools
 import random as random_module
 from typing import Annotated
 
+import msgspec
 import typer
 from aiohttp import web
 
-from carobroute.platform import _wire
+from carobroute.platform import (
+    MAX_NAME_BYTES,
+    MAX_TRANSACTION_ENTRIES,
+    ObjectNames,
+    PartsAnswer,
+    RowAddress,
+    RowCondition,
+    RowsAnswer,
+    RowTransaction,
+    RowWrite,
+)
 from carobroute.standins._command import MAX_BODY_BYTES, serve, stand_ins
 from carobroute.standins._faults import FaultControl, json_response
-from carobroute.standins._state import InstanceListState, TableState
+from carobroute.standins._state import ObjectsState, RowsState
+from carobroute.tables import INSTANCE_TABLE
 from carobroute.utils import Clock
 
 OVERLOAD_MS = 2_000.0
 DEFAULT_WEIGHT_BYTES = 1 << 20
-TOKEN_MEMORY = 200_000
+# Bounds of the platform's store, from its pages.
+MAX_TRANSACTION_BYTES = 1 << 20
+MAX_ROW_BYTES = 65_536
+MAX_OBJECT_BYTES = 8 << 20
+MAX_OBJECTS_BYTES = 400 << 20
+MAX_PAGE_ROWS = 500
+MAX_PAGE_NAMES = 1_000
+MAX_WAIT_MS = 30_000.0
+# Tables that only the platform itself writes.
+RESERVED_TABLES = frozenset({"op", "servers"})
+
+_transaction_decoder = msgspec.json.Decoder(RowTransaction)
 
 
 class Pace:
@@ -48,7 +72,7 @@
 
 
 class PlatformStandIn:
-    """One process that answers for all the platform's services.
+    """One process that answers for the platform's store.
 
     Parameters
     ----------
@@ -56,10 +80,10 @@
         Source of time.
     seed : int
         Seed of the faults.
-    list_lag_ms, lease_ms : float
-        Lag of the instance list, and time after which an entry expires.
+    list_lag_ms : float
+        Age of what is answered for the table of instances.
     write_rate, read_rate : float
-        Table writes and reads a second; 0 for no bound.
+        Calls that write and read rows, a second; 0 for no bound.
     weight_rate : float
         Bytes a second that the weight store sends; 0 for no bound.
     """
@@ -70,19 +94,17 @@
         clock: Clock,
         seed: int = 1,
         list_lag_ms: float = 1_000.0,
-        lease_ms: float = 10_000.0,
         write_rate: float = 0.0,
         read_rate: float = 0.0,
         weight_rate: float = 0.0,
     ):
         self.faults = FaultControl(random=random_module.Random(seed))
-        self.tables = TableState(token_memory=TOKEN_MEMORY)
-        self.instances = InstanceListState(
-            clock=clock, lag_ms=list_lag_ms, lease_ms=lease_ms, removal_ms=list_lag_ms
-        )
-        self.objects: dict[str, bytes] = {}
+        self.rows = RowsState(clock=clock, lag_ms={INSTANCE_TABLE: list_lag_ms})
+        self.objects = ObjectsState(most_bytes=MAX_OBJECTS_BYTES)
         self.weights_sent: dict[str, int] = {}
         self.counts = {"reads": 0, "writes": 0, "list_reads": 0}
+        self._clock = clock
+        self._changed = asyncio.Event()
         self._writes = Pace(clock=clock, per_s=write_rate)
         self._reads = Pace(clock=clock, per_s=read_rate)
         self._weights = Pace(clock=clock, per_s=weight_rate)
@@ -93,15 +115,14 @@
         self.faults.install(application)
         application.add_routes(
             [
-                web.post("/table/read", self._read),
-                web.post("/table/scan", self._scan),
-                web.post("/table/transact", self._transact),
-                web.put("/objects/{key}", self._put_object),
-                web.get("/objects/{key}", self._get_object),
-                web.delete("/objects/{key}", self._delete_object),
-                web.get("/instances", self._list),
-                web.put("/instances/{incarnation}", self._announce),
-                web.delete("/instances/{incarnation}", self._withdraw),
+                web.post("/api/rows-tx", self._transact),
+                web.get("/api/rows-get", self._read),
+                web.get("/api/rows-parts", self._partitions),
+                web.get("/api/rows-feed", self._watch),
+                web.put("/api/blob-put/{name}", self._put_object),
+                web.get("/api/blob-get/{name}", self._get_object),
+                web.delete("/api/blob-drop/{name}", self._drop_object),
+                web.get("/api/blob-list", self._list_objects),
                 web.get("/weights/{hash}", self._weight),
                 web.get("/_record/writes", self._record_writes),
                 web.get("/_record/counts", self._record_counts),
@@ -109,51 +130,95 @@
         )
         return application
 
-    async def _read(self, request: web.Request) -> web.Response:
-        query = _wire.read_query_decoder.decode(await request.read())
-        self.counts["reads"] += 1
-        await self._reads.take()
-        return _packed(self.tables.read(query.table, query.key))
-
-    async def _scan(self, request: web.Request) -> web.Response:
-        query = _wire.scan_query_decoder.decode(await request.read())
-        self.counts["reads"] += 1
-        await self._reads.take()
-        rows = self.tables.scan(query.table, query.prefix, query.after, query.limit)
-        return _packed(rows)
+    # Rows.
 
     async def _transact(self, request: web.Request) -> web.Response:
-        transaction = _wire.transaction_decoder.decode(await request.read())
+        body = await request.read()
+        try:
+            transaction = _transaction_decoder.decode(body)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            raise web.HTTPBadRequest(text=str(error)) from error
+        _check_transaction(transaction, len(body))
         self.counts["writes"] += 1
         if not await self._writes.take(most_ms=OVERLOAD_MS):
             raise web.HTTPTooManyRequests(text="too many writes")
-        return _packed(self.tables.transact(transaction))
+        answer = self.rows.transact(transaction)
+        if answer.committed:
+            self._changed.set()
+            self._changed = asyncio.Event()
+        rows = RowsAnswer(answer.version, answer.store_ms, answer.rows)
+        return json_response(rows, status=200 if answer.committed else 412)
+
+    async def _read(self, request: web.Request) -> web.Response:
+        table = _query(request, "table")
+        self.counts["list_reads" if table == INSTANCE_TABLE else "reads"] += 1
+        await self._reads.take()
+        page = self.rows.read(
+            table,
+            _query(request, "part"),
+            _query(request, "from"),
+            _query(request, "to"),
+            min(MAX_PAGE_ROWS, _number(request, "limit", MAX_PAGE_ROWS)),
+        )
+        return json_response(page)
+
+    async def _partitions(self, request: web.Request) -> web.Response:
+        after = _query(request, "after")
+        parts = self.rows.partitions(_query(request, "table"))
+        parts = [part for part in parts if not after or part > after]
+        page = parts[:MAX_PAGE_NAMES]
+        return json_response(PartsAnswer(page, len(page) < len(parts)))
+
+    async def _watch(self, request: web.Request) -> web.Response:
+        table, after = _query(request, "table"), _number(request, "after", 0)
+        wait_ms = min(MAX_WAIT_MS, _number(request, "waitMs", 0))
+        until_ms = self._clock.now_ms() + wait_ms
+        while True:
+            changed = self._changed
+            found = self.rows.changes(table, after)
+            if found is None:
+                raise web.HTTPGone
+            left_ms = until_ms - self._clock.now_ms()
+            if found.rows or left_ms <= 0:
+                return json_response(found)
+            try:
+                async with asyncio.timeout(left_ms / 1_000):
+                    await changed.wait()
+            except TimeoutError:
+                continue
+
+    # Objects.
 
     async def _put_object(self, request: web.Request) -> web.Response:
-        self.objects[request.match_info["key"]] = await request.read()
+        name, data = request.match_info["name"], await request.read()
+        if len(data) > MAX_OBJECT_BYTES or len(name.encode()) > MAX_NAME_BYTES:
+            raise web.HTTPBadRequest(text="the object, or its name, is too large")
+        kept = request.headers.get("If-None-Match") == "*"
+        if kept and self.objects.get(name) is not None:
+            raise web.HTTPPreconditionFailed
+        if not self.objects.put(name, data):
+            return web.Response(status=507)
         return web.Response()
 
     async def _get_object(self, request: web.Request) -> web.Response:
-        data = self.objects.get(request.match_info["key"])
+        data = self.objects.get(request.match_info["name"])
         if data is None:
             raise web.HTTPNotFound
         return web.Response(body=data)
 
-    async def _delete_object(self, request: web.Request) -> web.Response:
-        self.objects.pop(request.match_info["key"], None)
+    async def _drop_object(self, request: web.Request) -> web.Response:
+        if not self.objects.drop(request.match_info["name"]):
+            raise web.HTTPNotFound
         return web.Response()
 
-    async def _list(self, request: web.Request) -> web.Response:
-        self.counts["list_reads"] += 1
-        return _packed(self.instances.listed())
-
-    async def _announce(self, request: web.Request) -> web.Response:
-        self.instances.announce(_wire.instance_decoder.decode(await request.read()))
-        return web.Response()
+    async def _list_objects(self, request: web.Request) -> web.Response:
+        names = list(
+            self.objects.names(_query(request, "pathPrefix"), _query(request, "after"))
+        )
+        page = names[:MAX_PAGE_NAMES]
+        return json_response(ObjectNames(page, len(page) < len(names)))
 
-    async def _withdraw(self, request: web.Request) -> web.Response:
-        self.instances.withdraw(request.match_info["incarnation"])
-        return web.Response()
+    # Weights.
 
     async def _weight(self, request: web.Request) -> web.StreamResponse:
         """Send `length` bytes from `offset`; their content follows from the hash."""
@@ -170,7 +235,7 @@
         return response
 
     async def _record_writes(self, request: web.Request) -> web.Response:
-        return json_response(list(self.tables.record))
+        return json_response(list(self.rows.record))
 
     async def _record_counts(self, request: web.Request) -> web.Response:
         counts = {**self.counts, "weights_sent": self.weights_sent}
@@ -195,8 +260,39 @@
     return offset, int(request.query.get("length", DEFAULT_WEIGHT_BYTES))
 
 
-def _packed(value: object) -> web.Response:
-    return web.Response(body=_wire.encode(value), content_type=_wire.CONTENT_TYPE)
+def _query(request: web.Request, name: str) -> str:
+    return request.query.get(name, "")
+
+
+def _number(request: web.Request, name: str, default: int) -> int:
+    try:
+        return int(request.query.get(name, default))
+    except ValueError as error:
+        raise web.HTTPBadRequest(text=f"{name}: {error}") from error
+
+
+def _check_transaction(transaction: RowTransaction, size: int) -> None:
+    """Refuse what the platform's store would refuse."""
+    changes: list[RowWrite | RowAddress] = [
+        *transaction.writes,
+        *transaction.removals,
+    ]
+    entries: list[RowCondition | RowWrite | RowAddress] = [
+        *transaction.conditions,
+        *changes,
+    ]
+    if len(entries) > MAX_TRANSACTION_ENTRIES or size > MAX_TRANSACTION_BYTES:
+        detail = f"{len(entries)} entries, {size} bytes"
+        raise web.HTTPBadRequest(text=f"the transaction is too large: {detail}")
+    if len({entry.part for entry in entries}) > 1:
+        raise web.HTTPBadRequest(text="the entries are in several partitions")
+    names = [name for e in entries for name in (e.table, e.part, e.key)]
+    if any(len(name.encode()) > MAX_NAME_BYTES for name in names):
+        raise web.HTTPBadRequest(text=f"a name is over {MAX_NAME_BYTES} bytes")
+    if any(len(write.value) > MAX_ROW_BYTES for write in transaction.writes):
+        raise web.HTTPBadRequest(text=f"a row is over {MAX_ROW_BYTES} bytes")
+    if any(entry.table in RESERVED_TABLES for entry in changes):
+        raise web.HTTPForbidden(text="the table is the platform's own")
 
 
 @stand_ins.register("platform")
@@ -204,17 +300,15 @@
     port: Annotated[int, typer.Option(help="0 takes a free port.")] = 0,
     seed: Annotated[int, typer.Option(help="Seed of the faults.")] = 1,
     list_lag_ms: Annotated[float, typer.Option(help="Lag of the list.")] = 1_000.0,
-    lease_ms: Annotated[float, typer.Option(help="Life of an entry.")] = 10_000.0,
-    write_rate: Annotated[float, typer.Option(help="Table writes a second.")] = 0.0,
-    read_rate: Annotated[float, typer.Option(help="Table reads a second.")] = 0.0,
+    write_rate: Annotated[float, typer.Option(help="Transactions a second.")] = 0.0,
+    read_rate: Annotated[float, typer.Option(help="Readings a second.")] = 0.0,
     weight_rate: Annotated[float, typer.Option(help="Weight bytes a second.")] = 0.0,
 ) -> None:
-    """Run the table service, object store, instance list and weight store."""
+    """Run the store of rows and objects, and the weight store."""
     stand_in = PlatformStandIn(
         clock=Clock(),
         seed=seed,
         list_lag_ms=list_lag_ms,
-        lease_ms=lease_ms,
         write_rate=write_rate,
         read_rate=read_rate,
         weight_rate=weight_rate,
--- a/carobroute/standins/_state.py
+++ b/carobroute/standins/_state.py
@@ -1,171 +1,203 @@
-"""What the platform stand-in keeps: rows, token memory, instances, record of writes."""
+"""What the platform stand-in keeps: rows of tables, and objects."""
 
-from collections import OrderedDict, deque
+from collections import deque
 from collections.abc import Iterator
 
 import msgspec
 from sortedcontainers import SortedDict
 
-from carobroute.platform import Row, Transaction, TransactionOutcome
+from carobroute.platform import (
+    RowAddress,
+    RowsAnswer,
+    RowTransaction,
+    RowWrite,
+    StoredRow,
+    WriteAnswer,
+)
 from carobroute.utils import Clock
-from carobroute.world import Instance, InstanceState
 
 MAX_RECORD = 500_000
+MAX_CHANGES = 10_000
 
 
 class WriteRecord(msgspec.Struct, kw_only=True):
-    """How often one transaction arrived, what became of it, and when at first."""
+    """What became of one transaction that arrived, and when."""
 
-    token: str
     committed: bool
-    arrivals: int
     keys: list[str]
     wall_ms: float = 0.0
 
 
-class TableState:
-    """Rows with versions, and the results of transactions by token.
+class _Past(msgspec.Struct):
+    """How a row stood until some time."""
+
+    until_ms: float
+    row: StoredRow | None
+
+
+class RowsState:
+    """Rows with versions from one counter, and what has changed.
 
     Parameters
     ----------
-    token_memory : int
-        Number of tokens that are remembered.
+    clock : Clock
+        Source of the store's steady time.
+    lag_ms : mapping of str to float, default=None
+        Age of what is answered for each table that lags.
     """
 
-    def __init__(self, *, token_memory: int):
-        self._token_memory = token_memory
-        self._rows: SortedDict[tuple[str, str], Row] = SortedDict()
-        self._results: OrderedDict[str, TransactionOutcome] = OrderedDict()
-        self._record: dict[str, WriteRecord] = {}
+    def __init__(self, *, clock: Clock, lag_ms: dict[str, float] | None = None):
+        self._clock = clock
+        self._lag_ms = lag_ms or {}
+        self._rows: SortedDict[tuple[str, str, str], StoredRow] = SortedDict()
+        self._past: dict[tuple[str, str, str], deque[_Past]] = {}
+        self._changes: deque[StoredRow] = deque(maxlen=MAX_CHANGES)
+        self.version = 0
         self.record: deque[WriteRecord] = deque(maxlen=MAX_RECORD)
 
-    def read(self, table: str, key: str) -> Row | None:
-        """Return a row, or None."""
-        return self._rows.get((table, key))
-
-    def scan(self, table: str, prefix: str, after: str, limit: int) -> list[Row]:
-        """Return rows in key order."""
-        return list(self._scan(table, prefix, after, limit))
-
-    def transact(self, transaction: Transaction) -> TransactionOutcome:
-        """Apply a transaction, or return the result that its token had before."""
-        known = self._results.get(transaction.token)
-        if known is not None:
-            self._record[transaction.token].arrivals += 1
-            return known
-        outcome = self._apply(transaction)
-        self._results[transaction.token] = outcome
-        entry = WriteRecord(
-            token=transaction.token,
-            committed=outcome.committed,
-            arrivals=1,
-            keys=[f"{put.table}/{put.key}" for put in transaction.puts],
-            wall_ms=Clock().wall_ms(),
+    def read(
+        self, table: str, part: str, first: str, end: str, limit: int
+    ) -> RowsAnswer:
+        """Return the first rows of a range."""
+        rows: list[StoredRow] = []
+        for row in self._range(table, part, first, end):
+            if len(rows) == limit:
+                return self._answer(rows, has_more=True)
+            rows.append(row)
+        return self._answer(rows)
+
+    def partitions(self, table: str) -> list[str]:
+        """Return the partitions of a table, in order."""
+        return sorted({part for name, part, _ in self._rows if name == table})
+
+    def changes(self, table: str, after: int) -> RowsAnswer | None:
+        """Return the changes after a version; None if they are not known any more."""
+        oldest = self._changes[0].version if self._changes else self.version + 1
+        if after < oldest - 1:
+            return None
+        rows = [
+            row for row in self._changes if row.table == table and row.version > after
+        ]
+        return self._answer(rows)
+
+    def transact(self, transaction: RowTransaction) -> WriteAnswer:
+        """Write and remove rows if all conditions hold."""
+        stood = []
+        for condition in transaction.conditions:
+            address = (condition.table, condition.part, condition.key)
+            row = self._rows.get(address) or StoredRow(
+                condition.table, condition.key, 0, b"", condition.part
+            )
+            stood.append(row)
+        wanted = [condition.version for condition in transaction.conditions]
+        committed = [row.version for row in stood] == wanted
+        entries: list[RowWrite | RowAddress] = [
+            *transaction.writes,
+            *transaction.removals,
+        ]
+        self.record.append(
+            WriteRecord(
+                committed=committed,
+                keys=[f"{entry.table}/{entry.key}" for entry in entries],
+                wall_ms=self._clock.wall_ms(),
+            )
+        )
+        if committed:
+            self._apply(transaction)
+        return WriteAnswer(
+            committed=committed,
+            version=self.version,
+            store_ms=self._clock.now_ms(),
+            rows=[] if committed else stood,
         )
-        self._record[transaction.token] = entry
-        self.record.append(entry)
-        while len(self._results) > self._token_memory:
-            token, _ = self._results.popitem(last=False)
-            del self._record[token]
-        return outcome
-
-    def _scan(self, table: str, prefix: str, after: str, limit: int) -> Iterator[Row]:
-        first = (table, max(prefix, after))
-        for row_table, key in self._rows.irange(minimum=first):
-            if row_table != table or not key.startswith(prefix) or limit <= 0:
-                return
-            if key > after:
-                limit -= 1
-                yield self._rows[row_table, key]
 
-    def _apply(self, transaction: Transaction) -> TransactionOutcome:
-        failed = []
-        for condition in transaction.conditions:
-            address = (condition.table, condition.key)
-            row = self._rows.get(address) or Row(
-                table=condition.table, key=condition.key, version=0, value=b""
+    def _apply(self, transaction: RowTransaction) -> None:
+        self.version += 1
+        for write in transaction.writes:
+            row = StoredRow(
+                write.table, write.key, self.version, write.value, write.part
             )
-            if row.version != condition.version:
-                failed.append(row)
-        if failed:
-            return TransactionOutcome(committed=False, failed=failed)
-        for put in transaction.puts:
-            self._put(put.table, put.key, put.value)
-        return TransactionOutcome(committed=True)
-
-    def _put(self, table: str, key: str, value: bytes | None) -> None:
-        address = (table, key)
+            self._change((write.table, write.part, write.key), row)
+        for removal in transaction.removals:
+            self._change((removal.table, removal.part, removal.key), None)
+
+    def _change(self, address: tuple[str, str, str], row: StoredRow | None) -> None:
         old = self._rows.pop(address, None)
-        if value is None:
+        table, part, key = address
+        if table in self._lag_ms:
+            past = self._past.setdefault(address, deque())
+            past.append(_Past(self._clock.now_ms() + self._lag_ms[table], old))
+        if row is not None:
+            self._rows[address] = row
+        elif old is not None:
+            row = StoredRow(table, key, self.version, b"", part, removed=True)
+        if row is not None:
+            self._changes.append(row)
+
+    def _range(
+        self, table: str, part: str, first: str, end: str
+    ) -> Iterator[StoredRow]:
+        if table in self._lag_ms:
+            yield from self._lagging(table, part, first, end)
             return
-        version = (old.version if old else 0) + 1
-        self._rows[address] = Row(table=table, key=key, version=version, value=value)
-
-
-class _Entry:
-    """One incarnation in the instance list, with the times of its changes."""
+        for address in self._rows.irange(minimum=(table, part, first)):
+            if address[:2] != (table, part) or (end and address[2] >= end):
+                return
+            yield self._rows[address]
 
-    __slots__ = ("gone_ms", "instance", "leaving_ms", "since_ms")
+    def _lagging(
+        self, table: str, part: str, first: str, end: str
+    ) -> Iterator[StoredRow]:
+        """Yield the rows of a range as they stood some time ago."""
+        now_ms = self._clock.now_ms()
+        addresses = {a for a in [*self._rows, *self._past] if a[:2] == (table, part)}
+        for address in sorted(addresses):
+            past = self._past.get(address, deque())
+            while past and past[0].until_ms <= now_ms:
+                past.popleft()
+            if not past:
+                self._past.pop(address, None)
+            row = past[0].row if past else self._rows.get(address)
+            if row is not None and first <= row.key and not (end and row.key >= end):
+                yield row
 
-    def __init__(self, instance: Instance, now_ms: float):
-        self.instance = instance
-        self.since_ms = now_ms
-        self.leaving_ms = float("inf")
-        self.gone_ms = float("inf")
+    def _answer(self, rows: list[StoredRow], *, has_more: bool = False) -> RowsAnswer:
+        return RowsAnswer(self.version, self._clock.now_ms(), rows, has_more)
 
 
-class InstanceListState:
-    """Instances as they stood some time ago.
+class ObjectsState:
+    """Objects by name.
 
     Parameters
     ----------
-    clock : Clock
-        Source of time.
-    lag_ms : float
-        Age of what is answered.
-    lease_ms : float
-        Time after the last announcement at which an entry expires.
-    removal_ms : float
-        Time between the withdrawal of an entry and its removal.
+    most_bytes : int
+        Size of all objects together, beyond which writes are refused.
     """
 
-    def __init__(
-        self, *, clock: Clock, lag_ms: float, lease_ms: float, removal_ms: float
-    ):
-        self._clock = clock
-        self.lag_ms = lag_ms
-        self._lease_ms = lease_ms
-        self._removal_ms = removal_ms
-        self._entries: dict[str, _Entry] = {}
-
-    def announce(self, instance: Instance) -> None:
-        """Enter or renew an instance."""
-        now_ms = self._clock.now_ms()
-        entry = self._entries.get(instance.incarnation)
-        if entry is None or entry.gone_ms <= now_ms:
-            entry = self._entries[instance.incarnation] = _Entry(instance, now_ms)
-        entry.instance = instance
-        if instance.state is InstanceState.LEAVING:
-            entry.leaving_ms = min(entry.leaving_ms, now_ms)
-        entry.gone_ms = now_ms + self._lease_ms
-
-    def withdraw(self, incarnation: str) -> None:
-        """Mark an instance as leaving, and remove it later."""
-        entry = self._entries.get(incarnation)
-        if entry is not None:
-            now_ms = self._clock.now_ms()
-            entry.leaving_ms = min(entry.leaving_ms, now_ms)
-            entry.gone_ms = min(entry.gone_ms, now_ms + self._removal_ms)
-
-    def listed(self) -> list[Instance]:
-        """Return the list as it stood `lag_ms` ago."""
-        then_ms = self._clock.now_ms() - self.lag_ms
-        listed = []
-        for incarnation, entry in list(self._entries.items()):
-            if entry.gone_ms <= then_ms:
-                del self._entries[incarnation]
-            elif entry.since_ms <= then_ms:
-                leaving = entry.leaving_ms <= then_ms
-                state = InstanceState.LEAVING if leaving else InstanceState.LIVE
-                listed.append(msgspec.structs.replace(entry.instance, state=state))
-        return listed
+    def __init__(self, *, most_bytes: int):
+        self._most_bytes = most_bytes
+        self._objects: SortedDict[str, bytes] = SortedDict()
+
+    def get(self, name: str) -> bytes | None:
+        """Return an object, or None."""
+        return self._objects.get(name)
+
+    def put(self, name: str, data: bytes) -> bool:
+        """Store an object; return False if there is no room."""
+        used = sum(map(len, self._objects.values())) - len(self._objects.get(name, b""))
+        if used + len(data) > self._most_bytes:
+            return False
+        self._objects[name] = data
+        return True
+
+    def drop(self, name: str) -> bool:
+        """Remove an object; return whether there was one."""
+        return self._objects.pop(name, None) is not None
+
+    def names(self, prefix: str, after: str) -> Iterator[str]:
+        """Yield the names with a prefix that follow `after`."""
+        for name in self._objects.irange(minimum=max(prefix, after)):
+            if not name.startswith(prefix):
+                return
+            if name != after:
+                yield name
--- a/carobroute/platform/_adapters.py
+++ b/carobroute/tables/_adapters.py
@@ -1,15 +1,23 @@
-"""Registry of the ways to reach a platform."""
+"""What the project keeps and lists, over the platform's store."""
 
 import random as random_module
+from collections.abc import Callable
 from typing import Protocol
 
-from carobroute.platform._interface import (
+from carobroute.platform import RowStore
+from carobroute.tables._instances import RowInstances
+from carobroute.tables._interface import (
     InstanceListClient,
     ObjectStoreClient,
     TableClient,
 )
+from carobroute.tables._objects import StoreObjects
+from carobroute.tables._retry import RetryParameters
+from carobroute.tables._row_tables import RowTables
 from carobroute.utils import Clock, Registry
 
+TIMEOUT_MS = 2_000.0
+
 
 class PlatformClients:
     """Clients of one platform's services.
@@ -17,9 +25,9 @@
     Parameters
     ----------
     table : TableClient
-        Client of the table service.
+        Client of the tables.
     objects : ObjectStoreClient
-        Client of the object store.
+        Client of the objects.
     instances : InstanceListClient
         Client of the instance list.
     """
@@ -57,8 +65,34 @@
         random: random_module.Random,
         timeout_ms: float = ...,
         token: str = ...,
+        on_event: Callable[..., None] | None = ...,
     ) -> PlatformClients:
         """Return the clients; nothing is connected before their first call."""
 
 
 platform_adapters: Registry[PlatformAdapter] = Registry(kind="platform adapter")
+
+
+@platform_adapters.register("http")
+def open_platform(
+    *,
+    table_url: str,
+    objects_url: str,
+    instances_url: str,
+    clock: Clock,
+    random: random_module.Random,
+    timeout_ms: float = TIMEOUT_MS,
+    token: str = "",
+    on_event: Callable[..., None] | None = None,
+    retry: RetryParameters | None = None,
+) -> PlatformClients:
+    """Return clients that keep everything in the platform's store."""
+    table, objects, instances = (
+        RowStore(base_url=url, timeout_ms=timeout_ms, token=token)
+        for url in (table_url, objects_url, instances_url)
+    )
+    return PlatformClients(
+        table=RowTables(store=table, clock=clock, random=random, retry=retry),
+        objects=StoreObjects(store=objects),
+        instances=RowInstances(store=instances, clock=clock, on_event=on_event),
+    )
--- a/carobroute/platform/_retry.py
+++ b/carobroute/tables/_retry.py
@@ -7,7 +7,7 @@
 from returns.result import Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform._interface import Transaction, TransactionOutcome
+from carobroute.tables._interface import Transaction, TransactionOutcome
 from carobroute.utils import Clock
 
 SendOnce = Callable[[Transaction, float], Awaitable[Result[TransactionOutcome, Fault]]]
--- /dev/null
+++ b/carobroute/tables/tests/test_tables.py
@@ -0,0 +1,442 @@
+"""Transactions, objects and the instance list over the platform's calls."""
+
+import asyncio
+import contextlib
+import random
+
+import msgspec
+import pytest
+from aiohttp.test_utils import TestServer
+
+from carobroute.errors import ErrorKind
+from carobroute.platform import (
+    RowAddress,
+    RowCondition,
+    RowStore,
+    RowWrite,
+)
+from carobroute.standins._faults import Faults
+from carobroute.standins._platform import PlatformStandIn
+from carobroute.tables import (
+    Condition,
+    Put,
+    RetryParameters,
+    Transaction,
+    open_platform,
+)
+from carobroute.tables._row_work import MARK_TABLE
+from carobroute.utils import Clock, ManualClock
+from carobroute.world import Instance, InstanceRole, InstanceState
+
+ANSWER = b'HTTP/1.1 200 OK\r\nContent-Length: 11\r\n\r\n{"rows":[]}'
+FAST = RetryParameters(first_ms=1, most_ms=5, per_s=1_000)
+
+
+class Bench:
+    """A stand-in, its server, and clients of it."""
+
+    def __init__(self, stand_in, server, clients):
+        self.stand_in = stand_in
+        self.server = server
+        self.clients = clients
+
+
+@pytest.fixture
+async def bench():
+    clock = ManualClock()
+    stand_in = PlatformStandIn(clock=clock, seed=3, list_lag_ms=100)
+    server = TestServer(stand_in.application())
+    await server.start_server()
+    url = str(server.make_url("")).rstrip("/")
+    clients = make_clients(url, Clock())
+    bench = Bench(stand_in, server, clients)
+    bench.url = url
+    bench.clock = clock
+    bench.store = RowStore(base_url=url)
+    yield bench
+    await bench.store.close()
+    await clients.close()
+    await server.close()
+
+
+def make_clients(url, clock):
+    return open_platform(
+        table_url=url,
+        objects_url=url,
+        instances_url=url,
+        clock=clock,
+        random=random.Random(1),
+        timeout_ms=200,
+        retry=FAST,
+    )
+
+
+def insert(key, value, token):
+    return Transaction(
+        token=token,
+        conditions=[Condition(table="t", key=key, version=0)],
+        puts=[Put(table="t", key=key, value=value)],
+    )
+
+
+def deadline(after_ms=10_000):
+    return Clock().now_ms() + after_ms
+
+
+async def test_settle_is_definite_when_answers_are_lost(bench):
+    bench.stand_in.faults.faults = Faults(lose_answer=0.6, lose_call=0.2)
+    table = bench.clients.table
+    for number in range(40):
+        key = f"k{number}"
+        entry = insert(key, b"v", f"token{number}")
+        outcome = await table.settle(entry, deadline_ms=deadline())
+        assert outcome.unwrap().committed
+    bench.stand_in.faults.faults = Faults()
+    record = bench.stand_in.rows.record
+    assert sum(entry.committed for entry in record) == 40 and len(record) > 40
+    rows = (await table.scan("t")).unwrap()
+    assert {row.version for row in rows} == {1} and len(rows) == 40
+
+
+async def test_second_insert_is_told_the_row_that_is_there(bench):
+    table = bench.clients.table
+    (await table.transact(insert("k", b"first", "a"))).unwrap()
+    outcome = (await table.transact(insert("k", b"second", "b"))).unwrap()
+    assert not outcome.committed
+    assert outcome.failed[0].value == b"first"
+
+
+async def test_outage_is_a_fault_and_ends(bench):
+    bench.stand_in.faults.faults = Faults(outage=True)
+    table = bench.clients.table
+    outcome = await table.settle(insert("k", b"v", "a"), deadline_ms=deadline(50))
+    assert outcome.failure().kind is ErrorKind.STORE_UNAVAILABLE
+    bench.stand_in.faults.faults = Faults()
+    outcome = await table.settle(insert("k", b"v", "a"), deadline_ms=deadline())
+    assert outcome.unwrap().committed
+
+
+async def test_no_pooled_connection_is_used_after_one_went_silent():
+    """Two pooled connections go silent; one timeout must retire both."""
+    connections = []
+    together = asyncio.Event()
+
+    async def serve(reader, writer):
+        connections.append(writer)
+        silent = len(connections) <= 2
+        requests = 0
+        with contextlib.suppress(asyncio.IncompleteReadError, asyncio.CancelledError):
+            while await reader.readuntil(b"\r\n\r\n"):
+                requests += 1
+                if silent and requests > 1:
+                    await asyncio.Event().wait()
+                if len(connections) == 2:
+                    together.set()
+                await together.wait()
+                writer.write(ANSWER)
+
+    async with await asyncio.start_server(serve, "127.0.0.1", 0) as server:
+        port = server.sockets[0].getsockname()[1]
+        url = f"http://127.0.0.1:{port}"
+        client = make_clients(url, Clock()).instances
+        first = await asyncio.gather(client.fetch(), client.fetch())
+        assert [result.unwrap() for result in first] == [[], []]
+        assert len(connections) == 2
+        lost = await client.fetch()
+        assert lost.failure().kind is ErrorKind.STORE_UNAVAILABLE
+        assert (await client.fetch()).unwrap() == []
+        assert len(connections) == 3
+        await client.close()
+        for writer in connections:
+            writer.transport.abort()
+
+
+async def test_objects_and_scan_pages(bench):
+    objects = bench.clients.objects
+    (await objects.put("a/b c", b"data")).unwrap()
+    assert (await objects.get("a/b c")).unwrap() == b"data"
+    (await objects.delete("a/b c")).unwrap()
+    assert (await objects.get("a/b c")).unwrap() is None
+    table = bench.clients.table
+    for number in range(5):
+        (await table.transact(insert(f"p{number}", b"", f"s{number}"))).unwrap()
+    page = (await table.scan("t", "p", limit=2)).unwrap()
+    rest = (await table.scan("t", "p", after=page[-1].key)).unwrap()
+    assert [row.key for row in page + rest] == [f"p{n}" for n in range(5)]
+
+
+async def test_list_lags_marks_leaving_and_expires(bench):
+    clock = bench.clock
+    instances = make_clients(bench.url, clock).instances
+    one = make_instance("local-1~a")
+    other = make_instance("local-1~b")
+    await instances.announce(one)
+    assert (await instances.fetch()).unwrap() == []
+    clock.advance_ms(150)
+    await instances.announce(other)
+    assert (await instances.fetch()).unwrap() == [one]
+    await instances.withdraw(one)
+    clock.advance_ms(60)
+    assert (await instances.fetch()).unwrap()[0].state is InstanceState.LIVE
+    clock.advance_ms(60)
+    listed = (await instances.fetch()).unwrap()
+    assert [entry.state for entry in listed] == [
+        InstanceState.LEAVING,
+        InstanceState.LIVE,
+    ]
+    clock.advance_ms(2_150)
+    await instances.announce(other)
+    assert (await instances.fetch()).unwrap() == [other]
+    clock.advance_ms(200)
+    assert (await instances.fetch()).unwrap() == [other]
+    clock.advance_ms(10_100)
+    assert (await instances.fetch()).unwrap() == []
+    # Whoever reads the list removes what is long gone.
+    clock.advance_ms(60_000)
+    for _ in range(3):
+        assert (await instances.fetch()).unwrap() == []
+        clock.advance_ms(200)
+    assert not (await bench.store.read("instances")).unwrap().rows
+    await instances.close()
+
+
+async def test_a_mark_of_leaving_outlives_the_renewals_of_its_instance(bench):
+    clock = bench.clock
+    own, other = (make_clients(bench.url, clock).instances for _ in range(2))
+    one = make_instance("local-1~a")
+    await own.announce(one)
+    leaving = msgspec.structs.replace(one, state=InstanceState.LEAVING)
+    await other.announce(leaving)
+    for _ in range(2):
+        assert (await own.announce(one)).unwrap() is None
+        clock.advance_ms(150)
+        assert (await other.fetch()).unwrap() == [leaving]
+    for clients in (own, other):
+        await clients.close()
+
+
+async def test_an_unreadable_entry_names_no_instance_and_is_reported(bench):
+    events = []
+    clients = open_platform(
+        table_url=bench.url,
+        objects_url=bench.url,
+        instances_url=bench.url,
+        clock=Clock(),
+        random=random.Random(1),
+        on_event=lambda name, **fields: events.append((name, fields["key"])),
+    )
+    await put_raw(bench, "instances", "a-stranger", b"{")
+    await clients.instances.announce(make_instance("local-1~a"))
+    bench.clock.advance_ms(150)
+    listed = (await clients.instances.fetch()).unwrap()
+    assert [entry.incarnation for entry in listed] == ["local-1~a"]
+    assert events == [("instance_entry_unreadable", "a-stranger")]
+    await clients.close()
+
+
+async def put_raw(bench, table, key, value):
+    write = RowWrite(table=table, key=key, value=value)
+    written = await bench.store.transact(conditions=[], writes=[write], removals=[])
+    assert written.unwrap().committed
+
+
+async def test_a_transaction_that_is_carried_out_late_has_its_first_result(bench):
+    """Two calls get no answer; the one that was given up is carried out after all."""
+    table = bench.clients.table
+    entry = insert("k", b"v", "token")
+    late = []
+    transact = bench.stand_in.rows.transact
+
+    def keep(transaction):
+        late.append(transaction)
+        raise asyncio.CancelledError
+
+    bench.stand_in.rows.transact = keep
+    lost = await table.transact(entry)
+    assert lost.failure().kind is ErrorKind.STORE_UNAVAILABLE
+    bench.stand_in.rows.transact = transact
+    assert transact(late[0]).committed
+    assert (await table.transact(entry)).unwrap().committed
+    row = (await table.read("t", "k")).unwrap()
+    assert (row.version, row.value) == (1, b"v")
+
+
+async def test_a_lost_call_is_refused_once_its_transaction_has_failed(bench):
+    """Else it would be carried out when the row that stood against it is gone."""
+    table = bench.clients.table
+    entry = insert("k", b"late", "token")
+    late = []
+    transact = bench.stand_in.rows.transact
+
+    def keep(transaction):
+        late.append(transaction)
+        raise asyncio.CancelledError
+
+    bench.stand_in.rows.transact = keep
+    lost = await table.transact(entry)
+    assert lost.failure().kind is ErrorKind.STORE_UNAVAILABLE
+    bench.stand_in.rows.transact = transact
+    other = make_clients(bench.url, Clock())
+    assert (await other.table.transact(insert("k", b"x", "o"))).unwrap().committed
+    refused = (await table.transact(entry)).unwrap()
+    assert not refused.committed and refused.failed[0].value == b"x"
+    removal = Transaction(
+        token="r",
+        conditions=[],
+        puts=[Put(table="t", key="k", value=None)],
+    )
+    assert (await other.table.transact(removal)).unwrap().committed
+    assert not transact(late[0]).committed
+    assert (await table.read("t", "k")).unwrap() is None
+    await other.close()
+
+
+async def test_two_clients_of_one_row_count_its_writes_together(bench):
+    other = make_clients(bench.url, Clock())
+    tables = [bench.clients.table, other.table]
+    for number in range(6):
+        transaction = Transaction(
+            token=f"n{number}",
+            conditions=[Condition(table="t", key="k", version=number)],
+            puts=[Put(table="t", key="k", value=b"%d" % number)],
+        )
+        outcome = (await tables[number % 2].transact(transaction)).unwrap()
+        assert outcome.committed
+    stale = Transaction(
+        token="stale",
+        conditions=[Condition(table="t", key="k", version=5)],
+        puts=[Put(table="t", key="k", value=b"")],
+    )
+    outcome = (await tables[0].transact(stale)).unwrap()
+    assert not outcome.committed
+    assert (outcome.failed[0].version, outcome.failed[0].value) == (6, b"5")
+    await other.close()
+
+
+async def test_a_write_without_condition_counts_on_from_any_state(bench):
+    other = make_clients(bench.url, Clock())
+    for number, table in enumerate([bench.clients.table, other.table] * 3):
+        blind = Transaction(
+            token=f"b{number}",
+            conditions=[],
+            puts=[Put(table="t", key="k", value=b"%d" % number)],
+        )
+        assert (await table.transact(blind)).unwrap().committed
+    assert (await other.table.read("t", "k")).unwrap().version == 6
+    await other.close()
+
+
+@pytest.mark.parametrize("size", [47_999, 48_001, 500_000])
+async def test_a_large_row_is_read_back_and_leaves_nothing_behind(bench, size):
+    table, data = bench.clients.table, random.Random(size).randbytes(size)
+    reader = make_clients(bench.url, Clock())
+    (await table.transact(insert("k", data, "a"))).unwrap()
+    assert (await reader.table.read("t", "k")).unwrap().value == data
+    scanned = (await reader.table.scan("t")).unwrap()
+    assert [row.value for row in scanned] == [data]
+    removal = Transaction(
+        token="r", conditions=[], puts=[Put(table="t", key="k", value=None)]
+    )
+    other = make_clients(bench.url, Clock())
+    assert (await other.table.transact(removal)).unwrap().committed
+    assert (await reader.table.read("t", "k")).unwrap() is None
+    assert not (await bench.store.read("t_chunks")).unwrap().rows
+    for clients in (reader, other):
+        await clients.close()
+
+
+async def test_long_keys_are_kept_apart_and_come_back_whole(bench):
+    table = bench.clients.table
+    keys = ["k" * 400 + "a", "k" * 400 + "b"]
+    for key in keys:
+        (await table.transact(insert(key, key[-1:].encode(), key[-1:]))).unwrap()
+    rows = (await table.scan("t", "kkk")).unwrap()
+    assert sorted((row.key, row.value) for row in rows) == [
+        (keys[0], b"a"),
+        (keys[1], b"b"),
+    ]
+    assert (await table.read("t", keys[1])).unwrap().value == b"b"
+
+
+async def test_marks_of_settled_transactions_do_not_pile_up(bench):
+    table = bench.clients.table
+    for number in range(40):
+        (await table.transact(insert(f"k{number}", b"", f"t{number}"))).unwrap()
+    marks = (await bench.store.read(MARK_TABLE)).unwrap().rows
+    assert len(marks) == 1
+
+
+async def test_too_large_a_transaction_is_refused_and_changes_nothing(bench):
+    table = bench.clients.table
+    many = Transaction(
+        token="many",
+        conditions=[],
+        puts=[Put(table="t", key=f"k{n}", value=b"") for n in range(200)],
+    )
+    refused = await table.transact(many)
+    assert refused.failure().kind is ErrorKind.TOO_LARGE
+    assert (await table.scan("t")).unwrap() == []
+
+
+async def test_a_row_of_a_stranger_is_a_fault_that_names_it(bench):
+    await put_raw(bench, "t", "k", b"{}")
+    found = await bench.clients.table.read("t", "k")
+    assert found.failure().kind is ErrorKind.INTERNAL
+    assert "'k' of 't'" in found.failure().detail
+
+
+async def test_rows_are_watched_and_paged_by_partition(bench):
+    store = bench.store
+    for part in ("p1", "p2"):
+        writes = [
+            RowWrite(table="t", key=f"k{n}", value=b"v", part=part) for n in range(3)
+        ]
+        written = await store.transact(conditions=[], writes=writes, removals=[])
+        assert written.unwrap().committed
+    assert (await store.partitions("t")).unwrap().parts == ["p1", "p2"]
+    assert (await store.partitions("t", after="p1")).unwrap().parts == ["p2"]
+    page = (await store.read("t", part="p1", first="k1", end="k2")).unwrap()
+    assert [(row.part, row.key) for row in page.rows] == [("p1", "k1")]
+    watching = asyncio.create_task(store.watch("t", after=page.version, wait_ms=30_000))
+    await asyncio.sleep(0.05)
+    removal = RowAddress(table="t", key="k1", part="p1")
+    condition = RowCondition(
+        table="t", key="k1", version=page.rows[0].version, part="p1"
+    )
+    removed = await store.transact(
+        conditions=[condition], writes=[], removals=[removal]
+    )
+    assert removed.unwrap().committed
+    changed = (await watching).unwrap().rows
+    assert [(row.key, row.removed) for row in changed] == [("k1", True)]
+    again = await store.transact(conditions=[condition], writes=[], removals=[removal])
+    assert not again.unwrap().committed
+    assert [row.version for row in again.unwrap().rows] == [0]
+
+
+async def test_objects_are_listed_and_not_replaced_unless_told(bench):
+    store = bench.store
+    for name in ("a/1", "a/2", "b"):
+        assert (await store.put_object(name, b"1")).unwrap()
+    assert not (await store.put_object("b", b"2", replace=False)).unwrap()
+    assert (await store.get_object("b")).unwrap() == b"1"
+    assert (await store.list_objects("a/")).unwrap().names == ["a/1", "a/2"]
+    assert (await store.list_objects("a/", after="a/1")).unwrap().names == ["a/2"]
+    assert (await store.drop_object("none")).unwrap() is None
+
+
+async def test_the_platforms_own_tables_are_not_written(bench):
+    write = RowWrite(table="servers", key="k", value=b"")
+    refused = await bench.store.transact(conditions=[], writes=[write], removals=[])
+    assert refused.failure().kind is ErrorKind.FORBIDDEN
+
+
+def make_instance(incarnation):
+    return Instance(
+        name=incarnation.split("~")[0],
+        incarnation=incarnation,
+        role=InstanceRole.LOCAL,
+        data_centre="suva",
+        region="fiji",
+        address="tcp://127.0.0.1:1",
+    )
--- a/carobroute/testing/_fake_platform.py
+++ b/carobroute/testing/_fake_platform.py
@@ -7,7 +7,7 @@
 from returns.result import Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import (
+from carobroute.tables import (
     InstanceListClient,
     Row,
     TableClient,
--- a/carobroute/testing/_order_data.py
+++ b/carobroute/testing/_order_data.py
@@ -4,8 +4,8 @@
 
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.links import Submit
-from carobroute.platform import ObjectStoreClient
 from carobroute.requests import OrderRequest, order_fingerprint
+from carobroute.tables import ObjectStoreClient
 from carobroute.world import CallClass
 
 FAR_MS = 1e12
--- a/carobroute/testing/row_store_data.py
+++ b/carobroute/testing/row_store_data.py
@@ -10,9 +10,12 @@
     RowStore,
     RowWrite,
     StoredRow,
+    WriteAnswer,
 )
 from carobroute.utils import Clock
 
+PAGE_ROWS = 500
+
 
 class MemoryRowStore(RowStore):
     """Rows in memory, with outages that tests switch on.
@@ -26,7 +29,7 @@
     __slots__ = ("_clock", "_kept", "_version", "calls", "history_from", "is_away")
 
     def __init__(self, *, clock: Clock):
-        super().__init__(address="127.0.0.1:1")
+        super().__init__(base_url="http://127.0.0.1:1")
         self._clock = clock
         self._kept: dict[tuple[str, str], StoredRow] = {}
         self._version = 0
@@ -36,7 +39,13 @@
         self.history_from = 0
 
     async def read(
-        self, table: str, *, part: str = "", first: str = "", end: str = ""
+        self,
+        table: str,
+        *,
+        part: str = "",
+        first: str = "",
+        end: str = "",
+        limit: int = PAGE_ROWS,
     ) -> Result[RowsAnswer, Fault]:
         """Return the rows of a table in key order."""
         self.calls += 1
@@ -47,7 +56,7 @@
             for (name, key), row in sorted(self._kept.items())
             if name == table and key >= first and (not end or key < end)
         ]
-        return Success(self._answer(rows))
+        return Success(self._answer(rows[:limit]))
 
     async def watch(
         self, table: str, *, after: int, wait_ms: float
@@ -73,7 +82,8 @@
         conditions: list[RowCondition],
         writes: list[RowWrite],
         removals: list[RowAddress],
-    ) -> Result[RowsAnswer, Fault]:
+        limit_ms: float = 0.0,
+    ) -> Result[WriteAnswer, Fault]:
         """Write and remove rows if all conditions hold."""
         self.calls += 1
         if self.is_away:
@@ -81,7 +91,7 @@
         for condition in conditions:
             row = self._kept.get((condition.table, condition.key))
             if (row.version if row else 0) != condition.version:
-                return fail(ErrorKind.CONFLICT, "a row has another version")
+                return Success(WriteAnswer(committed=False))
         self._version += 1
         for write in writes:
             self._kept[write.table, write.key] = StoredRow(
@@ -89,7 +99,11 @@
             )
         for removal in removals:
             self._kept.pop((removal.table, removal.key), None)
-        return Success(self._answer([]))
+        return Success(
+            WriteAnswer(
+                committed=True, version=self._version, store_ms=self._clock.now_ms()
+            )
+        )
 
     def put(self, table: str, key: str, value: bytes) -> None:
         """Write a row as the platform itself does."""
--- a/carobroute/tickets/_compact.py
+++ b/carobroute/tickets/_compact.py
@@ -13,7 +13,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import Condition, Put, TableClient, Transaction
+from carobroute.tables import Condition, Put, TableClient, Transaction
 from carobroute.tickets._codec import Head, encode_configuration, encode_row, split_rows
 from carobroute.tickets._log import TicketLog
 from carobroute.tickets._log_reader import (
--- a/carobroute/tickets/_log.py
+++ b/carobroute/tickets/_log.py
@@ -16,7 +16,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import Condition, Put, Transaction
+from carobroute.tables import Condition, Put, Transaction
 from carobroute.tickets._check import check_ticket, describe_faults
 from carobroute.tickets._codec import (
     MAX_TICKET_BYTES,
--- a/carobroute/tickets/_log_reader.py
+++ b/carobroute/tickets/_log_reader.py
@@ -6,7 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform import Row, TableClient
+from carobroute.tables import Row, TableClient
 from carobroute.tickets._codec import (
     Head,
     decode_configuration,
--- a/carobroute/tickets/tests/test_keeper.py
+++ b/carobroute/tickets/tests/test_keeper.py
@@ -4,7 +4,7 @@
 
 from carobroute.links import Endpoint, LinkParameters
 from carobroute.membership import Directory, Overlay
-from carobroute.platform import Put, Transaction
+from carobroute.tables import Put, Transaction
 from carobroute.testing import (
     FakeTable,
     make_instance,
--- a/carobroute/utils/__init__.py
+++ b/carobroute/utils/__init__.py
@@ -1,6 +1,7 @@
 """Small helpers shared by every subpackage."""
 
 from carobroute.utils._addresses import split_host_port
+from carobroute.utils._bounded import BoundedDict
 from carobroute.utils._clock import Clock, ManualClock
 from carobroute.utils._event_loop import forbid_io_uring, run_event_loop
 from carobroute.utils._identity import (
@@ -15,6 +16,7 @@
 from carobroute.utils._tasks import TaskSet, gather_few
 
 __all__ = [
+    "BoundedDict",
     "Clock",
     "ManualClock",
     "Registry",
