Take a lost coordinator's duty sooner, and give it up at a planned stop

A gateway was taken to be gone after 1.2 s of silence, and who had asked in vain slept until the term was nearly over, up to 1.5 s, without looking whether the holder was still there. A gateway that stops kept its duty until the term ended.

Now 0.7 s of silence (two lost digests) passes the duty on, a waiting gateway takes it as soon as the holder is gone, and a stopping one releases it after its last switch. Two holders at once are harmless: the switch is proved under them.

Ruled out: a shorter term, which costs more calls of the store; forgetting the calls of a silent peer sooner as well, which would overfill targets after a short freeze.

--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -57,6 +57,10 @@
     async def acquire(self) -> bool:
         """Take or keep the duty, and return whether this process has it."""
 
+    @abc.abstractmethod
+    async def release(self) -> None:
+        """Give the duty up, if this process has it."""
+
 
 class RankGroup(msgspec.Struct, frozen=True, kw_only=True):
     """A group whose ranks are all known.
@@ -194,6 +198,10 @@
         rest_ms = self._clock.now_ms() + self._parameters.rest_ms
         self._rest_until_ms = max(self._rest_until_ms, rest_ms)
 
+    async def release(self) -> None:
+        """Leave the group to another process."""
+        await self._duty.release()
+
     async def _look_for_hold(self, group: RankGroup) -> None:
         """Free a group that a coordinator held before it was lost.
 
--- a/carobroute/experts/tests/test_rebalancer.py
+++ b/carobroute/experts/tests/test_rebalancer.py
@@ -24,6 +24,9 @@
         self.asked += 1
         return True
 
+    async def release(self):
+        self.asked = 0
+
 
 def _rebalancer(group, pace, duty=None):
     return GroupRebalancer(
--- a/carobroute/gateway/_duty.py
+++ b/carobroute/gateway/_duty.py
@@ -3,11 +3,17 @@
 from collections.abc import Callable
 
 import msgspec
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from carobroute.errors import ErrorKind, Fault
 from carobroute.experts import Duty
-from carobroute.platform import RowCondition, RowStore, RowWrite, StoredRow
+from carobroute.platform import (
+    RowCondition,
+    RowStore,
+    RowWrite,
+    StoredRow,
+    WriteAnswer,
+)
 from carobroute.telemetry import EventLog
 from carobroute.utils import Clock
 
@@ -54,6 +60,7 @@
         "_is_gone",
         "_name",
         "_next_ms",
+        "_rival",
         "_store",
         "_until_ms",
         "_version",
@@ -79,16 +86,33 @@
         self._version: int | None = None
         self._until_ms = 0.0
         self._next_ms = 0.0
+        # Who had the duty when this process last asked.
+        self._rival = ""
 
     async def acquire(self) -> bool:
         """Take or keep the duty, and return whether this process has it."""
         now_ms = self._clock.wake_safe_ms()
         if self._version is not None and now_ms < self._until_ms - RENEW_MS:
             return True
-        if self._version is None and now_ms < self._next_ms:
+        waits = self._version is None and now_ms < self._next_ms
+        if waits and not (self._rival and self._is_gone(self._rival)):
             return False
+        self._rival = ""
         return await self._take(now_ms)
 
+    async def release(self) -> None:
+        """Give the duty up, so that a successor need not wait for the term to end."""
+        version, self._version = self._version, None
+        if version is None:
+            return
+        written = await self._write(version, DutyRow(holder="", until_ms=0.0))
+        outcome = "released"
+        if isinstance(written, Failure):
+            outcome = written.failure().detail
+        elif not written.unwrap().committed:
+            outcome = "taken by another gateway"
+        self._events.event("duty_released", duty=self._name, outcome=outcome)
+
     async def _take(self, sent_ms: float) -> bool:
         held = self._version is not None
         read = await self._store.read(
@@ -106,18 +130,13 @@
             if found.holder != self._holder and not self._is_gone(found.holder):
                 left_ms = min(RENEW_MS, found.until_ms - answer.store_ms)
                 self._next_ms = sent_ms + left_ms
+                self._rival = found.holder
                 return self._lose(
                     Fault(kind=ErrorKind.CONFLICT, detail=f"held by {found.holder}")
                 )
         until_ms = answer.store_ms + TERM_MS
-        value = msgspec.json.encode(DutyRow(holder=self._holder, until_ms=until_ms))
-        written = await self._store.transact(
-            conditions=[
-                RowCondition(table=DUTY_TABLE, key=self._name, version=version)
-            ],
-            writes=[RowWrite(table=DUTY_TABLE, key=self._name, value=value)],
-            removals=[],
-        )
+        own = DutyRow(holder=self._holder, until_ms=until_ms)
+        written = await self._write(version, own)
         if isinstance(written, Failure):
             return self._lose(written.failure())
         if not written.unwrap().committed:
@@ -129,6 +148,17 @@
             self._events.event("duty_taken", duty=self._name, version=self._version)
         return True
 
+    async def _write(self, version: int, row: DutyRow) -> Result[WriteAnswer, Fault]:
+        """Write the duty's row over the one that has `version`."""
+        value = msgspec.json.encode(row)
+        return await self._store.transact(
+            conditions=[
+                RowCondition(table=DUTY_TABLE, key=self._name, version=version)
+            ],
+            writes=[RowWrite(table=DUTY_TABLE, key=self._name, value=value)],
+            removals=[],
+        )
+
     def _lose(self, fault: Fault) -> bool:
         if self._version is not None:
             self._events.event("duty_lost", duty=self._name, why=fault.detail)
--- a/carobroute/gateway/_groups.py
+++ b/carobroute/gateway/_groups.py
@@ -200,11 +200,14 @@
         self._rebalancers: dict[str, GroupRebalancer] = {}
 
     async def run(self) -> None:
-        """Look at the groups until cancelled."""
+        """Look at the groups until the process is about to end."""
         while True:
             await self._clock.sleep_ms(CHECK_MS)
             if self._stopping():
-                continue
+                await asyncio.gather(
+                    *(rebalancer.release() for rebalancer in self._rebalancers.values())
+                )
+                return
             groups = self._groups()
             await asyncio.gather(
                 *(self._rebalancer(group.name).step(group) for group in groups)
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -29,7 +29,10 @@
     renew_ms : float
         Longest time between two digests; several fit into `forget_ms`.
     forget_ms : float
-        Time after which a silent peer is taken to be gone, with its calls.
+        Time after which a silent peer's calls are not counted any more.
+    gone_ms : float
+        Time after which a silent peer's duties may be taken; two digests are lost by
+        then. Taking a duty from one that still runs does no harm.
     lookup_ms : float
         Time between two readings of the table of gateways. Peers also learn of each
         other from their digests, so this only bridges what those miss.
@@ -38,6 +41,7 @@
     spread_ms: float = 12.0
     renew_ms: float = 300.0
     forget_ms: float = 1_200.0
+    gone_ms: float = 700.0
     lookup_ms: float = 10_000.0
 
 
@@ -79,13 +83,15 @@
     clock : Clock
         Source of time.
     forget_ms : float
+        Time after which a silent peer's calls are not counted any more.
+    gone_ms : float
         Time after which a silent peer is taken to be gone.
 
     Examples
     --------
     >>> from carobroute.utils import ManualClock
     >>> clock = ManualClock()
-    >>> board = PeerBoard(clock=clock, forget_ms=1_000)
+    >>> board = PeerBoard(clock=clock, forget_ms=1_000, gone_ms=700)
     >>> board.take(Digest("a", "10.0.0.1:7000", 1, {"run-1": 2}, {}))
     True
     >>> board.take(Digest("b", "10.0.0.2:7000", 1, {"run-1": 1}, {}))
@@ -102,14 +108,16 @@
         "_began_ms",
         "_clock",
         "_forget_ms",
+        "_gone_ms",
         "_heard_ms",
         "_latest",
         "_totals",
     )
 
-    def __init__(self, *, clock: Clock, forget_ms: float):
+    def __init__(self, *, clock: Clock, forget_ms: float, gone_ms: float):
         self._clock = clock
         self._forget_ms = forget_ms
+        self._gone_ms = gone_ms
         self._began_ms = clock.now_ms()
         self._latest: dict[str, Digest] = {}
         self._heard_ms: dict[str, float] = {}
@@ -127,8 +135,8 @@
 
     def is_gone(self, incarnation: str) -> bool:
         """Return whether a gateway would have been heard of if it still ran."""
-        listened_ms = self._clock.now_ms() - self._began_ms
-        return incarnation not in self._latest and listened_ms > self._forget_ms
+        heard_ms = self._heard_ms.get(incarnation, self._began_ms)
+        return self._clock.now_ms() - heard_ms > self._gone_ms
 
     def calls_at(self, run: str) -> int:
         """Return the calls that peers have at a run of a target."""
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -115,7 +115,11 @@
             revoke_ms=bounds.revoke_ms,
             margin_ms=self._parameters.proof_margin_ms,
         )
-        self._board = PeerBoard(clock=clock, forget_ms=PeerParameters().forget_ms)
+        self._board = PeerBoard(
+            clock=clock,
+            forget_ms=PeerParameters().forget_ms,
+            gone_ms=PeerParameters().gone_ms,
+        )
         self._directory = TargetDirectory(
             clock=clock,
             outage_ms=self._parameters.outage_ms,
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -9,7 +9,7 @@
 import uvloop
 
 from carobroute.gateway._duty import RowDuty
-from carobroute.gateway._peers import PeerBoard, PeerLinks
+from carobroute.gateway._peers import Digest, PeerBoard, PeerLinks
 from carobroute.gateway._suspects import Suspects
 from carobroute.gateway._targets import TargetDirectory
 from carobroute.telemetry import EventLog
@@ -30,7 +30,7 @@
 
     def __init__(self, name, store, clock, *, log=None):
         self.gateways = []
-        self.board = PeerBoard(clock=clock, forget_ms=1_200.0)
+        self.board = PeerBoard(clock=clock, forget_ms=1_200.0, gone_ms=700.0)
         self.directory = TargetDirectory(
             clock=clock,
             outage_ms=1_500.0,
@@ -174,3 +174,45 @@
     finally:
         await first.stop()
         await second.stop()
+
+
+async def test_a_duty_passes_on_as_soon_as_its_holder_is_found_gone():
+    """Not only when the next question is due, which may be a term later."""
+    clock, gone = ManualClock(), set()
+    store = MemoryRowStore(clock=clock)
+    first = _duty("a", store, clock)
+    second = _duty("b", store, clock, is_gone=gone.__contains__)
+    assert await first.acquire()
+    assert not await second.acquire()
+    clock.advance_ms(100)
+    calls = store.calls
+    assert not await second.acquire()
+    assert store.calls == calls
+    gone.add("a")
+    assert await second.acquire()
+
+
+async def test_a_duty_that_was_released_is_free_at_once():
+    clock = ManualClock()
+    store = MemoryRowStore(clock=clock)
+    first, second = _duty("a", store, clock), _duty("b", store, clock)
+    assert await first.acquire()
+    await first.release()
+    assert await second.acquire()
+    # It belongs to another now.
+    await first.release()
+    assert not await first.acquire()
+
+
+def test_a_silent_gateway_is_gone_before_its_calls_are_forgotten():
+    clock = ManualClock()
+    board = PeerBoard(clock=clock, forget_ms=1_200.0, gone_ms=700.0)
+    assert board.take(Digest("a", "10.0.0.1:7000", 1, {"run-1": 2}, {}))
+    clock.advance_ms(600)
+    assert not board.is_gone("a")
+    clock.advance_ms(200)
+    assert board.is_gone("a")
+    assert board.calls_at("run-1") == 2
+    # One that was never heard of is gone only if it would have been heard of.
+    assert board.is_gone("b")
+    assert not PeerBoard(clock=clock, forget_ms=1_200.0, gone_ms=700.0).is_gone("b")
