--- a/carobroute/settings/_schema.py
+++ b/carobroute/settings/_schema.py
@@ -4,11 +4,12 @@
 file that holds them.
 """
 
-from typing import Annotated, Literal
+from typing import Annotated
 
 import msgspec
 from msgspec import Meta
 
+from carobroute.telemetry import LogSettings
 from carobroute.world import InstanceRole
 
 Name = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._-]{0,127}$")]
@@ -219,26 +220,6 @@
     token_file: str = ""
 
 
-class LogSettings(
-    msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True
-):
-    """Events on standard error.
-
-    Parameters
-    ----------
-    level : {'debug', 'info', 'warning', 'error'}
-        Lowest level written.
-    most_per_s : float
-        Events of one name written a second; the rest are counted.
-    decisions : int
-        Decisions kept for `carobroute explain`.
-    """
-
-    level: Literal["debug", "info", "warning", "error"] = "info"
-    most_per_s: Annotated[float, Meta(gt=0, le=100_000)] = 20.0
-    decisions: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
-
-
 class Settings(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """All settings of one process.
 
--- a/carobroute/telemetry/__init__.py
+++ b/carobroute/telemetry/__init__.py
@@ -10,6 +10,7 @@
     parse_line,
 )
 from carobroute.telemetry._line_buffer import LineBuffer
+from carobroute.telemetry._log_settings import LogSettings
 from carobroute.telemetry._metrics import BoundedMetric, Metrics
 from carobroute.telemetry._telemetry import Telemetry
 
@@ -21,6 +22,7 @@
     "Explanation",
     "LineBuffer",
     "LogLine",
+    "LogSettings",
     "Metrics",
     "StateDump",
     "Telemetry",
--- a/carobroute/telemetry/_telemetry.py
+++ b/carobroute/telemetry/_telemetry.py
@@ -2,10 +2,10 @@
 
 from typing import TextIO
 
-from carobroute.settings import LogSettings
 from carobroute.telemetry._decisions import DecisionLog
 from carobroute.telemetry._dump import StateDump
 from carobroute.telemetry._events import EventLog
+from carobroute.telemetry._log_settings import LogSettings
 from carobroute.telemetry._metrics import Metrics
 from carobroute.utils import Clock
 
