--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -115,7 +115,7 @@
     check_ms: float = 50.0
     busy_share: float = 0.5
     least_fall: float = 0.12
-    sample_ranks: int = 4
+    sample_ranks: int = 2
     sample_ms: float = 250.0
     rest_ms: float = 400.0
     unbought_ms: float = 1_500.0
