Test the gateway as a process, and watch within the time that a proof holds

What was found: a test that starts the real process on the stand-in platform, with a revocation time of 2 s, found it refusing calls most of the time. A watch of the configuration lasted 1.8 s whatever the settings said, and a proof of 2 s less the margin holds for 1.6 s. A watch now takes at most 0.4 of the time for which a proof holds; with the 5 s of the known deployments it stays at 1.8 s.

Ruled out: a shorter watch everywhere, which costs calls of the store.

Conclusion: a fault on deployments with a short revocation time, found and mended.

--- a/carobroute/gateway/_parameters.py
+++ b/carobroute/gateway/_parameters.py
@@ -9,9 +9,11 @@
     Parameters
     ----------
     watch_ms : float
-        Time that one watch of the configuration lasts. Two of them fit well within
-        the time in which a revoked key must stop working, and one outlasts the second
+        Longest time that one watch of the configuration lasts; it outlasts the second
         in which the store may withhold changes.
+    watch_share : float
+        The same as a part of the time for which a proof holds, so that two watches
+        fit into that.
     targets_share : float
         Time between two readings of the list of targets, as a part of the time in
         which a leaving target must get no more calls. Two readings fit into that.
@@ -56,6 +58,7 @@
     """
 
     watch_ms: float = 1_800.0
+    watch_share: float = 0.4
     targets_share: float = 0.4
     retry_store_ms: float = 100.0
     retry_store_most_ms: float = 800.0
@@ -73,3 +76,23 @@
     max_connections: int = 2_000
     body_buffer_bytes: int = 1 << 20
     crash_limit: int = 2
+
+    def watch_within(self, revoke_ms: float) -> float:
+        """Return how long a watch may last, in milliseconds.
+
+        Parameters
+        ----------
+        revoke_ms : float
+            Time after which a key that was taken away opens nothing; 0 for no bound.
+
+        Examples
+        --------
+        >>> GatewayParameters().watch_within(5_000), GatewayParameters().watch_within(0)
+        (1800.0, 1800.0)
+        >>> GatewayParameters().watch_within(2_000)
+        640.0
+        """
+        if not revoke_ms:
+            return self.watch_ms
+        proof_ms = revoke_ms - self.proof_margin_ms
+        return min(self.watch_ms, self.watch_share * proof_ms)
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -204,6 +204,7 @@
         configuration = ConfigurationWatch(
             store=self._store,
             configuration=self._configuration,
+            wait_ms=self._parameters.watch_within(self._settings.bounds.revoke_ms),
             parameters=self._parameters,
             events=self._events,
             clock=self._clock,
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -102,6 +102,8 @@
         The platform's store.
     configuration : ConfigurationInForce
         What is kept up to date.
+    wait_ms : float
+        Time that one watch lasts.
     parameters : GatewayParameters
         Times and bounds.
     events : EventLog
@@ -125,9 +127,9 @@
         "_configuration",
         "_dependency",
         "_events",
-        "_parameters",
         "_store",
         "_version",
+        "_wait_ms",
     )
 
     def __init__(
@@ -135,6 +137,7 @@
         *,
         store: RowStore,
         configuration: ConfigurationInForce,
+        wait_ms: float,
         parameters: GatewayParameters,
         events: EventLog,
         clock: Clock,
@@ -142,7 +145,7 @@
     ):
         self._store = store
         self._configuration = configuration
-        self._parameters = parameters
+        self._wait_ms = wait_ms
         self._events = events
         self._clock = clock
         self._version: int | None = None
@@ -192,7 +195,7 @@
         return await self._store.watch(
             CONFIGURATION_TABLE,
             after=self._version,
-            wait_ms=self._parameters.watch_ms,
+            wait_ms=self._wait_ms,
         )
 
     def _note_failure(self, fault: Fault) -> float:
--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -124,12 +124,14 @@
     def __init__(self, script: Script):
         self._script = script
         self._server: asyncio.Server | None = None
+        self.address = ""
         self.calls: list[TargetCall] = []
 
     async def start(self) -> str:
         """Listen, and return the address."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self.address
 
     async def stop(self) -> None:
         """Stop listening."""
--- a/carobroute/gateway/tests/test_store_watch.py
+++ b/carobroute/gateway/tests/test_store_watch.py
@@ -62,7 +62,9 @@
             "clock": self.clock,
             "random": random.Random(1),
         }
-        self.configuration = ConfigurationWatch(configuration=self.in_force, **shared)
+        self.configuration = ConfigurationWatch(
+            configuration=self.in_force, wait_ms=1_800.0, **shared
+        )
         self.targets = TargetWatch(
             directory=self.directory,
             on_change=self.changes.append,
--- a/carobroute/standins/_platform.py
+++ b/carobroute/standins/_platform.py
@@ -130,6 +130,15 @@
         )
         return application
 
+    def write(self, table: str, key: str, value: bytes | None) -> None:
+        """Write a row as the platform itself does; None removes it."""
+        self.rows.write(table, key, value)
+        self._wake_watches()
+
+    def _wake_watches(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
     # Rows.
 
     async def _transact(self, request: web.Request) -> web.Response:
@@ -144,8 +153,7 @@
             raise web.HTTPTooManyRequests(text="too many writes")
         answer = self.rows.transact(transaction)
         if answer.committed:
-            self._changed.set()
-            self._changed = asyncio.Event()
+            self._wake_watches()
         rows = RowsAnswer(answer.version, answer.store_ms, answer.rows)
         return json_response(rows, status=200 if answer.committed else 412)
 
--- a/carobroute/standins/_state.py
+++ b/carobroute/standins/_state.py
@@ -72,6 +72,7 @@
 
     def changes(self, table: str, after: int) -> RowsAnswer | None:
         """Return the changes after a version; None if they are not known any more."""
+        # Without any change known, only the present version has no gap behind it.
         oldest = self._changes[0].version if self._changes else self.version + 1
         if after < oldest - 1:
             return None
@@ -111,6 +112,20 @@
             rows=[] if committed else stood,
         )
 
+    def write(self, table: str, key: str, value: bytes | None) -> None:
+        """Write a row as the platform itself does; None removes it."""
+        if value is None:
+            removals = [RowAddress(table=table, key=key)]
+            self.transact(RowTransaction(removals=removals))
+        else:
+            writes = [RowWrite(table=table, key=key, value=value)]
+            self.transact(RowTransaction(writes=writes))
+
+    def forget_changes(self) -> None:
+        """Drop the history, so that watches have to read anew."""
+        self._changes.clear()
+        self.version += 1
+
     def _apply(self, transaction: RowTransaction) -> None:
         self.version += 1
         for write in transaction.writes:
--- a/carobroute/testing/__init__.py
+++ b/carobroute/testing/__init__.py
@@ -12,6 +12,7 @@
 from carobroute.testing._fault_proxy import FaultProxy, Faults, ProxiedPort
 from carobroute.testing._faulty_fleet import FaultyFleet
 from carobroute.testing._fleet import Fleet, FleetShape, FleetTarget
+from carobroute.testing._gateway_run import GatewayRun
 from carobroute.testing._order_data import FakeObjects, make_order, make_submit
 from carobroute.testing._processes import Child, ProcessGroup
 from carobroute.testing._random_faults import cause_pair, random_faults
@@ -38,6 +39,7 @@
     "FakeObjects",
     "FakeTable",
     "FaultProxy",
+    "GatewayRun",
     "Faults",
     "FaultyFleet",
     "Fleet",
--- /dev/null
+++ b/carobroute/testing/_gateway_run.py
@@ -0,0 +1,169 @@
+"""A gateway as a process of its own, on a platform stand-in in this process."""
+
+import asyncio
+import os
+import random
+import socket
+import sys
+from pathlib import Path
+
+import aiohttp
+from aiohttp import web
+
+from carobroute.platform import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TABLE,
+    SETTINGS_VARIABLE,
+    TARGET_TABLE,
+)
+from carobroute.standins._operator import (
+    encode_configuration,
+    encode_settings,
+    encode_target,
+)
+from carobroute.standins._platform import PlatformStandIn
+from carobroute.testing._waiting import wait_until
+from carobroute.utils import Clock
+from carobroute.web import WebSite
+from carobroute.world import RoutingConfiguration, TargetEntry
+
+STOP_TIMEOUT_S = 20.0
+STOP_MS = 4_000.0
+
+
+class GatewayRun:
+    """A gateway process, the store that it reads, and a session of callers.
+
+    Parameters
+    ----------
+    directory : Path
+        Where the settings file is written.
+    configuration : RoutingConfiguration
+        What is in force at first.
+    revoke_ms : float, default=5000.0
+        Time after which a key that was taken away opens nothing.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: Path,
+        configuration: RoutingConfiguration,
+        revoke_ms: float = 5_000.0,
+    ):
+        self.platform = PlatformStandIn(clock=Clock())
+        self.configure(configuration)
+        self._revoke_ms = revoke_ms
+        self._settings_file = directory / "settings.json"
+        # The metrics port is fixed, so each process has a loopback address of its own.
+        numbers = random.SystemRandom()
+        self._ip = "127." + ".".join(str(numbers.randint(2, 250)) for _ in range(3))
+        self._ports = (_free_port(self._ip), _free_port(self._ip), _free_port(self._ip))
+        self._site = WebSite(
+            application=self.platform.application(), bind=f"{self._ip}:0"
+        )
+        self._process: asyncio.subprocess.Process | None = None
+        self._reader: asyncio.Task | None = None
+        self.lines: list[str] = []
+        self.session: aiohttp.ClientSession
+
+    @property
+    def url(self) -> str:
+        """Where callers connect."""
+        return f"http://{self._ip}:{self._ports[0]}"
+
+    @property
+    def pid(self) -> int:
+        """Process id."""
+        assert self._process is not None
+        return self._process.pid
+
+    @property
+    def metrics_url(self) -> str:
+        """Where the process tells its metrics."""
+        return f"http://{self._ip}:9464/metrics"
+
+    def configure(self, configuration: RoutingConfiguration) -> None:
+        """Put a configuration in force, as an operator does."""
+        data = encode_configuration(configuration)
+        self.platform.write(CONFIGURATION_TABLE, CONFIGURATION_KEY, data)
+
+    def list_target(self, entry: TargetEntry) -> None:
+        """Enter a target, or its new state."""
+        self.platform.write(TARGET_TABLE, entry.incarnation, encode_target(entry))
+
+    def list_stranger(self, key: str, data: bytes) -> None:
+        """Enter something that names no target."""
+        self.platform.write(TARGET_TABLE, key, data)
+
+    async def start(self) -> "GatewayRun":
+        """Start the store and the process, and wait until it is ready."""
+        address = await self._site.start()
+        data = encode_settings(
+            name="gateway-1",
+            data_centre="a",
+            ip=self._ip,
+            ports=self._ports,
+            store_address=address,
+            revoke_ms=self._revoke_ms,
+            stop_ms=STOP_MS,
+        )
+        self._settings_file.write_bytes(data)
+        self.session = aiohttp.ClientSession(auto_decompress=False)
+        return await self.restart()
+
+    async def restart(self) -> "GatewayRun":
+        """Start the process, once more if it has ended, and wait until it is ready."""
+        if self._reader is not None:
+            await self._reader
+        self._process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "carobroute.gateway",
+            stdout=asyncio.subprocess.PIPE,
+            env={**os.environ, SETTINGS_VARIABLE: str(self._settings_file)},
+        )
+        self._reader = asyncio.create_task(self._read_lines())
+        await wait_until(self.is_ready, what="the gateway is ready")
+        return self
+
+    async def is_ready(self) -> bool:
+        """Ask the process whether it wants new connections."""
+        url = f"http://{self._ip}:{self._ports[1]}/api/ready"
+        try:
+            async with self.session.get(url) as answer:
+                return answer.status == web.HTTPOk.status_code
+        except aiohttp.ClientConnectionError:
+            return False
+
+    def signal(self, number: int) -> None:
+        """Send a signal to the process."""
+        os.kill(self.pid, number)
+
+    async def wait_ended(self) -> int:
+        """Return the exit status once the process has ended."""
+        assert self._process is not None
+        async with asyncio.timeout(STOP_TIMEOUT_S):
+            return await self._process.wait()
+
+    async def stop(self) -> None:
+        """End whatever still runs."""
+        if self._process is not None and self._process.returncode is None:
+            self._process.kill()
+            await self._process.wait()
+        if self._reader is not None:
+            await self._reader
+        await self.session.close()
+        await self._site.stop()
+
+    async def _read_lines(self) -> None:
+        assert self._process is not None
+        assert self._process.stdout is not None
+        async for line in self._process.stdout:
+            self.lines.append(line.decode(errors="replace").rstrip())
+
+
+def _free_port(ip: str) -> int:
+    with socket.socket() as probe:
+        probe.bind((ip, 0))
+        return probe.getsockname()[1]
--- /dev/null
+++ b/carobroute/tests/test_gateway_process.py
@@ -0,0 +1,231 @@
+"""The gateway as a process: start, signals, configuration, outages, strangers."""
+
+import asyncio
+import contextlib
+import os
+import signal
+
+import msgspec
+import pytest
+
+from carobroute.gateway.tests.gateway_harness import ScriptedTarget
+from carobroute.standins._faults import Faults
+from carobroute.testing import GatewayRun, wait_until
+from carobroute.testing.gateway_data import (
+    make_configuration,
+    make_route,
+    make_service,
+    make_target_entry,
+)
+from carobroute.world import CallClass, KeyHolder, ServiceShare, TargetCondition
+
+STREAM = make_route(
+    name="r-2",
+    path_prefix="/chat/",
+    call_class=CallClass.NON_IDEMPOTENT,
+    streaming=True,
+    timeout_ms=5_000.0,
+    shares=[ServiceShare(service="model", weight=1.0)],
+)
+CONFIGURATION = make_configuration(
+    routes=[make_route(), STREAM],
+    services=[make_service(), make_service(name="model")],
+)
+
+
+class Desk:
+    """A gateway process with one target of each service."""
+
+    def __init__(self, run, orders, model):
+        self.run = run
+        self.orders = orders
+        self.model = model
+        self.go_on = asyncio.Event()
+
+    async def call(
+        self, path="/orders/1", *, key="key-1", method="GET", deadline=2_000
+    ):
+        headers = {
+            "Host": "shop.example",
+            "Request-Id": f"r-{os.urandom(4).hex()}",
+            "Deadline-Ms": str(deadline),
+            "X-Api-Key": key,
+        }
+        async with self.run.session.request(
+            method, self.run.url + path, headers=headers
+        ) as answer:
+            return answer.status, await answer.read(), answer.headers
+
+
+@pytest.fixture
+async def desk(tmp_path):
+    run = GatewayRun(directory=tmp_path, configuration=CONFIGURATION, revoke_ms=2_000.0)
+
+    async def answer(call):
+        await call.answer(body=b"1 bell")
+
+    async def stream(call):
+        await call.begin_stream(b"id: 1\ndata: a\n\n")
+        await desk.go_on.wait()
+        await call.send(b"id: 2\ndata: b\n\n")
+        await call.end_stream()
+
+    targets = [ScriptedTarget(answer), ScriptedTarget(stream)]
+    for target, service in zip(targets, ("orders", "model"), strict=True):
+        entry = make_target_entry(
+            incarnation=f"i-{service}", service=service, address=await target.start()
+        )
+        run.list_target(entry)
+    desk = Desk(run, *targets)
+    await run.start()
+    yield desk
+    await run.stop()
+    for target in targets:
+        await target.stop()
+
+
+async def test_a_call_and_a_stream_are_served_and_told(desk):
+    desk.go_on.set()
+    assert (await desk.call())[:2] == (200, b"1 bell")
+    status, body, _ = await desk.call("/chat/1", method="POST")
+    assert (status, body) == (200, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+    assert (await desk.call("/nowhere/"))[0] == 404
+    assert (await desk.call(key="wrong"))[0] == 401
+    async with desk.run.session.get(desk.run.metrics_url) as answer:
+        text = await answer.text()
+    assert "carobroute" in text
+
+
+async def test_sigterm_leaves_the_rotation_and_cuts_nothing(desk):
+    streaming = asyncio.create_task(desk.call("/chat/1", method="POST", deadline=5_000))
+    await wait_until(lambda: desk.model.calls, what="the stream has begun")
+    desk.run.signal(signal.SIGTERM)
+
+    async def has_left():
+        return not await desk.run.is_ready()
+
+    await wait_until(has_left, what="the gateway is not ready")
+    # It still answers what comes, and says that the connection ends.
+    status, _, headers = await desk.call()
+    assert status == 200 and headers["Connection"].lower() == "close"
+    await asyncio.sleep(0.5)
+    assert not streaming.done()
+    desk.go_on.set()
+    assert (await streaming)[1].endswith(b"data: b\n\n")
+    assert await desk.run.wait_ended() == 0
+    events = [line for line in desk.run.lines if "event=sto" in line]
+    assert "event=stopping" in events[0] and "event=stopped" in events[-1]
+
+
+async def test_sighup_reads_the_settings_again_and_cuts_nothing(desk):
+    streaming = asyncio.create_task(desk.call("/chat/1", method="POST", deadline=5_000))
+    await wait_until(lambda: desk.model.calls, what="the stream has begun")
+    desk.run.signal(signal.SIGHUP)
+    await wait_until(
+        lambda: any("event=reloaded" in line for line in desk.run.lines),
+        what="the settings are read",
+    )
+    desk.go_on.set()
+    assert (await streaming)[0] == 200
+    assert await desk.run.is_ready()
+
+
+async def test_a_new_configuration_is_in_force_soon_and_a_key_is_gone(desk):
+    new_key = KeyHolder(name="lund", keys=["key-2"], priority=None)
+    added = make_route(name="r-3", path_prefix="/stock/")
+    desk.run.configure(
+        msgspec.structs.replace(
+            CONFIGURATION, version=9, teams=[new_key], routes=[STREAM, added]
+        )
+    )
+
+    async def is_in_force():
+        return (await desk.call("/stock/1", key="key-2"))[0] == 200
+
+    await wait_until(is_in_force, what="the added route is served")
+    assert (await desk.call("/stock/1", key="key-1"))[0] == 401
+    assert (await desk.call("/orders/1", key="key-2"))[0] == 404
+
+
+async def test_a_history_that_is_gone_is_read_anew(desk):
+    desk.run.platform.rows.forget_changes()
+    added = make_route(name="r-3", path_prefix="/stock/")
+    desk.run.configure(
+        msgspec.structs.replace(CONFIGURATION, version=9, routes=[added])
+    )
+
+    async def is_in_force():
+        return (await desk.call("/stock/1"))[0] == 200
+
+    await wait_until(is_in_force, what="the added route is served")
+
+
+async def test_keys_open_nothing_once_the_store_is_away_too_long_and_then_again(desk):
+    """Without proof a key may have been taken away, so its calls have not run."""
+    desk.run.platform.faults.faults = Faults(outage=True)
+
+    async def is_refused():
+        status, _, headers = await desk.call()
+        assert status in (200, 503)
+        return status == 503 and "Retry-After" in headers
+
+    await wait_until(is_refused, what="calls are refused", timeout_s=10)
+    before = len(desk.orders.calls)
+    assert (await desk.call())[0] == 503
+    assert len(desk.orders.calls) == before
+    desk.run.platform.faults.faults = Faults()
+
+    async def is_served():
+        return (await desk.call())[0] == 200
+
+    await wait_until(is_served, what="calls are served again", timeout_s=10)
+    for name in ("dependency_lost", "dependency_found"):
+        await wait_until(
+            lambda name=name: any(f"event={name}" in x for x in desk.run.lines),
+            what=f"the log tells {name}",
+        )
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        b"\xff\xfe\x00",
+        b"[]",
+        b'{"service":"orders"}',
+        b'{"service":7,"address":"127.0.0.1:1","zone":"a","state":"ready"}',
+        b'{"service":"orders","address":"nowhere","zone":"a","state":"ready"}',
+        b'{"service":"orders","address":"127.0.0.1:1","zone":"a","state":"odd"}',
+    ],
+)
+async def test_an_entry_of_a_stranger_names_no_target_and_harms_none(desk, data):
+    desk.run.list_stranger("i-stranger", data)
+    await wait_until(
+        lambda: any("target_entry_unreadable" in line for line in desk.run.lines),
+        what="the entry is reported",
+    )
+    assert {(await desk.call())[0] for _ in range(5)} == {200}
+
+
+async def test_a_leaving_target_gets_nothing_more(desk):
+    entry = make_target_entry(
+        incarnation="i-orders",
+        address=desk.orders.address,
+        condition=TargetCondition.LEAVING,
+    )
+    desk.run.list_target(entry)
+    await wait_until(
+        lambda: any("event=target_leaving" in line for line in desk.run.lines),
+        what="the gateway knows",
+    )
+    before = len(desk.orders.calls)
+    assert (await desk.call(deadline=600))[0] == 503
+    assert len(desk.orders.calls) == before
+
+
+async def test_a_kill_and_a_new_start_lose_no_configuration(desk):
+    desk.run.signal(signal.SIGKILL)
+    assert await desk.run.wait_ended() == -signal.SIGKILL
+    with contextlib.suppress(OSError):
+        await desk.call()
+    await desk.run.restart()
+    assert (await desk.call())[0] == 200
