Plan the next map only once the last one is in force

Cause: a switch ends when its pass is released, but that pass is some hundred milliseconds ahead, and reports lag as much again. The next plan read reports and maps of the time before, so it was made for the old map: it found the same imbalance again (3.0 after a map that had taken it to 1.2), moved experts for nothing, and every second switch of a large group was refused because more experts were new to a rank than it takes in (not_prepared; the refused ranks held version 9 while the plan was made from 8).

A rebalancer now waits until all reports show the version that it has switched to and no rank is armed.

Ruled out: lost answers of orders (refusals came at once, from one to six ranks); sampled ranks that differ from the others; the count of new experts in the planner.

The new test fails before with 13 maps.

--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -107,6 +107,8 @@
     unbought_ms : float
         The same after a plan that took too little away: what slows the group is not
         where its experts sit, and counts cost.
+    pending_ms : float
+        Time between two looks at whether a map that was switched to is in force.
     stalled_ms : float
         Silence of all streams after which the group may be held by a coordinator
         that is gone.
@@ -119,6 +121,7 @@
     sample_ms: float = 250.0
     rest_ms: float = 400.0
     unbought_ms: float = 1_500.0
+    pending_ms: float = 150.0
     stalled_ms: float = 600.0
 
 
@@ -144,6 +147,7 @@
     """
 
     __slots__ = (
+        "_awaited",
         "_clock",
         "_duty",
         "_epoch",
@@ -181,6 +185,8 @@
         # Formation of the group in which it was last found free.
         self._looked_epoch = -1
         self._version = 0
+        # Version of the last map that this process has switched the group to.
+        self._awaited = 0
         self._layout: Layout | None = None
 
     async def step(self, group: RankGroup) -> None:
@@ -191,12 +197,12 @@
         limit_ms = self._parameters.busy_share * group.gap_target_ms
         if stalled or self._looked_epoch != group.epoch:
             await self._look_for_hold(group)
+            rest_ms = self._parameters.rest_ms
         elif limit_ms and self._pace.pass_ms >= limit_ms:
-            await self._relieve(group)
+            rest_ms = await self._relieve(group)
         else:
             return
-        rest_ms = self._clock.now_ms() + self._parameters.rest_ms
-        self._rest_until_ms = max(self._rest_until_ms, rest_ms)
+        self._rest_until_ms = self._clock.now_ms() + rest_ms
 
     async def release(self) -> None:
         """Leave the group to another process."""
@@ -219,16 +225,30 @@
         if await self._duty.acquire():
             await self._recover(group, reports)
 
-    async def _relieve(self, group: RankGroup) -> None:
+    async def _relieve(self, group: RankGroup) -> float:
+        """Act on slow passes; return how long to rest, in milliseconds."""
+        rest_ms = self._parameters.rest_ms
         if not await self._duty.acquire():
-            return
+            return rest_ms
         reports = await self._reports(group)
         if reports is None:
-            return
+            return rest_ms
         if any(report.held_step is not None for report in reports):
             await self._recover(group, reports)
-        else:
-            await self._rebalance(group, reports)
+        elif self._is_pending(group, reports):
+            return self._parameters.pending_ms
+        elif not await self._rebalance(group, reports):
+            return self._parameters.unbought_ms
+        return rest_ms
+
+    def _is_pending(self, group: RankGroup, reports: Sequence[RankReport]) -> bool:
+        """Return whether a map waits for its pass, or has been in force so shortly
+        that reports do not show it: a plan would start from the map before.
+        """
+        awaited = self._awaited if self._epoch == group.epoch else 0
+        return any(
+            report.armed is not None or report.version < awaited for report in reports
+        )
 
     async def _reports(self, group: RankGroup) -> list[RankReport] | None:
         answered = await gather_few([r.report for r in group.ranks], READ_WIDTH)
@@ -255,12 +275,13 @@
             outcome=end.value,
         )
 
-    async def _rebalance(self, group: RankGroup, reports: list[RankReport]) -> None:
+    async def _rebalance(self, group: RankGroup, reports: list[RankReport]) -> bool:
+        """Plan a layout, and switch to it; return False if it is not worth it."""
         experts = group.experts
         layout = await self._current_layout(group, reports)
         counts = await self._sample(group)
         if layout is None or counts is None:
-            return
+            return True
         shares = shares_of(counts, sets=experts.sets, experts=experts.experts)
         bounds = PlanBounds(places=experts.places, spare=experts.spare)
         paces = [report.pace for report in reports]
@@ -281,14 +302,13 @@
             bought=bought,
         )
         if not bought:
-            now_ms = self._clock.now_ms()
-            self._rest_until_ms = now_ms + self._parameters.unbought_ms
-            return
+            return False
         attempt = self._attempt(group, reports, planned, layout)
         began_ms = self._clock.now_ms()
         end = await attempt.run(reports)
         if end is SwitchEnd.SWITCHED:
             self._layout = planned
+            self._awaited = self._version
         else:
             self._layout = None
         self._events.event(
@@ -299,6 +319,7 @@
             outcome=end.value,
             took_ms=round(self._clock.now_ms() - began_ms),
         )
+        return True
 
     def _attempt(
         self,
@@ -314,7 +335,8 @@
         held = any(report.held_step is not None for report in reports)
         # What is armed is undone under its own version; a new map needs a higher one.
         self._version = max(known) if held else max(known) + 1
-        self._epoch = group.epoch
+        if self._epoch != group.epoch:
+            self._epoch, self._awaited = group.epoch, 0
         return MapSwitch(
             ranks=group.ranks,
             epoch=group.epoch,
--- a/carobroute/experts/tests/test_rebalancer.py
+++ b/carobroute/experts/tests/test_rebalancer.py
@@ -28,11 +28,11 @@
         self.asked = 0
 
 
-def _rebalancer(group, pace, duty=None):
+def _rebalancer(group, pace, duty=None, log=None):
     return GroupRebalancer(
         duty=duty or FreeDuty(),
         pace=pace,
-        events=EventLog(name="test", stream=io.StringIO(), clock=group.clock),
+        events=EventLog(name="test", stream=log or io.StringIO(), clock=group.clock),
         clock=group.clock,
         random=random.Random(1),
     )
@@ -96,6 +96,25 @@
     assert not group.mixed
 
 
+@pytest.mark.parametrize("pass_ms", [70.0, 140.0])
+def test_a_map_that_is_not_in_force_yet_is_not_replaced(pass_ms):
+    """Reports lag, and a map waits for its pass: plans would be for the old one."""
+    log = io.StringIO()
+
+    async def scenario(group):
+        group.pass_ms = pass_ms
+        pace = _busy(group, gap_ms=pass_ms)
+        rebalancer = _rebalancer(group, pace, log=log)
+        for _ in range(60):
+            pace.note_event(pass_ms)
+            await _step_for(rebalancer, group, 100)
+
+    group = _play(scenario)
+    assert group.passes[-1] == [1, 1, 1, 1]
+    assert log.getvalue().count("outcome=switched") == 1
+    assert "not_prepared" not in log.getvalue()
+
+
 def test_a_group_that_is_slow_for_another_reason_is_counted_less_often():
     """A slow rank, say: no layout helps, and counts cost."""
     reads = []
