Never take a refused transaction for a written one; keep what tables remember bounded

Found on reading the change again. A transaction whose refusal was recorded, but whose answer was lost, and whose conditions held again when it was sent once more, came back as not committed with no row against it. Group commit reads that as written: a claim could have been granted that stands nowhere. It is a fault now, which grants nothing. The new test fails before with TransactionOutcome(committed=False, failed=[]).

Besides, `BoundedDict.update` was the inherited one and did not look at the bound, and tokens that were given up stayed for ever; both are bounded now.

--- a/carobroute/tables/_instances.py
+++ b/carobroute/tables/_instances.py
@@ -76,12 +76,12 @@
 
     __slots__ = (
         "_clock",
+        "_leaving",
         "_on_event",
         "_parameters",
         "_seen",
         "_store",
         "_versions",
-        "_leaving",
     )
 
     def __init__(
--- a/carobroute/tables/_row_tables.py
+++ b/carobroute/tables/_row_tables.py
@@ -225,10 +225,15 @@
                 return self._definite(transaction.token, committed=True)
             self._keep_marks(spent)
             mark = _find_mark(answer.rows, transaction.token)
-            if mark is not None:
+            if mark:
                 for put in transaction.puts:
                     self._known.pop((put.table, put.key), None)
-                return self._definite(transaction.token, committed=mark)
+                return self._definite(transaction.token, committed=True)
+            if mark is not None:
+                # The rows that stood against it then are not known any more.
+                self._definite(transaction.token, committed=False)
+                detail = f"transaction {transaction.token} was refused before"
+                return fail(ErrorKind.INTERNAL, detail)
             self._take_rows(work, answer)
         return fail(ErrorKind.STORE_UNAVAILABLE, "the rows changed at each try")
 
@@ -318,6 +323,8 @@
             if self._removable[0][0] > now_ms:
                 break
             spent.append(heapq.heappop(self._removable))
+            # One that was given up long ago is not sent any more.
+            self._open.discard(spent[-1][1])
         return spent
 
     def _keep_marks(self, spent: Iterable[tuple[float, str]]) -> None:
@@ -331,6 +338,7 @@
         self._swept = True
         found = await self._store.read_all(MARK_TABLE)
         if isinstance(found, Failure):
+            # The transaction itself meets the same store, and tells its fault.
             self._swept = False
             return
         until_ms = self._clock.now_ms() + FOREIGN_MARK_MS
--- a/carobroute/tables/tests/test_tables.py
+++ b/carobroute/tables/tests/test_tables.py
@@ -440,3 +440,34 @@
         region="fiji",
         address="tcp://127.0.0.1:1",
     )
+
+
+async def test_a_transaction_that_was_refused_stays_so_if_the_answer_is_lost(bench):
+    """Its conditions hold again by the time that it is sent once more."""
+    table, other = bench.clients.table, make_clients(bench.url, Clock())
+    entry = insert("k", b"late", "token")
+    transact = bench.stand_in.rows.transact
+
+    def lose_call(transaction):
+        raise asyncio.CancelledError
+
+    def lose_answer(transaction):
+        transact(transaction)
+        raise asyncio.CancelledError
+
+    for lose in (lose_call, lose_answer):
+        bench.stand_in.rows.transact = lose
+        lost = await table.transact(entry)
+        assert lost.failure().kind is ErrorKind.STORE_UNAVAILABLE
+        bench.stand_in.rows.transact = transact
+        if lose is lose_call:
+            (await other.table.transact(insert("k", b"x", "o"))).unwrap()
+            assert (await table.read("t", "k")).unwrap().value == b"x"
+    removal = Transaction(
+        token="r", conditions=[], puts=[Put(table="t", key="k", value=None)]
+    )
+    assert (await other.table.transact(removal)).unwrap().committed
+    refused = await table.transact(entry)
+    assert refused.failure().kind is ErrorKind.INTERNAL
+    assert (await table.read("t", "k")).unwrap() is None
+    await other.close()
--- a/carobroute/utils/_bounded.py
+++ b/carobroute/utils/_bounded.py
@@ -1,5 +1,6 @@
 """A dictionary that does not grow without bound."""
 
+from collections.abc import Mapping
 from typing import Generic, TypeVar
 
 K = TypeVar("K")
@@ -21,6 +22,9 @@
     ...     names[name] = 1
     >>> list(names)
     ['b', 'c']
+    >>> names.update({"d": 1, "e": 1})
+    >>> list(names)
+    ['d', 'e']
     """
 
     __slots__ = ("_most",)
@@ -35,6 +39,12 @@
         if len(self) > self._most:
             del self[next(iter(self))]
 
+    def update(self, other: Mapping[K, V]) -> None:  # type: ignore[override]
+        """Set all keys of another mapping."""
+        for key, value in other.items():
+            # The inherited method would not look at the bound.
+            self[key] = value
+
     def setdefault(self, key: K, default: V) -> V:  # type: ignore[override]
         """Return the value of `key`, set to `default` if it is missing."""
         if key not in self:
