--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -31,8 +31,9 @@
     forget_ms : float
         Time after which a silent peer's calls are not counted any more.
     gone_ms : float
-        Time after which a silent peer's duties may be taken; two digests are lost by
-        then. Taking a duty from one that still runs does no harm.
+        Time after which a silent peer's duties may be taken: several digests. A slow
+        machine that plans a layout is silent for most of a second. Taking a duty from
+        one that still runs does no harm, but both lose their work.
     lookup_ms : float
         Time between two readings of the table of gateways. Peers also learn of each
         other from their digests, so this only bridges what those miss.
@@ -41,7 +42,7 @@
     spread_ms: float = 12.0
     renew_ms: float = 300.0
     forget_ms: float = 1_200.0
-    gone_ms: float = 700.0
+    gone_ms: float = 1_200.0
     lookup_ms: float = 10_000.0
 
 
