--- a/carobroute/domain/_routing.py
+++ b/carobroute/domain/_routing.py
@@ -6,6 +6,9 @@
 
 from carobroute.domain._instances import CallClass
 
+MS_PER_S = 1_000
+BITS_PER_BYTE = 8
+
 
 class ListedTargetState(enum.StrEnum):
     """State of a target in the platform's list of targets."""
@@ -105,6 +108,13 @@
     link_mbps: float
     work_share: float
 
+    @property
+    def copy_ms(self) -> float:
+        """Time in which a rank copies one expert."""
+        if not self.link_mbps:
+            return 0.0
+        return self.expert_mb * BITS_PER_BYTE * MS_PER_S / self.link_mbps
+
 
 class EngineProfile(msgspec.Struct, frozen=True, kw_only=True):
     """Published speed and capacity of a service's engines.
@@ -130,6 +140,8 @@
         Mean prompt and output sizes of calls.
     forming_ms : float
         Time that a rank group takes to form again and open.
+    report_lag_ms : float
+        Age of the state that a target's report shows.
     experts : ExpertProfile or None
         Experts, if the engines run in groups of ranks; None if they do not.
     """
@@ -146,6 +158,7 @@
     usual_prompt_tokens: float
     usual_output_tokens: float
     forming_ms: float
+    report_lag_ms: float
     experts: ExpertProfile | None
 
 
--- a/carobroute/experts/__init__.py
+++ b/carobroute/experts/__init__.py
@@ -7,19 +7,19 @@
     initial_layout,
 )
 from carobroute.experts._pass_time import PassTimeEstimator
-from carobroute.experts._plan import PlanBounds, plan_layout
-from carobroute.experts._rebalancer import (
+from carobroute.experts._plan import LayoutPlanner, PlanBounds, plan_layout
+from carobroute.experts._rank_group import (
     CoordinatorDuty,
     ExpertRankHandle,
-    GroupRebalancer,
     RankGroup,
-    RebalanceParameters,
 )
+from carobroute.experts._rebalancer import GroupRebalancer, RebalanceParameters
 from carobroute.experts._switch import (
     MapSwitch,
     RankHandle,
     SwitchParameters,
     SwitchResult,
+    next_version,
 )
 
 __all__ = [
@@ -28,6 +28,7 @@
     "PassTimeEstimator",
     "GroupRebalancer",
     "ExpertLayout",
+    "LayoutPlanner",
     "MapSwitch",
     "PlanBounds",
     "RankGroup",
@@ -37,6 +38,7 @@
     "SwitchParameters",
     "compute_imbalance",
     "initial_layout",
+    "next_version",
     "plan_layout",
     "compute_expert_shares",
 ]
--- a/carobroute/experts/_plan.py
+++ b/carobroute/experts/_plan.py
@@ -1,10 +1,11 @@
 """Planning of a layout for the observed load, within the ranks' capacity."""
 
-from collections.abc import Sequence
+import heapq
+from collections.abc import Iterable, Iterator, Sequence
 
 import msgspec
 
-from carobroute.experts._layout import ExpertLayout, compute_rank_loads
+from carobroute.experts._layout import ExpertLayout
 
 MAX_CHANGES_PER_SET = 80
 # Fraction of a rank's mean load; experts with a smaller load per copy are neither
@@ -23,6 +24,10 @@
         Largest number of experts of one layer set that a rank can hold.
     max_received : int
         Largest number of experts of one layer set that a rank can receive in one plan.
+    max_copies : int or None
+        Largest number of experts of all layer sets that a rank can receive in one
+        plan; None for no limit. A rank copies one expert after the other, and all
+        ranks wait for the last one.
     min_gain : float
         Smallest reduction of a layer set's longest rank time that justifies a change,
         as a fraction of the mean load.
@@ -33,6 +38,7 @@
 
     max_experts: int
     max_received: int
+    max_copies: int | None = None
     min_gain: float = 0.12
     max_partners: int = 6
 
@@ -51,6 +57,8 @@
         Rank that receives the expert.
     displaced : int or None
         Expert that `rank` gives up in return, if any.
+    source : int
+        The slowest rank.
     is_move : bool
         Whether the slowest rank gives `expert` up and receives `displaced`, if any. If
         not, `expert` is copied, and `displaced` remains on other ranks only.
@@ -60,6 +68,7 @@
     expert: int
     rank: int
     displaced: int | None
+    source: int
     is_move: bool
 
 
@@ -97,23 +106,101 @@
     >>> plan_layout([[[0], [1]]], [[0.75, 0.25]], bounds)
     [[[0, 1], [0, 1]]]
     """
-    return [
-        _LayerSetPlanner(
-            experts_by_rank,
-            set_shares,
-            bounds,
-            slowdowns or [1.0] * len(experts_by_rank),
-        ).run()
-        for experts_by_rank, set_shares in zip(layout, shares, strict=True)
-    ]
+    planner = LayoutPlanner(
+        layout=layout, shares=shares, bounds=bounds, slowdowns=slowdowns
+    )
+    for _ in planner.steps():
+        pass
+    return planner.layout
+
+
+class LayoutPlanner:
+    """Search for a layout, in steps between which the caller may do other work.
+
+    The layer sets compete for the copies that a rank can receive: each step makes the
+    change with the largest gain in any set.
+
+    Parameters
+    ----------
+    layout : ExpertLayout
+        Layout in use.
+    shares : sequence of sequence of float
+        Each expert's share of its layer set's tokens.
+    bounds : PlanBounds
+        Limits on what ranks can hold and receive.
+    slowdowns : sequence of float, default=None
+        Each rank's step time divided by the published one; None if all are 1.
+    """
+
+    __slots__ = ("_changes_by_set", "_copies_left", "_min_gain", "_set_planners")
+
+    def __init__(
+        self,
+        *,
+        layout: ExpertLayout,
+        shares: Sequence[Sequence[float]],
+        bounds: PlanBounds,
+        slowdowns: Sequence[float] | None = None,
+    ):
+        rank_count = len(layout[0])
+        max_copies = bounds.max_copies
+        if max_copies is None:
+            max_copies = bounds.max_received * len(layout)
+        self._copies_left = [max_copies] * rank_count
+        self._min_gain = bounds.min_gain / rank_count
+        self._set_planners = [
+            _LayerSetPlanner(
+                experts_by_rank,
+                set_shares,
+                bounds,
+                slowdowns or [1.0] * rank_count,
+                self._copies_left,
+            )
+            for experts_by_rank, set_shares in zip(layout, shares, strict=True)
+        ]
+        self._changes_by_set = [0] * len(layout)
+
+    @property
+    def layout(self) -> ExpertLayout:
+        """Layout after the steps so far, with sorted experts of each rank."""
+        return [planner.experts_by_rank for planner in self._set_planners]
+
+    def steps(self) -> Iterator[None]:
+        """Make changes while they gain enough, one in each step."""
+        heap: list[tuple[float, int, _Change]] = []
+        for index in range(len(self._set_planners)):
+            self._push_best_change(heap, index)
+            yield
+        while heap:
+            _, index, change = heapq.heappop(heap)
+            planner = self._set_planners[index]
+            # Changes in other sets may have used up the copies of these ranks.
+            if planner.is_possible(change):
+                planner.apply(change)
+                self._changes_by_set[index] += 1
+            if self._changes_by_set[index] < MAX_CHANGES_PER_SET:
+                self._push_best_change(heap, index)
+            yield
+
+    def _push_best_change(
+        self, heap: list[tuple[float, int, "_Change"]], index: int
+    ) -> None:
+        change = self._set_planners[index].find_best_change()
+        if change is not None and change.gain >= self._min_gain:
+            heapq.heappush(heap, (-change.gain, index, change))
 
 
 class _LayerSetPlanner:
-    """Greedy search for changes to the layout of one layer set."""
+    """Greedy search for changes to the layout of one layer set.
+
+    `copies_left` holds the copies that each rank can still receive, and is shared with
+    the planners of the other sets.
+    """
 
     __slots__ = (
         "_bounds",
         "_copies",
+        "_copies_left",
         "_experts",
         "_holders",
         "_initial_experts",
@@ -129,10 +216,12 @@
         shares: Sequence[float],
         bounds: PlanBounds,
         slowdowns: Sequence[float],
+        copies_left: list[int],
     ):
         self._slowdowns = slowdowns
         self._bounds = bounds
         self._shares = shares
+        self._copies_left = copies_left
         self._initial_experts = [frozenset(experts) for experts in experts_by_rank]
         self._experts = [set(experts) for experts in experts_by_rank]
         self._received = [0] * len(experts_by_rank)
@@ -141,32 +230,30 @@
             for expert in experts:
                 self._holders[expert].add(rank)
         self._copies = [len(holders) for holders in self._holders]
-        self._update_times()
-
-    def run(self) -> list[list[int]]:
-        """Apply changes while they gain enough; return the experts of each rank."""
-        min_gain = self._bounds.min_gain / len(self._experts)
-        for _ in range(MAX_CHANGES_PER_SET):
-            change = self._find_best_change()
-            if change is None or change.gain < min_gain:
-                break
-            self._apply(change)
+        self._times = [0.0] * len(experts_by_rank)
+        self._update_times(range(len(experts_by_rank)))
+
+    @property
+    def experts_by_rank(self) -> list[list[int]]:
+        """Experts of each rank, in ascending order."""
         return [sorted(experts) for experts in self._experts]
 
-    def _update_times(self) -> None:
-        loads = compute_rank_loads(
-            [list(experts) for experts in self._experts], self._shares
-        )
-        self._times = [
-            factor * load for factor, load in zip(self._slowdowns, loads, strict=True)
-        ]
+    def _update_times(self, ranks: Iterable[int]) -> None:
+        for rank in ranks:
+            load = sum(self._load_per_copy(expert) for expert in self._experts[rank])
+            self._times[rank] = self._slowdowns[rank] * load
 
-    def _find_best_change(self) -> _Change | None:
+    def find_best_change(self) -> _Change | None:
+        """Return the change that shortens the slowest rank's time most, or None."""
         slowest = max(range(len(self._times)), key=self._times.__getitem__)
-        ranks_by_time = sorted(range(len(self._times)), key=self._times.__getitem__)
-        partners = [
-            r for r in ranks_by_time[: self._bounds.max_partners] if r != slowest
-        ]
+        receivers = (
+            rank
+            for rank, left in enumerate(self._copies_left)
+            if left and rank != slowest
+        )
+        partners = heapq.nsmallest(
+            self._bounds.max_partners, receivers, key=self._times.__getitem__
+        )
         min_load = MIN_EXPERT_LOAD / len(self._experts)
         best: _Change | None = None
         for expert in self._experts[slowest]:
@@ -180,6 +267,14 @@
                         best = change
         return best
 
+    def is_possible(self, change: _Change) -> bool:
+        """Return whether the ranks can still receive what the change gives them."""
+        if not self._can_receive(change.rank, change.expert):
+            return False
+        if not change.is_move or change.displaced is None:
+            return True
+        return self._can_receive(change.source, change.displaced)
+
     def _list_changes(self, slowest: int, expert: int, rank: int) -> list[_Change]:
         is_full = len(self._experts[rank]) >= self._bounds.max_experts
         changes = []
@@ -188,7 +283,7 @@
                 gain = self._times[slowest] - self._max_time_after_copy(
                     slowest, expert, rank, displaced
                 )
-                changes.append(_Change(gain, expert, rank, displaced, False))
+                changes.append(_Change(gain, expert, rank, displaced, slowest, False))
         for swapped in [*self._experts[rank], *([] if is_full else [None])]:
             if swapped is not None and (
                 swapped in self._experts[slowest]
@@ -203,7 +298,7 @@
                 self._times[slowest] - self._slowdowns[slowest] * moved,
             )
             gain = SWAP_GAIN_FACTOR * (self._times[slowest] - time_after)
-            changes.append(_Change(gain, expert, rank, swapped, True))
+            changes.append(_Change(gain, expert, rank, swapped, slowest, True))
         return changes
 
     def _max_time_after_copy(
@@ -235,28 +330,38 @@
         return self._shares[expert] / self._copies[expert]
 
     def _can_receive(self, rank: int, expert: int) -> bool:
-        is_new = expert not in self._initial_experts[rank]
-        return not is_new or self._received[rank] < self._bounds.max_received
+        if expert in self._initial_experts[rank]:
+            return True
+        has_room = self._received[rank] < self._bounds.max_received
+        return has_room and self._copies_left[rank] > 0
 
-    def _apply(self, change: _Change) -> None:
-        slowest = max(range(len(self._times)), key=self._times.__getitem__)
+    def apply(self, change: _Change) -> None:
+        """Make a change."""
         if change.displaced is not None:
             self._drop(change.rank, change.displaced)
         if change.is_move:
-            self._drop(slowest, change.expert)
+            self._drop(change.source, change.expert)
             if change.displaced is not None:
-                self._add(slowest, change.displaced)
+                self._add(change.source, change.displaced)
         self._add(change.rank, change.expert)
-        self._update_times()
+        affected = {change.rank, change.source, *self._holders[change.expert]}
+        if change.displaced is not None:
+            affected |= self._holders[change.displaced]
+        self._update_times(affected)
 
     def _add(self, rank: int, expert: int) -> None:
         self._experts[rank].add(expert)
         self._holders[expert].add(rank)
         self._copies[expert] += 1
-        self._received[rank] += expert not in self._initial_experts[rank]
+        self._count_received(rank, expert, 1)
 
     def _drop(self, rank: int, expert: int) -> None:
         self._experts[rank].discard(expert)
         self._holders[expert].discard(rank)
         self._copies[expert] -= 1
-        self._received[rank] -= expert not in self._initial_experts[rank]
+        self._count_received(rank, expert, -1)
+
+    def _count_received(self, rank: int, expert: int, change: int) -> None:
+        if expert not in self._initial_experts[rank]:
+            self._received[rank] += change
+            self._copies_left[rank] -= change
--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -1,89 +1,38 @@
 """Rebalancing of a rank group's experts when its passes are too slow."""
 
-import abc
 import asyncio
 import random
+import zlib
 from collections.abc import Sequence
 
 import msgspec
 
-from carobroute.domain import ExpertProfile
 from carobroute.experts._layout import (
     ExpertLayout,
-    compute_expert_shares,
     compute_imbalance,
     initial_layout,
 )
 from carobroute.experts._pass_time import PassTimeEstimator
-from carobroute.experts._plan import PlanBounds, plan_layout
+from carobroute.experts._plan import LayoutPlanner, PlanBounds
+from carobroute.experts._rank_group import CoordinatorDuty, RankGroup
+from carobroute.experts._sampling import CountSampler
 from carobroute.experts._switch import (
+    VERSION_STRIDE,
     MapSwitch,
-    RankHandle,
     SwitchParameters,
     SwitchResult,
+    next_version,
 )
-from carobroute.platform import ExpertCounts, HeldExperts, RankReport
+from carobroute.platform import RankReport
 from carobroute.telemetry import EventLog
 from carobroute.utils import Clock, gather_few
 
 # Reads from ranks in flight; more would queue in this process and on its link.
 MAX_CONCURRENT_READS = 8
-
-
-class ExpertRankHandle(RankHandle):
-    """Handle of a rank that also reads its expert counts and the experts it holds."""
-
-    __slots__ = ()
-
-    @abc.abstractmethod
-    async def read_counts(self) -> ExpertCounts | None:
-        """Return how often each expert was chosen, or None if there is no answer."""
-
-    @abc.abstractmethod
-    async def read_held_experts(self) -> HeldExperts | None:
-        """Return the experts that the rank holds, or None if there is no answer."""
-
-
-class CoordinatorDuty(abc.ABC):
-    """Lease on the coordination of a group, which one process holds at a time.
-
-    After a pause, a process may act on a lease that another process holds by then.
-    Everything done under the lease must be safe in that case too.
-    """
-
-    __slots__ = ()
-
-    @abc.abstractmethod
-    async def acquire(self) -> bool:
-        """Acquire or renew the lease; return whether this process holds it."""
-
-    @abc.abstractmethod
-    async def release(self) -> None:
-        """Release the lease, if this process holds it."""
-
-
-class RankGroup(msgspec.Struct, frozen=True, kw_only=True):
-    """A rank group of which every rank is known.
-
-    Parameters
-    ----------
-    name : str
-        Name of the group.
-    epoch : int
-        Number of times that the group has formed.
-    ranks : list of ExpertRankHandle
-        Handles of all ranks, in rank order.
-    experts : ExpertProfile
-        Number, size and limits of the group's experts.
-    gap_target_ms : float
-        Longest time between two events of a stream that is on time; 0 for no target.
-    """
-
-    name: str
-    epoch: int
-    ranks: list[ExpertRankHandle]
-    experts: ExpertProfile
-    gap_target_ms: float
+# Longest time for which planning keeps other work of this process waiting.
+MAX_PLAN_TURN_MS = 5.0
+# Reports may be somewhat older than the configuration says.
+REPORT_LAG_MARGIN_MS = 60.0
 
 
 class RebalanceParameters(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,42 +40,79 @@
 
     Parameters
     ----------
-    check_interval_ms : float
-        Interval between two checks of the group's pass time.
     slow_pass_share : float
         Fraction of the gap target from which on passes count as too slow. With faster
         passes callers have their answers in time, and copies of experts, counts and
         orders would cost without a benefit.
+    slowdown_ratio : float
+        Increase of the pass time, relative to the shortest one since the last plan,
+        that indicates other demand for experts.
     min_imbalance_reduction : float
         Smallest relative reduction of the imbalance for which a plan is carried out.
+    max_prediction_error : float
+        Relative excess of the measured imbalance of a map over the planned one up to
+        which the map is left as it is.
     sample_ranks : int
-        Number of ranks whose counts are read. The counts of each rank are a sample of
-        the same traffic.
+        Number of ranks whose counts are read.
     sample_ms : float
-        Time over which choices are counted: several passes.
-    plan_interval_ms : float
-        Shortest time between two plans.
-    rejected_plan_interval_ms : float
-        Shortest time to the next plan after one that reduced the imbalance too little.
-        The layout is then not the cause of the slow passes, and counts cost.
+        Time over which choices are counted: one or two passes.
+    copy_budget_ms : float
+        Time that a rank may take to copy the experts of one plan. The first copies
+        gain most, and the next plan adds others.
+    retry_interval_ms : float
+        Delay after a cycle that could not be completed.
+    recheck_interval_ms : float
+        Longest time to the next sample after a plan that reduced the imbalance too
+        little. The layout is then not the cause of the slow passes, and counts cost.
+    settle_timeout_ms : float
+        Longest time until the reports of all ranks show the map of a switch; older
+        maps are the result of another coordinator.
     pending_check_interval_ms : float
-        Interval between two checks of whether the map of the last switch is in use.
+        Interval between two checks of whether an armed map is in use.
     stall_silence_ms : float
         Time without an event on any stream, after which the group is checked for a
         hold of a lost coordinator.
     """
 
-    check_interval_ms: float = 50.0
     slow_pass_share: float = 0.5
+    slowdown_ratio: float = 1.15
     min_imbalance_reduction: float = 0.12
+    max_prediction_error: float = 0.15
     sample_ranks: int = 2
-    sample_ms: float = 250.0
-    plan_interval_ms: float = 400.0
-    rejected_plan_interval_ms: float = 1_500.0
+    sample_ms: float = 160.0
+    copy_budget_ms: float = 250.0
+    retry_interval_ms: float = 400.0
+    recheck_interval_ms: float = 1_500.0
+    settle_timeout_ms: float = 1_500.0
     pending_check_interval_ms: float = 150.0
     stall_silence_ms: float = 600.0
 
 
+class MapInUse(msgspec.Struct, kw_only=True):
+    """Map to which this process has switched a group.
+
+    Parameters
+    ----------
+    epoch, version : int
+        Formation of the group, and version of the map.
+    layout : ExpertLayout
+        Layout of the map.
+    planned_imbalance : float
+        Imbalance for which the map was planned.
+    switched_ms : float
+        Time of the switch.
+    is_verified : bool
+        Whether its imbalance has been measured since the switch.
+    """
+
+    epoch: int
+    version: int
+    layout: ExpertLayout
+    planned_imbalance: float
+    switched_ms: float
+    is_verified: bool = False
+
+
 class GroupRebalancer:
     """Rebalances the experts of one group while its passes are too slow.
 
@@ -136,6 +122,8 @@
     ----------
     duty : CoordinatorDuty
         Lease on the coordination of the group.
+    coordinator : str
+        Identifier of this process.
     pass_time_estimator : PassTimeEstimator
         Estimate of the group's pass time.
     events : EventLog
@@ -154,22 +142,25 @@
         "_checked_epoch",
         "_clock",
         "_duty",
-        "_epoch",
         "_events",
-        "_layout",
+        "_fastest_pass_ms",
+        "_highest_version",
+        "_highest_version_epoch",
+        "_map_in_use",
         "_next_action_ms",
         "_parameters",
         "_pass_time_estimator",
-        "_random",
+        "_sampler",
+        "_slowdowns",
         "_switch_parameters",
-        "_switched_version",
-        "_version",
+        "_version_remainder",
     )
 
     def __init__(
         self,
         *,
         duty: CoordinatorDuty,
+        coordinator: str,
         pass_time_estimator: PassTimeEstimator,
         events: EventLog,
         clock: Clock,
@@ -178,26 +169,35 @@
         switch: SwitchParameters | None = None,
     ):
         self._duty = duty
+        self._version_remainder = zlib.crc32(coordinator.encode()) % VERSION_STRIDE
         self._pass_time_estimator = pass_time_estimator
         self._events = events
         self._clock = clock
-        self._random = random
         self._parameters = parameters or RebalanceParameters()
         self._switch_parameters = switch
+        self._sampler = CountSampler(
+            clock=clock,
+            random=random,
+            rank_count=self._parameters.sample_ranks,
+            duration_ms=self._parameters.sample_ms,
+        )
         self._next_action_ms = 0.0
-        # Formation of the group at the last switch attempt.
-        self._epoch = -1
+        # Shortest pass time since the last cycle.
+        self._fastest_pass_ms = 0.0
         # Last formation of the group that was checked and found without a hold.
         self._checked_epoch = -1
-        # Version of the last switch or recovery that this process began.
-        self._version = 0
-        # Version of the last map to which this process has switched the group.
-        self._switched_version = 0
-        self._layout: ExpertLayout | None = None
+        # Highest version that this process has used, and the formation it was for.
+        self._highest_version = 0
+        self._highest_version_epoch = -1
+        self._map_in_use: MapInUse | None = None
+        # Slowdown of each rank in the last reports.
+        self._slowdowns: list[float] | None = None
 
     async def check_group(self, group: RankGroup) -> None:
         """Check the group once, and free or rebalance it if necessary."""
-        if self._clock.now_ms() < self._next_action_ms:
+        pass_ms = self._pass_time_estimator.pass_ms
+        self._fastest_pass_ms = min(self._fastest_pass_ms or pass_ms, pass_ms)
+        if self._clock.now_ms() < self._next_action_ms and not self._has_slowed_down:
             return
         is_stalled = (
             self._pass_time_estimator.silent_ms > self._parameters.stall_silence_ms
@@ -205,13 +205,22 @@
         slow_pass_ms = self._parameters.slow_pass_share * group.gap_target_ms
         if is_stalled or self._checked_epoch != group.epoch:
             await self._check_for_hold(group)
-            delay_ms = self._parameters.plan_interval_ms
-        elif slow_pass_ms and self._pass_time_estimator.pass_ms >= slow_pass_ms:
+            delay_ms = self._parameters.retry_interval_ms
+        elif slow_pass_ms and pass_ms >= slow_pass_ms:
             delay_ms = await self._handle_slow_passes(group)
         else:
             return
+        self._fastest_pass_ms = self._pass_time_estimator.pass_ms
         self._next_action_ms = self._clock.now_ms() + delay_ms
 
+    @property
+    def _has_slowed_down(self) -> bool:
+        """Whether passes have become slower since a verified map was left as it is."""
+        if self._map_in_use is None or not self._map_in_use.is_verified:
+            return False
+        limit_ms = self._parameters.slowdown_ratio * self._fastest_pass_ms
+        return self._pass_time_estimator.pass_ms > limit_ms
+
     async def release(self) -> None:
         """Release the lease, so that another process can coordinate the group."""
         await self._duty.release()
@@ -236,33 +245,61 @@
 
     async def _handle_slow_passes(self, group: RankGroup) -> float:
         """Free or rebalance a slow group; return the time to the next check, in ms."""
-        delay_ms = self._parameters.plan_interval_ms
         if not await self._duty.acquire():
-            return delay_ms
-        reports = await self._read_reports(group)
+            return self._parameters.retry_interval_ms
+        known = self._find_map_in_use(group)
+        if known is not None and not known.is_verified:
+            # The map has just come into use: reports would not show it yet.
+            shares = await self._sampler.sample_shares(group)
+            if shares is None:
+                return self._parameters.retry_interval_ms
+            if self._verify(group, known, shares):
+                return self._parameters.recheck_interval_ms
+            await self._wait_for_reports(group, known)
+            reports = await self._read_reports(group)
+        else:
+            reports, shares = await asyncio.gather(
+                self._read_reports(group), self._sampler.sample_shares(group)
+            )
         if reports is None:
-            return delay_ms
+            return self._parameters.retry_interval_ms
+        self._slowdowns = [report.slowdown for report in reports]
         if any(report.held_step is not None for report in reports):
             await self._recover(group, reports)
-        elif self._is_switch_pending(group, reports):
+            return self._parameters.retry_interval_ms
+        if any(report.armed is not None for report in reports):
             return self._parameters.pending_check_interval_ms
-        elif not await self._rebalance(group, reports):
-            return self._parameters.rejected_plan_interval_ms
-        return delay_ms
-
-    def _is_switch_pending(
-        self, group: RankGroup, reports: Sequence[RankReport]
+        layout = await self._find_layout(group, reports)
+        if layout is None or shares is None:
+            return self._parameters.retry_interval_ms
+        return await self._rebalance(group, reports, layout, shares)
+
+    def _find_map_in_use(self, group: RankGroup) -> MapInUse | None:
+        known = self._map_in_use
+        return known if known is not None and known.epoch == group.epoch else None
+
+    async def _wait_for_reports(self, group: RankGroup, known: MapInUse) -> None:
+        """Wait until reports no longer show the hold and the arming of a switch."""
+        ready_ms = known.switched_ms + group.report_lag_ms + REPORT_LAG_MARGIN_MS
+        await self._clock.sleep_ms(max(0.0, ready_ms - self._clock.now_ms()))
+
+    def _verify(
+        self, group: RankGroup, known: MapInUse, shares: list[list[float]]
     ) -> bool:
-        """Return whether reports still show the map from before the last switch.
-
-        The new map waits for its pass, or has been in use for less time than reports
-        lag. A plan would start from the previous map.
-        """
-        switched_version = self._switched_version if self._epoch == group.epoch else 0
-        return any(
-            report.armed is not None or report.version < switched_version
-            for report in reports
+        """Compare the measured imbalance of a map in use with the planned one."""
+        known.is_verified = True
+        measured = compute_imbalance(known.layout, shares, self._slowdowns)
+        limit = (1 + self._parameters.max_prediction_error) * known.planned_imbalance
+        self._events.event(
+            "map_verified",
+            group=group.name,
+            epoch=group.epoch,
+            version=known.version,
+            planned=round(known.planned_imbalance, 2),
+            measured=round(measured, 2),
+            pass_ms=round(self._pass_time_estimator.pass_ms, 1),
         )
+        return measured <= limit
 
     async def _read_reports(self, group: RankGroup) -> list[RankReport] | None:
         answered = await gather_few(
@@ -280,12 +317,15 @@
         return reports
 
     async def _recover(self, group: RankGroup, reports: list[RankReport]) -> None:
-        layout = await self._read_current_layout(group, reports)
+        layout = await self._read_layout(group, reports)
         if layout is None:
             return
-        result = await self._create_switch(group, reports, layout, layout).recover(
-            reports
-        )
+        self._map_in_use = None
+        # Undoing needs the version that is armed.
+        version = max(self._list_versions(group, reports))
+        switch = self._create_switch(group, version, layout, layout)
+        result = await switch.recover(reports)
+        self._note_version(group, version)
         self._events.event(
             "held_group_recovered",
             group=group.name,
@@ -293,126 +333,165 @@
             outcome=result.value,
         )
 
-    async def _rebalance(self, group: RankGroup, reports: list[RankReport]) -> bool:
-        """Plan a layout and switch to it; return False if the plan is rejected.
-
-        Returns True as well if the layout or the counts could not be read.
-        """
-        experts = group.experts
-        layout = await self._read_current_layout(group, reports)
-        counts = await self._sample_counts(group)
-        if layout is None or counts is None:
-            return True
-        shares = compute_expert_shares(
-            counts, sets=experts.layer_sets, experts=experts.experts_per_set
-        )
-        bounds = PlanBounds(
-            max_experts=experts.max_experts_per_rank,
-            max_received=experts.max_received_per_rank,
-        )
-        slowdowns = [report.slowdown for report in reports]
-        planned = plan_layout(layout, shares, bounds, slowdowns)
-        before = compute_imbalance(layout, shares, slowdowns)
-        after = compute_imbalance(planned, shares, slowdowns)
+    async def _rebalance(
+        self,
+        group: RankGroup,
+        reports: list[RankReport],
+        layout: ExpertLayout,
+        shares: list[list[float]],
+    ) -> float:
+        """Plan a layout and switch to it; return the time to the next check, in ms."""
+        before = compute_imbalance(layout, shares, self._slowdowns)
+        planned = await self._plan(group, layout, shares)
+        after = compute_imbalance(planned, shares, self._slowdowns)
         is_accepted = after <= (1 - self._parameters.min_imbalance_reduction) * before
+        copies = _list_received_counts(layout, planned)
         self._events.event(
             "layout_planned",
             group=group.name,
             epoch=group.epoch,
             pass_ms=round(self._pass_time_estimator.pass_ms, 1),
-            choices=sum(counts),
-            slowest_rank=max(slowdowns),
+            slowest_rank=max(report.slowdown for report in reports),
             imbalance=round(before, 2),
             planned=round(after, 2),
-            copies=_count_received_experts(layout, planned),
+            copies=sum(copies),
             bought=is_accepted,
         )
         if not is_accepted:
-            return False
-        switch = self._create_switch(group, reports, planned, layout)
+            if self._map_in_use is not None:
+                self._map_in_use.is_verified = True
+            return self._parameters.recheck_interval_ms
         began_ms = self._clock.now_ms()
-        result = await switch.run(reports)
+        version = self._next_version(group, reports)
+        copy_ms = max(copies) * group.experts.copy_ms
+        switch = self._create_switch(group, version, planned, layout, copy_ms)
+        self._note_version(group, version)
+        self._map_in_use = None
+        result = await switch.run()
+        now_ms = self._clock.now_ms()
         if result is SwitchResult.SWITCHED:
-            self._layout = planned
-            self._switched_version = self._version
-        else:
-            self._layout = None
+            self._map_in_use = MapInUse(
+                epoch=group.epoch,
+                version=version,
+                layout=planned,
+                planned_imbalance=after,
+                switched_ms=now_ms,
+            )
         self._events.event(
             "map_switch_ended",
             group=group.name,
             epoch=group.epoch,
-            version=self._version,
+            version=version,
             outcome=result.value,
-            took_ms=round(self._clock.now_ms() - began_ms),
+            copy_ms=round(copy_ms),
+            took_ms=round(now_ms - began_ms),
+        )
+        return 0.0
+
+    async def _plan(
+        self, group: RankGroup, layout: ExpertLayout, shares: list[list[float]]
+    ) -> ExpertLayout:
+        """Plan a layout in turns, between which other tasks run."""
+        experts = group.experts
+        copy_ms = max(1.0, experts.copy_ms)
+        bounds = PlanBounds(
+            max_experts=experts.max_experts_per_rank,
+            max_received=experts.max_received_per_rank,
+            max_copies=max(1, int(self._parameters.copy_budget_ms / copy_ms)),
+        )
+        planner = LayoutPlanner(
+            layout=layout, shares=shares, bounds=bounds, slowdowns=self._slowdowns
         )
-        return True
+        turn_began_ms = self._clock.now_ms()
+        for _ in planner.steps():
+            if self._clock.now_ms() - turn_began_ms > MAX_PLAN_TURN_MS:
+                await asyncio.sleep(0)
+                turn_began_ms = self._clock.now_ms()
+        return planner.layout
+
+    # Versions of maps.
+
+    def _list_versions(
+        self, group: RankGroup, reports: Sequence[RankReport]
+    ) -> list[int]:
+        is_same_epoch = self._highest_version_epoch == group.epoch
+        versions = [self._highest_version if is_same_epoch else 0]
+        for report in reports:
+            versions += [report.version, report.prepared or 0]
+            versions += [report.armed.version if report.armed else 0]
+        return versions
+
+    def _next_version(self, group: RankGroup, reports: Sequence[RankReport]) -> int:
+        """Return the lowest of this process's versions that the ranks have not had."""
+        highest = max(self._list_versions(group, reports))
+        return next_version(highest, self._version_remainder)
+
+    def _note_version(self, group: RankGroup, version: int) -> None:
+        self._highest_version, self._highest_version_epoch = version, group.epoch
 
     def _create_switch(
         self,
         group: RankGroup,
-        reports: Sequence[RankReport],
+        version: int,
         layout: ExpertLayout,
         current: ExpertLayout,
+        copy_ms: float = 0.0,
     ) -> MapSwitch:
-        versions = [self._version if self._epoch == group.epoch else 0]
-        for report in reports:
-            versions += [report.version, report.prepared or 0]
-            versions += [report.armed.version if report.armed else 0]
-        is_held = any(report.held_step is not None for report in reports)
-        # Undoing needs the version that is armed; a new map needs a higher one.
-        self._version = max(versions) if is_held else max(versions) + 1
-        if self._epoch != group.epoch:
-            self._epoch, self._switched_version = group.epoch, 0
         return MapSwitch(
             ranks=group.ranks,
             epoch=group.epoch,
-            version=self._version,
+            version=version,
+            version_remainder=self._version_remainder,
             layout=layout,
             current=current,
             pass_ms=self._pass_time_estimator.pass_ms,
+            copy_ms=copy_ms,
+            report_lag_ms=group.report_lag_ms,
             clock=self._clock,
             parameters=self._switch_parameters,
         )
 
-    async def _sample_counts(self, group: RankGroup) -> list[int] | None:
-        """Return how often each expert was chosen within the sampling time.
+    # The layout in use.
 
-        Returns None if no choices were counted or a counter was reset.
-        """
-        rank_count = min(self._parameters.sample_ranks, len(group.ranks))
-        ranks = self._random.sample(group.ranks, rank_count)
-        before = await asyncio.gather(*(rank.read_counts() for rank in ranks))
-        await self._clock.sleep_ms(self._parameters.sample_ms)
-        after = await asyncio.gather(*(rank.read_counts() for rank in ranks))
-        totals = [0] * (group.experts.layer_sets * group.experts.experts_per_set)
-        for first, last in zip(before, after, strict=True):
-            if first is None or last is None or first.epoch != last.epoch:
-                continue
-            if len(last.counts) != len(totals) or len(first.counts) != len(totals):
-                continue
-            pairs = zip(first.counts, last.counts, strict=True)
-            chosen = [new - old for old, new in pairs]
-            totals = [sum(pair) for pair in zip(totals, chosen, strict=True)]
-        return totals if sum(totals) > 0 and min(totals) >= 0 else None
-
-    async def _read_current_layout(
+    async def _find_layout(
         self, group: RankGroup, reports: Sequence[RankReport]
     ) -> ExpertLayout | None:
-        """Return the layout in use, or None if the ranks do not agree on it.
+        """Return the layout in use, or None if it is not known yet.
 
-        It is read from the ranks only if it cannot be known from their versions.
+        Reports lag, so for a while after a switch they may show the map before it. If
+        they still do later, another coordinator has undone the switch.
         """
+        known = self._find_map_in_use(group)
+        if known is None:
+            return await self._read_layout(group, reports)
         versions = {report.version for report in reports}
+        age_ms = self._clock.now_ms() - known.switched_ms
+        is_settling = age_ms < self._parameters.settle_timeout_ms
+        if versions == {known.version}:
+            return known.layout
+        if is_settling and max(versions) <= known.version:
+            return known.layout
+        self._events.event(
+            "map_replaced",
+            level="warning",
+            group=group.name,
+            version=known.version,
+            reported=max(versions),
+        )
+        self._map_in_use = None
+        return await self._read_layout(group, reports)
+
+    async def _read_layout(
+        self, group: RankGroup, reports: Sequence[RankReport]
+    ) -> ExpertLayout | None:
+        """Return the layout that the ranks use, or None if they do not agree on it."""
         experts = group.experts
-        if versions == {0}:
+        if {report.version for report in reports} == {0}:
             return initial_layout(
                 sets=experts.layer_sets,
                 experts=experts.experts_per_set,
                 ranks=len(group.ranks),
             )
-        is_known = self._epoch == group.epoch and versions == {self._version}
-        if is_known and self._layout is not None:
-            return self._layout
         answered = await gather_few(
             [r.read_held_experts for r in group.ranks], MAX_CONCURRENT_READS
         )
@@ -426,10 +505,10 @@
         ]
 
 
-def _count_received_experts(before: ExpertLayout, after: ExpertLayout) -> int:
-    """Return the number of experts that ranks have to receive, over all layer sets."""
-    return sum(
-        len(set(new) - set(old))
-        for old_set, new_set in zip(before, after, strict=True)
-        for old, new in zip(old_set, new_set, strict=True)
-    )
+def _list_received_counts(before: ExpertLayout, after: ExpertLayout) -> list[int]:
+    """Return the number of experts that each rank has to receive."""
+    counts = [0] * len(before[0])
+    for old_set, new_set in zip(before, after, strict=True):
+        for rank, (old, new) in enumerate(zip(old_set, new_set, strict=True)):
+            counts[rank] += len(set(new) - set(old))
+    return counts
--- a/carobroute/experts/_switch.py
+++ b/carobroute/experts/_switch.py
@@ -16,9 +16,25 @@
 )
 from carobroute.utils import Clock, gather_few
 
+# Each coordinator uses the versions with its own remainder, so that two coordinators
+# never prepare different maps under one version.
+VERSION_STRIDE = 1 << 16
+
 ACCEPTED_RESULTS = frozenset({OrderResult.BEGUN, OrderResult.IN_EFFECT})
 
 
+def next_version(version: int, remainder: int) -> int:
+    """Return the lowest version above `version` with a coordinator's remainder.
+
+    Examples
+    --------
+    >>> next_version(0, 7), next_version(7, 7), next_version(65_544, 7)
+    (7, 65543, 131079)
+    """
+    base = version - version % VERSION_STRIDE + remainder
+    return base if base > version else base + VERSION_STRIDE
+
+
 class SwitchResult(enum.StrEnum):
     """Result of an attempt to switch a group.
 
@@ -41,24 +57,26 @@
     Parameters
     ----------
     lead_ms : float
-        Shortest time from the latest report to the pass that is held back. Reports lag
-        by some hundred milliseconds; the rest has room for three rounds of orders, of
-        which the first two may get no answers.
+        Time from the order to hold to the pass that is held back, for the order itself
+        and the first orders to arm.
     min_lead_passes : int
-        Smallest lead in passes. Two reports may come from different points of a pass,
-        so a pass number may be one too low, and the next pass may be short.
+        Smallest lead in passes. The current pass is estimated, so its number may be one
+        too low, and the next pass may be short.
+    max_hold_attempts : int
+        Number of passes that are tried for a hold. One that has already begun is
+        refused.
     resend_delay_ms : float
         Delay before an unanswered order is sent again.
+    rearm_delay_ms : float
+        Delay before a refused order to arm is sent again: the rank still copies
+        experts.
     prepare_timeout_ms : float
-        Longest time until all ranks accept the order to prepare, and then until all
-        report that they are prepared.
+        Longest time until all ranks accept the order to prepare.
     arm_timeout_ms : float
         Longest time until the hold is confirmed, and then until all ranks are armed;
         an attempt that fails to arm them is undone.
     undo_timeout_ms : float
         Longest time for undoing an attempt.
-    report_interval_ms : float
-        Interval between two readings of the ranks' reports.
     max_concurrent_calls : int
         Largest number of calls to ranks in flight. Further calls would queue in this
         process and on its link until they time out.
@@ -67,13 +85,14 @@
         for one order.
     """
 
-    lead_ms: float = 400.0
+    lead_ms: float = 60.0
     min_lead_passes: int = 2
+    max_hold_attempts: int = 6
     resend_delay_ms: float = 5.0
+    rearm_delay_ms: float = 25.0
     prepare_timeout_ms: float = 2_500.0
     arm_timeout_ms: float = 1_500.0
     undo_timeout_ms: float = 20_000.0
-    report_interval_ms: float = 60.0
     max_concurrent_calls: int = 8
     lead_per_rank_ms: float = 2.0
 
@@ -110,12 +129,18 @@
         Formation of the group; ranks of another formation refuse the orders.
     version : int
         Version of the new map, higher than every version that the ranks have had.
+    version_remainder : int
+        Remainder of the versions that this coordinator may use.
     layout : ExpertLayout
         Layout of the new map.
     current : ExpertLayout
         Layout of the map in use, which ranks prepare again when an attempt is undone.
     pass_ms : float
         Current time of one of the group's passes.
+    copy_ms : float
+        Expected time in which the ranks copy the experts that are new to them.
+    report_lag_ms : float
+        Age of the state in a rank's report.
     clock : Clock
         Source of time.
     parameters : SwitchParameters, default=None
@@ -135,6 +160,11 @@
     order to arm then names a version that is not prepared, and is refused. Only then is
     the pass released.
 
+    Reports lag, so the switch does not wait until they show that all ranks are
+    prepared. It waits for the expected time of the copies, and repeats orders to arm
+    that are refused: while the pass is held, a rank refuses only because it is not
+    prepared yet.
+
     A successor that finds the group held undoes the attempt in the same way, after it
     has placed a hold of its own on another rank. The previous coordinator, if it
     resumes, can release only its own hold, and the group stays held.
@@ -142,15 +172,19 @@
 
     __slots__ = (
         "_clock",
+        "_copy_ms",
         "_current",
+        "_due_ms",
         "_epoch",
-        "_holding_rank",
         "_held_step",
+        "_holding_rank",
         "_layout",
         "_parameters",
         "_pass_ms",
         "_ranks",
+        "_report_lag_ms",
         "_version",
+        "_version_remainder",
     )
 
     def __init__(
@@ -159,48 +193,53 @@
         ranks: Sequence[RankHandle],
         epoch: int,
         version: int,
+        version_remainder: int,
         layout: ExpertLayout,
         current: ExpertLayout,
         pass_ms: float,
+        copy_ms: float,
+        report_lag_ms: float,
         clock: Clock,
         parameters: SwitchParameters | None = None,
     ):
         self._ranks = ranks
         self._epoch = epoch
         self._version = version
+        self._version_remainder = version_remainder
         self._layout = layout
         self._current = current
         self._pass_ms = pass_ms
+        self._copy_ms = copy_ms
+        self._report_lag_ms = report_lag_ms
         self._clock = clock
         self._parameters = parameters or SwitchParameters()
         self._holding_rank = 0
+        # Time at which the held pass is expected to be due.
+        self._due_ms = 0.0
         self._held_step = 0
 
-    async def run(self, reports: Sequence[RankReport]) -> SwitchResult:
-        """Switch the group to the new map, or undo the attempt.
-
-        Parameters
-        ----------
-        reports : sequence of RankReport
-            The ranks' reports from before the attempt.
-        """
-        began_ms = self._clock.now_ms()
+    async def run(self) -> SwitchResult:
+        """Switch the group to the new map, or undo the attempt."""
         if not await self._prepare():
             return SwitchResult.NOT_PREPARED
-        latest = await self._wait_prepared()
-        if latest is None:
+        prepared_ms = self._clock.now_ms() + self._copy_ms
+        latest = await self._read_reports()
+        if not latest or any(report.epoch != self._epoch for report in latest):
             return SwitchResult.NOT_PREPARED
-        self._update_pass_time(reports, latest, self._clock.now_ms() - began_ms)
-        if not await self._hold(latest):
+        if any(report.armed or report.held_step is not None for report in latest):
+            return SwitchResult.NOT_HELD
+        hold_ms = prepared_ms - self._lead_ms
+        await self._clock.sleep_ms(max(0.0, hold_ms - self._clock.now_ms()))
+        if not await self._hold():
             return SwitchResult.NOT_HELD
+        await self._clock.sleep_ms(max(0.0, prepared_ms - self._clock.now_ms()))
         own_holds = [RankHold(rank=self._holding_rank, step=self._held_step)]
-        if await self._arm():
-            return (
-                SwitchResult.SWITCHED
-                if await self._release(own_holds)
-                else SwitchResult.STUCK
-            )
-        return await self._undo(own_holds)
+        if not await self._arm():
+            return await self._undo(own_holds)
+        if not await self._release(own_holds):
+            return SwitchResult.STUCK
+        await self._clock.sleep_ms(max(0.0, self._due_ms - self._clock.now_ms()))
+        return SwitchResult.SWITCHED
 
     async def recover(self, reports: Sequence[RankReport]) -> SwitchResult:
         """Undo the attempt of a lost coordinator, if the group is held.
@@ -254,75 +293,77 @@
             )
         )
 
-    async def _wait_prepared(self) -> list[RankReport] | None:
-        """Return the reports once all ranks are prepared.
+    async def _read_reports(self) -> list[RankReport]:
+        """Return the reports of all ranks, or nothing if one is missing."""
+        answered = await gather_few(
+            [rank.read_report for rank in self._ranks],
+            self._parameters.max_concurrent_calls,
+        )
+        reports = [report for report in answered if report is not None]
+        return reports if len(reports) == len(self._ranks) else []
+
+    @property
+    def _lead_ms(self) -> float:
+        return self._parameters.lead_ms + self._parameters.lead_per_rank_ms * len(
+            self._ranks
+        )
 
-        Returns None after the timeout, or if the group has formed again.
+    async def _hold(self) -> bool:
+        """Hold the group back from a pass that is at least the lead away.
+
+        The pass must not be far away either: a hold that is carried out seconds later
+        is harmless only because its pass has begun by then.
         """
-        deadline_ms = self._clock.now_ms() + self._parameters.prepare_timeout_ms
-        prepared: dict[int, RankReport] = {}
-        while self._clock.now_ms() < deadline_ms:
-            unprepared = [r for r in range(len(self._ranks)) if r not in prepared]
-            reports = await gather_few(
-                [self._ranks[rank].read_report for rank in unprepared],
-                self._parameters.max_concurrent_calls,
+        for _ in range(self._parameters.max_hold_attempts):
+            report = await self._ranks[self._holding_rank].read_report()
+            if report is None or report.epoch != self._epoch:
+                return False
+            pass_ms = max(1.0, self._pass_ms)
+            lead = max(self._parameters.min_lead_passes, int(self._lead_ms / pass_ms))
+            passes = 1 + int(self._report_lag_ms / pass_ms) + lead
+            self._held_step = report.step + passes
+            self._due_ms = self._clock.now_ms() + lead * pass_ms
+            order = RankOrder(
+                action=OrderAction.HOLD, epoch=self._epoch, step=self._held_step
             )
-            for rank, report in zip(unprepared, reports, strict=True):
-                if report is not None and report.epoch != self._epoch:
-                    return None
-                if report is not None and report.prepared == self._version:
-                    prepared[rank] = report
-            if len(prepared) == len(self._ranks):
-                return list(prepared.values())
-            await self._clock.sleep_ms(self._parameters.report_interval_ms)
-        return None
-
-    def _update_pass_time(
-        self, before: Sequence[RankReport], after: Sequence[RankReport], took_ms: float
-    ) -> None:
-        """Lower the pass time to the one that the reports show, if that is shorter.
-
-        The smoothed pass time stays too long for a while after a slow rank recovers.
-        """
-        first_step = max(report.step for report in before)
-        passes = max(report.step for report in after) - first_step
-        if passes > 0:
-            self._pass_ms = min(self._pass_ms, took_ms / passes)
-
-    async def _hold(self, reports: Sequence[RankReport]) -> bool:
-        """Hold the group back from a pass that is at least the lead away."""
-        if any(report.armed or report.held_step is not None for report in reports):
-            return False
-        lead_ms = self._parameters.lead_ms
-        lead_ms += self._parameters.lead_per_rank_ms * len(self._ranks)
-        lead_passes = int(lead_ms / max(1.0, self._pass_ms))
-        lead = 1 + max(self._parameters.min_lead_passes, lead_passes)
-        self._held_step = max(report.step for report in reports) + lead
-        order = RankOrder(
-            action=OrderAction.HOLD, epoch=self._epoch, step=self._held_step
-        )
-        is_held = await self._confirm_order(
-            self._holding_rank, order, self._parameters.arm_timeout_ms
-        )
-        if not is_held:
-            # The rank may still carry out the order. No rank is armed: release it.
-            await self._release(
-                [RankHold(rank=self._holding_rank, step=self._held_step)]
+            result = await self._retry_order(
+                self._holding_rank, order, self._parameters.arm_timeout_ms
             )
-        return is_held
+            if result in ACCEPTED_RESULTS:
+                return True
+            if result is not OrderResult.REFUSED:
+                # The rank may still carry out the order. No rank is armed: release it.
+                await self._release(
+                    [RankHold(rank=self._holding_rank, step=self._held_step)]
+                )
+                return False
+            # The pass has begun already. The smoothed pass time stays too long for a
+            # while after a slow rank has recovered.
+            self._pass_ms /= 2
+        return False
 
     async def _arm(self) -> bool:
+        return await self._on_all_ranks(self._arm_rank)
+
+    async def _arm_rank(self, rank: int) -> bool:
+        """Arm a rank for the held pass, once it has copied its experts."""
+        deadline_ms = self._clock.now_ms() + self._parameters.arm_timeout_ms
         order = RankOrder(
             action=OrderAction.ARM,
             epoch=self._epoch,
             version=self._version,
             step=self._held_step,
         )
-        return await self._on_all_ranks(
-            lambda rank: self._confirm_order(
-                rank, order, self._parameters.arm_timeout_ms
-            )
-        )
+        while True:
+            remaining_ms = deadline_ms - self._clock.now_ms()
+            result = await self._retry_order(rank, order, remaining_ms)
+            if result in ACCEPTED_RESULTS:
+                return True
+            delay_ms = self._parameters.rearm_delay_ms
+            is_late = self._clock.now_ms() + delay_ms >= deadline_ms
+            if result is not OrderResult.REFUSED or is_late:
+                return False
+            await self._clock.sleep_ms(delay_ms)
 
     async def _disarm(self, rank: int) -> bool:
         """Disarm a rank, and make it refuse late orders to arm."""
@@ -330,7 +371,7 @@
         disarm = RankOrder(
             action=OrderAction.DISARM, epoch=self._epoch, version=self._version
         )
-        version = self._version + 1
+        version = next_version(self._version, self._version_remainder)
         while self._clock.now_ms() < deadline_ms:
             remaining_ms = deadline_ms - self._clock.now_ms()
             if not await self._confirm_order(rank, disarm, remaining_ms):
@@ -346,7 +387,7 @@
                 return True
             # A late order has armed the rank again, or the rank has had a higher
             # version.
-            version += 1
+            version += VERSION_STRIDE
             await self._clock.sleep_ms(self._parameters.resend_delay_ms)
         return False
 
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -235,6 +235,7 @@
             random=self._random,
             is_gone=self._peer_state.is_gone,
             is_stopping=lambda: self._context.is_stopping,
+            tasks=self._tasks,
         )
         self._tasks.spawn(groups.run(), name="rebalance groups")
         self._tasks.spawn(configuration.run(), name="watch configuration")
--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -28,7 +28,7 @@
     RowStore,
 )
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock
+from carobroute.utils import Clock, TaskSet
 
 GROUP_CHECK_INTERVAL_MS = 50.0
 
@@ -156,9 +156,12 @@
         Returns whether a gateway incarnation is known to have ended.
     is_stopping : callable
         Returns whether this process is stopping; no switch begins then.
+    tasks : TaskSet
+        Background tasks.
     """
 
     __slots__ = (
+        "_checked_groups",
         "_client",
         "_clock",
         "_configuration",
@@ -172,6 +175,7 @@
         "_random",
         "_rebalancers",
         "_store",
+        "_tasks",
     )
 
     def __init__(
@@ -188,6 +192,7 @@
         random: random.Random,
         is_gone: Callable[[str], bool],
         is_stopping: Callable[[], bool],
+        tasks: TaskSet,
     ):
         self._holder = holder
         self._store = store
@@ -200,6 +205,9 @@
         self._random = random
         self._is_gone = is_gone
         self._is_stopping = is_stopping
+        self._tasks = tasks
+        # Groups with a check under way.
+        self._checked_groups: set[str] = set()
         self._client = RankClient()
         self._rebalancers: dict[str, GroupRebalancer] = {}
 
@@ -208,14 +216,29 @@
         while True:
             await self._clock.sleep_ms(GROUP_CHECK_INTERVAL_MS)
             if self._is_stopping():
-                await asyncio.gather(
-                    *(rebalancer.release() for rebalancer in self._rebalancers.values())
-                )
+                await self._release_duties()
                 return
-            groups = self._find_eligible_groups()
-            await asyncio.gather(
-                *(self._rebalancer(group.name).check_group(group) for group in groups)
-            )
+            for group in self._find_eligible_groups():
+                if group.name not in self._checked_groups:
+                    self._checked_groups.add(group.name)
+                    self._tasks.spawn(
+                        self._check_group(group), name=f"check group {group.name}"
+                    )
+
+    async def _release_duties(self) -> None:
+        """Release all duties, once the switches under way have ended."""
+        while self._checked_groups:
+            await self._clock.sleep_ms(GROUP_CHECK_INTERVAL_MS)
+        await asyncio.gather(
+            *(rebalancer.release() for rebalancer in self._rebalancers.values())
+        )
+
+    async def _check_group(self, group: RankGroup) -> None:
+        """Check a group; groups do not wait for each other's switches."""
+        try:
+            await self._rebalancer(group.name).check_group(group)
+        finally:
+            self._checked_groups.discard(group.name)
 
     def _rebalancer(self, group: str) -> GroupRebalancer:
         rebalancer = self._rebalancers.get(group)
@@ -230,6 +253,7 @@
             )
             rebalancer = self._rebalancers[group] = GroupRebalancer(
                 duty=duty,
+                coordinator=self._holder,
                 pass_time_estimator=self._pass_time_estimators.get(group),
                 events=self._events,
                 clock=self._clock,
@@ -284,5 +308,6 @@
                 for rank in range(entry.group_size)
             ],
             experts=experts,
+            report_lag_ms=service.engine.report_lag_ms,
             gap_target_ms=table.gap_target_ms(entry.service),
         )
--- a/carobroute/platform/_configuration_decoding.py
+++ b/carobroute/platform/_configuration_decoding.py
@@ -71,6 +71,7 @@
     chunk: int = 0
     stride: int = 1
     form_ms: float = 0.0
+    report_lag_ms: float = 0.0
     sets: int = 0
     experts: int = 0
     placements: int = 0
@@ -260,6 +261,7 @@
         "usual_prompt_tokens": wire.usual.prompt,
         "usual_output_tokens": wire.usual.answer,
         "forming_ms": wire.form_ms,
+        "report_lag_ms": wire.report_lag_ms,
         "experts": _convert_experts(wire),
     }
     return EngineProfile(**values)
--- a/carobroute/platform/_rank_client.py
+++ b/carobroute/platform/_rank_client.py
@@ -207,23 +207,24 @@
     order_timeout_ms : float, default=50
         Longest wait for the answer to an order, after which the caller may send it
         again; it covers many round trips between data centres.
-    prepare_timeout_ms : float, default=600
-        The same for an order that carries a map, which takes longer on slow links.
+    map_ms_per_byte : float, default=0.008
+        Added for each byte of an order that carries a map: several of them share a
+        slow link.
     read_timeout_ms : float, default=200
         The same for reports and counts.
     """
 
-    __slots__ = ("_order_timeout_ms", "_prepare_timeout_ms", "_read_timeout_ms")
+    __slots__ = ("_map_ms_per_byte", "_order_timeout_ms", "_read_timeout_ms")
 
     def __init__(
         self,
         *,
         order_timeout_ms: float = 50.0,
-        prepare_timeout_ms: float = 600.0,
+        map_ms_per_byte: float = 0.008,
         read_timeout_ms: float = 200.0,
     ):
         self._order_timeout_ms = order_timeout_ms
-        self._prepare_timeout_ms = prepare_timeout_ms
+        self._map_ms_per_byte = map_ms_per_byte
         self._read_timeout_ms = read_timeout_ms
 
     async def read_report(self, transport: HttpTransport) -> Result[RankReport, Fault]:
@@ -249,8 +250,10 @@
         self, transport: HttpTransport, incarnation: str, order: RankOrder
     ) -> OrderResult:
         """Send an order once, and return its outcome as far as it is known."""
-        has_map = order.action is OrderAction.PREPARE
-        timeout_ms = self._prepare_timeout_ms if has_map else self._order_timeout_ms
+        body = msgspec.json.encode(order)
+        timeout_ms = self._order_timeout_ms
+        if order.action is OrderAction.PREPARE:
+            timeout_ms += self._map_ms_per_byte * len(body)
         sent = await transport.send(
             "POST",
             ORDER_PATH,
@@ -258,9 +261,9 @@
                 "Content-Type": "application/json",
                 EXPECTED_TARGET_HEADER: incarnation,
             },
-            body=msgspec.json.encode(order),
+            body=body,
             first_byte_ms=timeout_ms,
-            new_connection=True,
+            new_connection=False,
         )
         if isinstance(sent, Failure):
             unsent = sent.failure().not_run
--- a/carobroute/testing/gateway_data.py
+++ b/carobroute/testing/gateway_data.py
@@ -77,6 +77,7 @@
         "usual_prompt_tokens": 835.0,
         "usual_output_tokens": 139.0,
         "forming_ms": 600.0,
+        "report_lag_ms": 200.0,
         "experts": None,
     }
     return EngineProfile(**{**fields, **changes})
--- a/carobroute/testing/rank_group_data.py
+++ b/carobroute/testing/rank_group_data.py
@@ -63,6 +63,7 @@
         "_highest_version",
         "_reports",
         "armed",
+        "copy_ms",
         "held_step",
         "order_count",
         "prepared",
@@ -81,6 +82,7 @@
         self.armed: ArmedSwitch | None = None
         self.held_step: int | None = None
         self.order_count = 0
+        self.copy_ms = EXPERT_COPY_MS
 
     async def send_order(self, order: RankOrder) -> OrderResult:
         """Carry out an order, late or without an answer if the faults say so."""
@@ -182,7 +184,7 @@
         self._highest_version = version
         self.order_count += 1
         self.prepared = None
-        self.preparing = (version, self._group.clock.now_ms() + EXPERT_COPY_MS)
+        self.preparing = (version, self._group.clock.now_ms() + self.copy_ms)
         return OrderResult.BEGUN
 
     def _arm(self, order: RankOrder) -> OrderResult:
@@ -275,6 +277,7 @@
             epoch=self.epoch,
             ranks=list(self.ranks),
             experts=experts,
+            report_lag_ms=REPORT_LAG_MS,
             gap_target_ms=120.0,
         )
 
@@ -288,11 +291,15 @@
     async def run(self) -> None:
         """Make passes, unless a rank holds the group back, until cancelled."""
         while True:
-            if not any(rank.held_step == self.step + 1 for rank in self.ranks):
-                self.step += 1
-                self.versions_by_pass.append(
-                    [r.begin_pass(self.step) for r in self.ranks]
-                )
-            for rank in self.ranks:
-                rank.record_report()
+            self.begin_pass()
             await self.clock.sleep_ms(self.pass_ms)
+
+    def begin_pass(self) -> bool:
+        """Begin the next pass; return False if a rank holds the group back."""
+        is_held = any(rank.held_step == self.step + 1 for rank in self.ranks)
+        if not is_held:
+            self.step += 1
+            self.versions_by_pass.append([r.begin_pass(self.step) for r in self.ranks])
+        for rank in self.ranks:
+            rank.record_report()
+        return not is_held
