Divide the slots of rank groups among gateways, and ask a rank before taking a call back

Cause: at 35 gateways a digest is 400 ms old on average. All gateways saw the same free slots, chose the same ranks, and calls queued there while others stood empty. A call that waited its turn at a rank then counted as stuck after 700 ms, because the gateway had no other stream there, and was taken back and sent again.

Ruled out: fresher digests (bytes between data centres are the third largest price of the large site).

Change: all slots of a group's ranks are ordered by a hash, and each gateway first uses a range that is as long as its share of all calls, which digests carry. Beyond it, and for plain services, it takes the least loaded of a sample of the free targets, whose size falls from all to two with the number of calls that peers may have placed unseen. A silent rank is asked for its report; a call is taken back if the rank does not answer, has free slots and no queue, or has kept it for twice its expected wait. Reads from ranks have the timeout that they were meant to have.

--- a/carobroute/gateway/_context.py
+++ b/carobroute/gateway/_context.py
@@ -8,6 +8,7 @@
 from carobroute.gateway._parameters import GatewayParameters
 from carobroute.gateway._rank_groups import PassTimeEstimators
 from carobroute.gateway._retry_budget import RetryBudget
+from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._target_pool import TargetPool
 from carobroute.gateway._targets import TargetDirectory
@@ -35,6 +36,8 @@
         Connections to targets.
     retry_budget : RetryBudget
         Limit on retries.
+    stuck_calls : StuckCallDetector
+        Finds calls that a rank has lost.
     suspects : SuspectRequests
         Requests that were in flight when targets crashed.
     pass_time_estimators : PassTimeEstimators
@@ -55,6 +58,7 @@
         "random",
         "recorder",
         "retry_budget",
+        "stuck_calls",
         "suspects",
     )
 
@@ -69,6 +73,7 @@
         dispatcher: Dispatcher,
         pool: TargetPool,
         retry_budget: RetryBudget,
+        stuck_calls: StuckCallDetector,
         suspects: SuspectRequests,
         pass_time_estimators: PassTimeEstimators,
         recorder: CallRecorder,
@@ -81,6 +86,7 @@
         self.dispatcher = dispatcher
         self.pool = pool
         self.retry_budget = retry_budget
+        self.stuck_calls = stuck_calls
         self.suspects = suspects
         self.pass_time_estimators = pass_time_estimators
         self.recorder = recorder
--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -4,7 +4,7 @@
 import heapq
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Mapping
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -15,6 +15,10 @@
 from carobroute.gateway._targets import Target, TargetDirectory
 from carobroute.utils import Clock
 
+MS_PER_S = 1_000
+# The lower loaded of two random targets is far better than one random target.
+MIN_SAMPLE_SIZE = 2
+
 
 class DispatchParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Weights, limits and intervals of the dispatcher.
@@ -125,6 +129,12 @@
 class Dispatcher:
     """Assigns calls to targets with a free slot, and queues the others.
 
+    Gateways learn of each other's calls with a delay. If all of them chose the target
+    with the lowest known load, they would choose the same one. So a gateway first uses
+    its own share of the slots of rank groups. Otherwise, it compares a random sample
+    of the free targets. The more calls other gateways may have placed unseen, the
+    smaller the sample is, down to two.
+
     The queue is kept here and not at the targets, so that a call goes to the target
     that has the next free slot. A call whose expected wait exceeds its limit is
     refused at once.
@@ -143,6 +153,12 @@
         Weights, limits and intervals.
     on_change : callable, default=None
         Called when a call begins or ends at a target.
+    unseen_ms : callable, default=None
+        Returns the sum of the ages of what is known of each other gateway; None if
+        there are no other gateways.
+    own_slots : callable, default=None
+        Returns how many slots of each target of a service this gateway uses first;
+        None if the slots are not divided.
     """
 
     __slots__ = (
@@ -151,11 +167,15 @@
         "_completion_times_ms",
         "_data_centre",
         "_directory",
+        "_grant_times_ms",
         "_last_sequence",
         "_on_change",
+        "_own_slots",
         "_parameters",
         "_queues",
         "_random",
+        "_request_times_ms",
+        "_unseen_ms",
     )
 
     def __init__(
@@ -167,8 +187,12 @@
         directory: TargetDirectory,
         parameters: DispatchParameters | None = None,
         on_change: Callable[[], None] | None = None,
+        unseen_ms: Callable[[], float] | None = None,
+        own_slots: Callable[[str], Mapping[str, int]] | None = None,
     ):
         self._on_change = on_change or (lambda: None)
+        self._unseen_ms = unseen_ms or (lambda: 0.0)
+        self._own_slots = own_slots or (lambda service: {})
         self._clock = clock
         self._random = random
         self._data_centre = data_centre
@@ -176,6 +200,8 @@
         self._parameters = parameters or DispatchParameters()
         self._queues: dict[str, list[_Waiter]] = {}
         self._completion_times_ms: dict[str, deque[float]] = {}
+        self._grant_times_ms: dict[str, deque[float]] = {}
+        self._request_times_ms: deque[float] = deque()
         self._circuit_breakers: dict[str, GroupCircuitBreaker] = {}
         self._last_sequence = 0
 
@@ -184,6 +210,11 @@
         """Interval at which queues are checked while no call of this gateway ends."""
         return self._parameters.queue_check_interval_ms
 
+    @property
+    def engine_calls_per_s(self) -> float:
+        """Recent rate of requests for slots of services with engines."""
+        return self._rate_per_ms(self._request_times_ms) * MS_PER_S
+
     def queue_length(self, service: str) -> int:
         """Return the number of calls that wait for a target of `service`."""
         return len(self._queues.get(service, ()))
@@ -198,6 +229,8 @@
             wait exceeds its limit; both with a retry delay.
         """
         service = request.service.name
+        if request.service.engine is not None:
+            self._request_times_ms.append(self._clock.now_ms())
         blocking = self._blocking_breaker(service)
         if blocking is not None:
             return fail(
@@ -282,14 +315,17 @@
         return ahead / rate if rate else self._parameters.default_wait_ms
 
     def _completion_rate_per_ms(self, service: str) -> float:
-        completed_ms = self._completion_times_ms.get(service)
-        if not completed_ms:
+        return self._rate_per_ms(self._completion_times_ms.get(service))
+
+    def _rate_per_ms(self, times_ms: deque[float] | None) -> float:
+        """Return the rate of events within the window, and drop older ones."""
+        if not times_ms:
             return 0.0
         window_ms = self._parameters.completion_window_ms
         oldest_ms = self._clock.now_ms() - window_ms
-        while completed_ms and completed_ms[0] < oldest_ms:
-            completed_ms.popleft()
-        return len(completed_ms) / window_ms
+        while times_ms and times_ms[0] < oldest_ms:
+            times_ms.popleft()
+        return len(times_ms) / window_ms
 
     def _admission_fault(self, request: DispatchRequest) -> Fault | None:
         """Return the reason that a call must not be queued, or None if it may."""
@@ -374,22 +410,44 @@
             list_age_ms=self._directory.age_ms,
         )
         target.in_flight += 1
+        self._grant_times_ms.setdefault(target.entry.service, deque()).append(
+            self._clock.now_ms()
+        )
         self._on_change()
         return grant
 
     def _select_target(self, request: DispatchRequest) -> Target | None:
-        """Return the least loaded usable target with a free slot, or None."""
+        """Return the least loaded of a sample of the free targets, or None."""
         targets = self._candidates(request)
         healthy = [target for target in targets if not target.health.is_ejected]
-        best, min_load = None, float("inf")
-        for target in self._shuffled(healthy or targets):
-            load = self._relative_load(target)
-            if (
-                target.load + 1 <= self._max_calls(target, request.service)
-                and load < min_load
-            ):
-                best, min_load = target, load
-        return best
+        free = [
+            target
+            for target in healthy or targets
+            if target.load + 1 <= self._max_calls(target, request.service)
+        ]
+        if not free:
+            return None
+        if request.service.engine is not None:
+            own_slots = self._own_slots(request.service.name)
+            own = [
+                target
+                for target in free
+                if target.in_flight < own_slots.get(target.incarnation, 0)
+            ]
+            if own:
+                return min(self._random.sample(own, len(own)), key=self._relative_load)
+        size = self._sample_size(request.service.name, len(free))
+        return min(self._random.sample(free, size), key=self._relative_load)
+
+    def _sample_size(self, service: str, free_count: int) -> int:
+        """Return the number of free targets that are compared.
+
+        Other gateways are assumed to place as many calls as this one.
+        """
+        rate_per_ms = self._rate_per_ms(self._grant_times_ms.get(service))
+        unseen_calls = rate_per_ms * self._unseen_ms()
+        size = round(free_count / (1.0 + unseen_calls))
+        return min(free_count, max(MIN_SAMPLE_SIZE, size))
 
     def _candidates(self, request: DispatchRequest) -> list[Target]:
         return [
@@ -398,11 +456,6 @@
             if target.is_usable and target.incarnation not in request.excluded_targets
         ]
 
-    def _shuffled(self, targets: Iterable[Target]) -> list[Target]:
-        shuffled = list(targets)
-        self._random.shuffle(shuffled)
-        return shuffled
-
     def _max_calls(self, target: Target, service: ServiceProfile) -> float:
         if service.engine is not None:
             return target.entry.slots
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -356,19 +356,14 @@
             return min(remaining_ms, parameters.first_event_timeout_ms)
         return remaining_ms * parameters.attempt_time_ratio
 
-    def _is_stuck(self, target: Target, since_ms: float) -> bool:
-        """Return whether a rank is silent while its group makes passes.
-
-        A rank without a free slot is not stuck, and neither is one whose whole group
-        has stopped: another rank would not answer sooner.
-        """
-        stuck_ms = self._context.parameters.stuck_after_ms
+    async def _is_stuck(self, target: Target, since_ms: float) -> bool:
+        """Return whether a call sent to a rank at `since_ms` is lost there."""
         now_ms = self._context.clock.now_ms()
-        if now_ms - max(since_ms, target.last_event_ms) < stuck_ms:
-            return False
-        return (
-            self._context.pass_time_estimators.get(target.group).silent_ms
-            < stuck_ms / 2
+        return await self._context.stuck_calls.is_stuck(
+            target,
+            self._call.service.engine,
+            self._context.pass_time_estimators.get(target.group),
+            now_ms - max(since_ms, target.last_event_ms),
         )
 
     async def _send_unless_stuck(
@@ -384,10 +379,8 @@
         try:
             while not task.done():
                 await asyncio.wait({task}, timeout=STUCK_CHECK_INTERVAL_MS / MS_PER_S)
-                if not task.done() and self._is_stuck(target, since_ms):
-                    detail = (
-                        f"{target.incarnation} is silent while its group has events"
-                    )
+                if not task.done() and await self._is_stuck(target, since_ms):
+                    detail = f"{target.incarnation} neither runs nor queues the call"
                     return fail(ErrorKind.PEER_LOST, detail)
             return task.result()
         finally:
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -62,6 +62,8 @@
     crashes_by_request : dict of str to list of str
         Target incarnations that crashed with each suspect request in flight, keyed by
         the request's fingerprint.
+    calls_per_s : float
+        Recent rate of calls to rank groups.
     """
 
     incarnation: str
@@ -69,6 +71,7 @@
     number: int
     calls: dict[str, int]
     crashes_by_request: dict[str, list[str]]
+    calls_per_s: float = 0.0
 
 
 class GatewayRow(msgspec.Struct, frozen=True):
@@ -135,6 +138,15 @@
         """Addresses on which these peers receive digests."""
         return {digest.address for digest in self._latest.values()}
 
+    def sum_ages_ms(self) -> float:
+        """Return the sum of the ages of all peers' digests."""
+        now_ms = self._clock.now_ms()
+        return sum(now_ms - heard_ms for heard_ms in self._last_heard_ms.values())
+
+    def calls_per_s(self) -> dict[str, float]:
+        """Return the recent rate of calls to rank groups of each peer."""
+        return {name: digest.calls_per_s for name, digest in self._latest.items()}
+
     def is_gone(self, incarnation: str) -> bool:
         """Return whether a gateway has been silent for so long that it is gone.
 
@@ -205,6 +217,8 @@
         Targets with this gateway's calls in flight.
     suspects : SuspectRequests
         Requests that were in flight when targets crashed.
+    calls_per_s : callable
+        Returns this gateway's recent rate of calls to rank groups.
     on_gateway_count : callable
         Called with the number of known gateways when it changes.
     events : EventLog
@@ -229,6 +243,7 @@
         peer_state: PeerState,
         directory: TargetDirectory,
         suspects: SuspectRequests,
+        calls_per_s: Callable[[], float],
         on_gateway_count: Callable[[int], None],
         events: EventLog,
         clock: Clock,
@@ -243,6 +258,7 @@
         self._peer_state = peer_state
         self._directory = directory
         self._suspects = suspects
+        self._calls_per_s = calls_per_s
         self._on_gateway_count = on_gateway_count
         self._events = events
         self._clock = clock
@@ -338,6 +354,7 @@
                 if target.in_flight
             },
             crashes_by_request=self._suspects.crashes_by_request(),
+            calls_per_s=self._calls_per_s(),
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -20,11 +20,19 @@
 from carobroute.gateway._peers import PeerParameters, PeerProtocol, PeerState
 from carobroute.gateway._rank_groups import PassTimeEstimators, RebalancingLoop
 from carobroute.gateway._retry_budget import RetryBudget
+from carobroute.gateway._slot_shares import SlotShares
 from carobroute.gateway._store_watch import ConfigurationWatcher, TargetListPoller
+from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._target_pool import TargetPool
 from carobroute.gateway._targets import DirectoryChange, TargetDirectory
-from carobroute.platform import READY_PATH, ProcessSettings, RowStore, read_settings
+from carobroute.platform import (
+    READY_PATH,
+    ProcessSettings,
+    RankClient,
+    RowStore,
+    read_settings,
+)
 from carobroute.telemetry import EventLog, LineBuffer, Metrics
 from carobroute.utils import Clock, TaskSet, new_incarnation
 from carobroute.web import WebSite
@@ -70,9 +78,11 @@
         "_peers",
         "_pool",
         "_random",
+        "_rank_client",
         "_settings",
         "_settings_path",
         "_sites",
+        "_slot_shares",
         "_stop",
         "_store",
         "_suspects",
@@ -126,14 +136,26 @@
             lapsed_grace_ms=self._parameters.lapsed_grace_ms,
             peer_calls=self._peer_state.calls_at,
         )
+        self._slot_shares = SlotShares(
+            clock=clock,
+            name=self._incarnation,
+            directory=self._directory,
+            calls_per_s=lambda: {
+                **self._peer_state.calls_per_s(),
+                self._incarnation: self._dispatcher.engine_calls_per_s,
+            },
+        )
         self._dispatcher = Dispatcher(
             clock=clock,
             random=self._random,
             data_centre=self._settings.data_centre,
             directory=self._directory,
             on_change=lambda: self._peers.note_change(),
+            unseen_ms=self._peer_state.sum_ages_ms,
+            own_slots=self._slot_shares.own_slots,
         )
         self._pool = TargetPool(parameters=self._parameters, tasks=self._tasks)
+        self._rank_client = RankClient()
         self._suspects = SuspectRequests(
             clock=clock, crash_limit=self._parameters.crash_limit
         )
@@ -151,6 +173,11 @@
                 share=bounds.retry_share,
                 slack=bounds.retry_slack,
             ),
+            stuck_calls=StuckCallDetector(
+                pool=self._pool,
+                client=self._rank_client,
+                stuck_after_ms=self._parameters.stuck_after_ms,
+            ),
             suspects=self._suspects,
             pass_time_estimators=PassTimeEstimators(clock=clock),
             recorder=CallRecorder(events=self._events, metrics=self._metrics),
@@ -165,6 +192,7 @@
             peer_state=self._peer_state,
             directory=self._directory,
             suspects=self._suspects,
+            calls_per_s=lambda: self._dispatcher.engine_calls_per_s,
             on_gateway_count=self._update_gateway_count,
             events=self._events,
             clock=clock,
@@ -229,6 +257,7 @@
             configuration=self._configuration,
             directory=self._directory,
             pool=self._pool,
+            client=self._rank_client,
             pass_time_estimators=self._context.pass_time_estimators,
             events=self._events,
             clock=self._clock,
--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -144,6 +144,8 @@
         Known targets, among them the ranks.
     pool : TargetPool
         Connections to targets.
+    client : RankClient
+        Client of the ranks' interface.
     pass_time_estimators : PassTimeEstimators
         Estimators of the groups' pass times.
     events : EventLog
@@ -186,6 +188,7 @@
         configuration: ActiveConfiguration,
         directory: TargetDirectory,
         pool: TargetPool,
+        client: RankClient,
         pass_time_estimators: PassTimeEstimators,
         events: EventLog,
         clock: Clock,
@@ -208,7 +211,7 @@
         self._tasks = tasks
         # Groups with a check under way.
         self._checked_groups: set[str] = set()
-        self._client = RankClient()
+        self._client = client
         self._rebalancers: dict[str, GroupRebalancer] = {}
 
     async def run(self) -> None:
--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -21,7 +21,9 @@
 from carobroute.gateway._call_records import CallRecorder
 from carobroute.gateway._context import GatewayContext
 from carobroute.gateway._rank_groups import PassTimeEstimators
+from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._target_pool import TargetPool
+from carobroute.platform import RankClient
 from carobroute.telemetry import EventLog, Metrics
 from carobroute.testing.gateway_data import make_configuration, make_target_entry
 from carobroute.utils import Clock, TaskSet
@@ -200,6 +202,11 @@
             retry_budget=RetryBudget(
                 clock=self.clock, window_ms=10_000.0, share=0.2, slack=20.0
             ),
+            stuck_calls=StuckCallDetector(
+                pool=self.pool,
+                client=RankClient(),
+                stuck_after_ms=self.parameters.stuck_after_ms,
+            ),
             suspects=SuspectRequests(clock=self.clock, crash_limit=2),
             pass_time_estimators=PassTimeEstimators(clock=self.clock),
             recorder=CallRecorder(
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -51,6 +51,7 @@
             peer_state=self.peer_state,
             directory=self.directory,
             suspects=self.suspects,
+            calls_per_s=lambda: 0.0,
             on_gateway_count=self.gateway_counts.append,
             events=EventLog(name=name, stream=log or io.StringIO(), clock=clock),
             clock=clock,
--- a/carobroute/platform/_rank_client.py
+++ b/carobroute/platform/_rank_client.py
@@ -280,7 +280,7 @@
 
     async def _get(self, transport: HttpTransport, path: str) -> Result[bytes, Fault]:
         sent = await transport.send(
-            "GET", path, first_byte_ms=self._order_timeout_ms, new_connection=False
+            "GET", path, first_byte_ms=self._read_timeout_ms, new_connection=False
         )
         if isinstance(sent, Failure):
             return sent
