Do not take a late reading of the target list for a store outage

Ruled out: the way from the store to the gateway; the reading was in time.

Change: an outage is two heartbeats without a reading (an entry lapses three heartbeats after its last renewal, which may be one heartbeat older than the outage), and at least 1.25 intervals. Entries that are still missing are dropped when the grace period ends, not at the next reading. The test failed before with the entry still listed.

--- a/carobroute/gateway/_parameters.py
+++ b/carobroute/gateway/_parameters.py
@@ -2,6 +2,9 @@
 
 import msgspec
 
+# A reading of the target list that is this late, in intervals, follows an outage.
+MIN_OUTAGE_INTERVALS = 1.25
+
 
 class GatewayParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Timeouts, intervals and limits of a gateway that are not in its settings file.
@@ -21,8 +24,10 @@
         First and longest delay after a failed call to the store.
     lapsed_grace_ms : float
         Grace period after a store outage, in which lapsed entries may be renewed.
-    store_outage_ms : float
-        Time without an answer of the store after which entries may have lapsed.
+    store_outage_heartbeats : float
+        Time without an answer of the store after which entries may have lapsed, in
+        heartbeats of the targets. The last renewal may be one heartbeat older than
+        the outage.
     proof_margin_ms : float
         Part of the revocation time that is reserved for a call's way to its target.
     connect_timeout_ms : float
@@ -64,7 +69,7 @@
     store_retry_min_ms: float = 100.0
     store_retry_max_ms: float = 800.0
     lapsed_grace_ms: float = 2_200.0
-    store_outage_ms: float = 1_500.0
+    store_outage_heartbeats: float = 2.0
     proof_margin_ms: float = 400.0
     connect_timeout_ms: float = 400.0
     keep_alive_ms: float = 1_500.0
@@ -78,6 +83,38 @@
     body_buffer_bytes: int = 1 << 20
     crash_limit: int = 2
 
+    def target_poll_interval_ms(self, drain_ms: float) -> float:
+        """Return the interval between two readings of the list of targets.
+
+        Parameters
+        ----------
+        drain_ms : float
+            Time within which calls to a leaving target must stop, in milliseconds.
+        """
+        return self.target_poll_ratio * drain_ms
+
+    def store_outage_ms(self, drain_ms: float, heartbeat_ms: float) -> float:
+        """Return the time between two readings after which entries may have lapsed.
+
+        Parameters
+        ----------
+        drain_ms : float
+            Time within which calls to a leaving target must stop, in milliseconds.
+        heartbeat_ms : float
+            Interval at which targets renew their entries, in milliseconds.
+
+        Examples
+        --------
+        >>> parameters = GatewayParameters()
+        >>> parameters.store_outage_ms(2_000, 1_200), (
+        ...     parameters.store_outage_ms(8_000, 1_200))
+        (2400.0, 4000.0)
+        """
+        return max(
+            self.store_outage_heartbeats * heartbeat_ms,
+            MIN_OUTAGE_INTERVALS * self.target_poll_interval_ms(drain_ms),
+        )
+
     def watch_timeout_ms(self, revoke_ms: float) -> float:
         """Return the maximum duration of a watch, in milliseconds.
 
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -132,7 +132,9 @@
         )
         self._directory = TargetDirectory(
             clock=clock,
-            store_outage_ms=self._parameters.store_outage_ms,
+            store_outage_ms=self._parameters.store_outage_ms(
+                bounds.drain_ms, self._settings.heartbeat_ms
+            ),
             lapsed_grace_ms=self._parameters.lapsed_grace_ms,
             peer_calls=self._peer_state.calls_at,
         )
@@ -244,8 +246,9 @@
             store=self._store,
             directory=self._directory,
             on_change=self._handle_directory_change,
-            interval_ms=self._parameters.target_poll_ratio
-            * self._settings.bounds.drain_ms,
+            interval_ms=self._parameters.target_poll_interval_ms(
+                self._settings.bounds.drain_ms
+            ),
             parameters=self._parameters,
             events=self._events,
             clock=self._clock,
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -323,7 +323,9 @@
                     name, target=incarnation, **self._describe(incarnation)
                 )
         self._on_change(change)
-        return self._interval_ms
+        # Entries that are still missing at the end of a grace period are gone then.
+        grace_ms = self._directory.grace_remaining_ms
+        return min(self._interval_ms, grace_ms) if grace_ms else self._interval_ms
 
     def _describe(self, incarnation: str) -> dict[str, str]:
         target = self._directory.find(incarnation)
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -118,7 +118,8 @@
     clock : Clock
         Source of time.
     store_outage_ms : float
-        Time without a reading after which entries may have lapsed.
+        Time without a reading after which entries may have lapsed. It must be longer
+        than the interval of the readings.
     lapsed_grace_ms : float
         Grace period in which lapsed entries may be renewed.
     health : HealthParameters, default=None
@@ -166,6 +167,11 @@
             return float("inf")
         return self._clock.boot_time_ms() - self._last_read_ms
 
+    @property
+    def grace_remaining_ms(self) -> float:
+        """Time until missing entries count as gone; 0 without a grace period."""
+        return max(0.0, self._grace_until_ms - self._clock.boot_time_ms())
+
     def targets(self, service: str) -> list[Target]:
         """Return the targets of a service, including those that are leaving."""
         return self._targets_by_service.get(service, [])
--- a/carobroute/gateway/tests/test_targets.py
+++ b/carobroute/gateway/tests/test_targets.py
@@ -1,7 +1,7 @@
 """Usability of targets that leave, whose entries lapse, or that restart."""
 
 from carobroute.domain import ListedTargetState
-from carobroute.gateway import TargetDirectory
+from carobroute.gateway import GatewayParameters, TargetDirectory
 from carobroute.platform import ReportedLoad
 from carobroute.testing.gateway_data import make_target_entry
 from carobroute.utils import ManualClock
@@ -85,3 +85,18 @@
     assert (target.other_calls, target.load) == (4, 6)
     clock.advance_ms(400)
     assert target.other_calls == 0
+
+
+def test_removed_entry_ends_a_target_at_the_longest_interval_of_readings():
+    """A grace period that each reading renews would keep the target for ever."""
+    clock = ManualClock()
+    parameters = GatewayParameters()
+    interval_ms = parameters.target_poll_interval_ms(4_000.0)
+    directory = TargetDirectory(
+        clock=clock,
+        store_outage_ms=parameters.store_outage_ms(4_000.0, 1_200.0),
+        lapsed_grace_ms=parameters.lapsed_grace_ms,
+    )
+    directory.update([make_target_entry(), make_target_entry(incarnation="i-2")])
+    clock.advance_ms(interval_ms)
+    assert directory.update([make_target_entry()]).gone == ["i-2"]
--- a/carobroute/platform/_process_settings.py
+++ b/carobroute/platform/_process_settings.py
@@ -57,6 +57,9 @@
         First and last port for traffic between instances.
     store_address : str
         `host:port` of the platform's store.
+    heartbeat_ms : float
+        Interval at which targets renew their entries in the list. An entry lapses
+        after three of them without a renewal.
     bounds : PlatformDeadlines
         Deadlines and retry limits.
     """
@@ -70,6 +73,7 @@
     ready_address: str
     peer_ports: tuple[int, int]
     store_address: str
+    heartbeat_ms: float = 1_200.0
     bounds: PlatformDeadlines
 
 
@@ -104,6 +108,7 @@
     platform: _WirePlatform
     zones: dict[str, str] = {}
     port_range: tuple[int, int] = (0, 0)
+    heartbeat_ms: float = 1_200
     bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
 
 
@@ -128,6 +133,7 @@
             ready_address=wire.listen.ready,
             peer_ports=wire.port_range,
             store_address=wire.platform.address,
+            heartbeat_ms=wire.heartbeat_ms,
             bounds=PlatformDeadlines(
                 drain_ms=bounds.drain_ms,
                 stop_ms=bounds.grace_s * 1_000,
