Follow a few readers of the store, and leave a duty to the gateway that says it holds it

Ruled out: reading less often for all (the bounds on revoked keys and leaving targets need it); passing lists on (bytes between data centres are the third largest price).

Change: three gateways, by a hash of their names among those that reach the store, read as before. Digests carry the version of the configuration and a hash of the list, each with the time at which the store held it, by the store's clock. A gateway that knows the same is confirmed as of that time; one that knows something else reads. Each reads for itself as well when what it knows grows too old. Times are converted so that a confirmation is never taken for younger than it is, and times from the future are not believed. Digests also name duties that are held; a free one is tried first by the gateway with the largest link, then by the others in turn.

--- a/carobroute/gateway/_configuration.py
+++ b/carobroute/gateway/_configuration.py
@@ -129,13 +129,21 @@
     resume.
     """
 
-    __slots__ = ("_clock", "_max_proof_age_ms", "_proof_ms", "_table")
+    __slots__ = (
+        "_clock",
+        "_max_proof_age_ms",
+        "_proof_ms",
+        "_proof_store_ms",
+        "_table",
+    )
 
     def __init__(self, *, clock: Clock, revoke_ms: float, margin_ms: float):
         self._clock = clock
         self._max_proof_age_ms = revoke_ms - margin_ms if revoke_ms else float("inf")
         self._table: RoutingTable | None = None
         self._proof_ms = 0.0
+        # The same time by the store's clock.
+        self._proof_store_ms = 0.0
 
     @property
     def table(self) -> RoutingTable | None:
@@ -147,6 +155,11 @@
         """Time since the store provably held no newer configuration."""
         return self._clock.boot_time_ms() - self._proof_ms
 
+    @property
+    def proof_store_ms(self) -> float:
+        """Time by the store's clock at which it provably held nothing newer."""
+        return self._proof_store_ms
+
     @property
     def max_proof_age_ms(self) -> float:
         """Age of the proof from which keys are no longer accepted."""
@@ -167,6 +180,15 @@
         self._table = RoutingTable(configuration=configuration)
         return True
 
-    def confirm_current(self, confirmed_ms: float) -> None:
-        """Record that the store held no newer configuration at `confirmed_ms`."""
+    def confirm_current(self, confirmed_ms: float, store_ms: float = 0.0) -> None:
+        """Record that the store held no newer configuration at a time.
+
+        Parameters
+        ----------
+        confirmed_ms : float
+            That time as a boot time of this machine.
+        store_ms : float, default=0.0
+            The same time by the store's clock, or an earlier one.
+        """
         self._proof_ms = max(self._proof_ms, confirmed_ms)
+        self._proof_store_ms = max(self._proof_store_ms, store_ms)
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure
 
+from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._targets import TargetDirectory
 from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
@@ -43,7 +44,7 @@
     max_interval_ms: float = 300.0
     calls_expiry_ms: float = 1_200.0
     gone_after_ms: float = 1_200.0
-    lookup_interval_ms: float = 10_000.0
+    lookup_interval_ms: float = 30_000.0
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
@@ -64,6 +65,12 @@
         the request's fingerprint.
     calls_per_s : float
         Recent rate of calls to rank groups.
+    knowledge : StoreKnowledge
+        What the gateway knows of the store.
+    duties : list of str
+        Duties that the gateway holds.
+    capacity : float
+        Bandwidth of the gateway's link, in Mbit/s.
     """
 
     incarnation: str
@@ -72,6 +79,9 @@
     calls: dict[str, int]
     crashes_by_request: dict[str, list[str]]
     calls_per_s: float = 0.0
+    knowledge: StoreKnowledge = StoreKnowledge()
+    duties: list[str] = []
+    capacity: float = 0.0
 
 
 class GatewayRow(msgspec.Struct, frozen=True):
@@ -147,6 +157,32 @@
         """Return the recent rate of calls to rank groups of each peer."""
         return {name: digest.calls_per_s for name, digest in self._latest.items()}
 
+    def knowledge(self) -> dict[str, StoreKnowledge]:
+        """Return what each peer knows of the store."""
+        return {name: digest.knowledge for name, digest in self._latest.items()}
+
+    def find_holder(self, duty: str) -> str:
+        """Return the peer that says that it holds a duty; empty for none.
+
+        A peer that has been silent for too long does not count.
+        """
+        for name, digest in self._latest.items():
+            if duty in digest.duties and not self.is_gone(name):
+                return name
+        return ""
+
+    def count_stronger(self, name: str, capacity: float) -> int:
+        """Return the number of peers that a gateway leaves a duty to.
+
+        These are the live peers with a larger link, or with an equal one and a name
+        that comes first.
+        """
+        own = (-capacity, name)
+        return sum(
+            (-digest.capacity, peer) < own and not self.is_gone(peer)
+            for peer, digest in self._latest.items()
+        )
+
     def is_gone(self, incarnation: str) -> bool:
         """Return whether a gateway has been silent for so long that it is gone.
 
@@ -219,6 +255,12 @@
         Requests that were in flight when targets crashed.
     calls_per_s : callable
         Returns this gateway's recent rate of calls to rank groups.
+    shared : SharedReads
+        What this gateway and its peers know of the store.
+    duties : callable
+        Returns the duties that this gateway holds.
+    capacity : float
+        Bandwidth of this gateway's link, in Mbit/s.
     on_gateway_count : callable
         Called with the number of known gateways when it changes.
     events : EventLog
@@ -244,6 +286,9 @@
         directory: TargetDirectory,
         suspects: SuspectRequests,
         calls_per_s: Callable[[], float],
+        shared: SharedReads,
+        duties: Callable[[], list[str]],
+        capacity: float,
         on_gateway_count: Callable[[int], None],
         events: EventLog,
         clock: Clock,
@@ -259,6 +304,9 @@
         self._directory = directory
         self._suspects = suspects
         self._calls_per_s = calls_per_s
+        self._shared = shared
+        self._duties = duties
+        self._capacity = capacity
         self._on_gateway_count = on_gateway_count
         self._events = events
         self._clock = clock
@@ -305,6 +353,14 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(wait_ms / 1_000, self._send)
 
+    def share_change(self) -> None:
+        """Send a digest at once if peers rely on what this gateway has read."""
+        if not self._shared.is_reader:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        self._send()
+
     # Callbacks of the event loop.
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
@@ -325,6 +381,7 @@
             digest
         ):
             return
+        self._shared.apply_knowledge(digest.knowledge)
         for fingerprint, incarnations in digest.crashes_by_request.items():
             for incarnation in incarnations:
                 self._suspects.add_crash(fingerprint, incarnation)
@@ -355,6 +412,9 @@
             },
             crashes_by_request=self._suspects.crashes_by_request(),
             calls_per_s=self._calls_per_s(),
+            knowledge=self._shared.current_knowledge(),
+            duties=self._duties(),
+            capacity=self._capacity,
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -20,6 +20,7 @@
 from carobroute.gateway._peers import PeerParameters, PeerProtocol, PeerState
 from carobroute.gateway._rank_groups import PassTimeEstimators, RebalancingLoop
 from carobroute.gateway._retry_budget import RetryBudget
+from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._slot_shares import SlotShares
 from carobroute.gateway._store_watch import ConfigurationWatcher, TargetListPoller
 from carobroute.gateway._stuck_calls import StuckCallDetector
@@ -70,6 +71,7 @@
         "_directory",
         "_dispatcher",
         "_events",
+        "_groups",
         "_incarnation",
         "_line_buffer",
         "_metrics",
@@ -81,6 +83,7 @@
         "_rank_client",
         "_settings",
         "_settings_path",
+        "_shared_reads",
         "_sites",
         "_slot_shares",
         "_stop",
@@ -138,6 +141,13 @@
             lapsed_grace_ms=self._parameters.lapsed_grace_ms,
             peer_calls=self._peer_state.calls_at,
         )
+        self._shared_reads = SharedReads(
+            clock=clock,
+            name=self._incarnation,
+            configuration=self._configuration,
+            directory=self._directory,
+            peers=self._peer_state.knowledge,
+        )
         self._slot_shares = SlotShares(
             clock=clock,
             name=self._incarnation,
@@ -184,6 +194,25 @@
             pass_time_estimators=PassTimeEstimators(clock=clock),
             recorder=CallRecorder(events=self._events, metrics=self._metrics),
         )
+        self._groups = RebalancingLoop(
+            holder=self._incarnation,
+            store=self._store,
+            configuration=self._configuration,
+            directory=self._directory,
+            pool=self._pool,
+            client=self._rank_client,
+            pass_time_estimators=self._context.pass_time_estimators,
+            events=self._events,
+            clock=clock,
+            random=self._random,
+            is_gone=self._peer_state.is_gone,
+            find_holder=self._peer_state.find_holder,
+            count_stronger=lambda: self._peer_state.count_stronger(
+                self._incarnation, self._settings.link_mbps
+            ),
+            is_stopping=lambda: self._context.is_stopping,
+            tasks=self._tasks,
+        )
         # Until peers are known, assume one gateway in each data centre.
         self._context.retry_budget.set_gateway_count(len(self._settings.data_centres))
         self._peers = PeerProtocol(
@@ -195,6 +224,9 @@
             directory=self._directory,
             suspects=self._suspects,
             calls_per_s=lambda: self._dispatcher.engine_calls_per_s,
+            shared=self._shared_reads,
+            duties=lambda: self._groups.held_duties,
+            capacity=self._settings.link_mbps,
             on_gateway_count=self._update_gateway_count,
             events=self._events,
             clock=clock,
@@ -234,6 +266,8 @@
 
     def _spawn_background_tasks(self) -> None:
         configuration = ConfigurationWatcher(
+            shared=self._shared_reads,
+            on_change=self._peers.share_change,
             store=self._store,
             configuration=self._configuration,
             wait_ms=self._parameters.watch_timeout_ms(self._settings.bounds.revoke_ms),
@@ -243,6 +277,7 @@
             random=self._random,
         )
         targets = TargetListPoller(
+            shared=self._shared_reads,
             store=self._store,
             directory=self._directory,
             on_change=self._handle_directory_change,
@@ -254,22 +289,7 @@
             clock=self._clock,
             random=self._random,
         )
-        groups = RebalancingLoop(
-            holder=self._incarnation,
-            store=self._store,
-            configuration=self._configuration,
-            directory=self._directory,
-            pool=self._pool,
-            client=self._rank_client,
-            pass_time_estimators=self._context.pass_time_estimators,
-            events=self._events,
-            clock=self._clock,
-            random=self._random,
-            is_gone=self._peer_state.is_gone,
-            is_stopping=lambda: self._context.is_stopping,
-            tasks=self._tasks,
-        )
-        self._tasks.spawn(groups.run(), name="rebalance groups")
+        self._tasks.spawn(self._groups.run(), name="rebalance groups")
         self._tasks.spawn(configuration.run(), name="watch configuration")
         self._tasks.spawn(targets.run(), name="watch targets")
         self._tasks.spawn(self._dispatch_periodically(), name="dispatch queued calls")
@@ -293,6 +313,8 @@
                     target=incarnation,
                     requests=",".join(fingerprints),
                 )
+        if change.joined or change.leaving or change.gone:
+            self._peers.share_change()
         self._pool.drop_gone()
 
     async def _listen(self) -> WebSite:
--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -156,6 +156,10 @@
         Random number generator.
     is_gone : callable
         Returns whether a gateway incarnation is known to have ended.
+    find_holder : callable
+        Returns the live gateway that says that it holds a duty, or an empty string.
+    count_stronger : callable
+        Returns the number of live gateways that should take a duty rather than this.
     is_stopping : callable
         Returns whether this process is stopping; no switch begins then.
     tasks : TaskSet
@@ -167,8 +171,11 @@
         "_client",
         "_clock",
         "_configuration",
+        "_count_stronger",
         "_directory",
+        "_duties",
         "_events",
+        "_find_holder",
         "_holder",
         "_is_gone",
         "_is_stopping",
@@ -194,6 +201,8 @@
         clock: Clock,
         random: random.Random,
         is_gone: Callable[[str], bool],
+        find_holder: Callable[[str], str],
+        count_stronger: Callable[[], int],
         is_stopping: Callable[[], bool],
         tasks: TaskSet,
     ):
@@ -207,12 +216,20 @@
         self._clock = clock
         self._random = random
         self._is_gone = is_gone
+        self._find_holder = find_holder
+        self._count_stronger = count_stronger
         self._is_stopping = is_stopping
         self._tasks = tasks
         # Groups with a check under way.
         self._checked_groups: set[str] = set()
         self._client = client
         self._rebalancers: dict[str, GroupRebalancer] = {}
+        self._duties: dict[str, StoredDuty] = {}
+
+    @property
+    def held_duties(self) -> list[str]:
+        """Names of the duties that this process holds."""
+        return [duty.name for duty in self._duties.values() if duty.is_held]
 
     async def run(self) -> None:
         """Rebalance groups until the process stops, then release their duties."""
@@ -253,7 +270,10 @@
                 events=self._events,
                 clock=self._clock,
                 is_gone=self._is_gone,
+                find_holder=self._find_holder,
+                count_stronger=self._count_stronger,
             )
+            self._duties[group] = duty
             rebalancer = self._rebalancers[group] = GroupRebalancer(
                 duty=duty,
                 coordinator=self._holder,
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -9,6 +9,7 @@
 from carobroute.errors import ErrorKind, Fault
 from carobroute.gateway._configuration import ActiveConfiguration
 from carobroute.gateway._parameters import GatewayParameters
+from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._targets import DirectoryChange, TargetDirectory
 from carobroute.platform import (
     CONFIGURATION_KEY,
@@ -23,6 +24,12 @@
 from carobroute.telemetry import EventLog
 from carobroute.utils import Clock
 
+# Interval at which a gateway that follows its peers checks whether it must read.
+FOLLOW_CHECK_INTERVAL_MS = 40.0
+# Longest watch of a gateway whose proofs others use. It exceeds the second for which
+# the store may withhold changes.
+MAX_FOLLOWED_WATCH_MS = 1_150.0
+
 
 class Backoff:
     """Exponential backoff with jitter.
@@ -112,6 +119,10 @@
         Source of time.
     random : random.Random
         Random number generator.
+    shared : SharedReads, default=None
+        What peers know of the store; None to read all the time.
+    on_change : callable, default=None
+        Called when another configuration has become active.
 
     Notes
     -----
@@ -127,6 +138,8 @@
         "_configuration",
         "_events",
         "_monitor",
+        "_on_change",
+        "_shared",
         "_store",
         "_version",
         "_wait_ms",
@@ -142,7 +155,11 @@
         events: EventLog,
         clock: Clock,
         random: random.Random,
+        shared: SharedReads | None = None,
+        on_change: Callable[[], None] | None = None,
     ):
+        self._shared = shared
+        self._on_change = on_change or (lambda: None)
         self._store = store
         self._configuration = configuration
         self._wait_ms = wait_ms
@@ -161,6 +178,11 @@
     async def run(self) -> None:
         """Watch until cancelled."""
         while True:
+            if self._shared and not self._shared.should_read_configuration():
+                # The next call is a read, which is answered at once.
+                self._version = None
+                await self._clock.sleep_ms(FOLLOW_CHECK_INTERVAL_MS)
+                continue
             wait_ms = await self.poll_once()
             if wait_ms:
                 await self._clock.sleep_ms(wait_ms)
@@ -174,12 +196,20 @@
         self._monitor.note_success()
         self._backoff.reset()
         answer = answered.unwrap()
+        # The store's time when the call was sent, or somewhat before.
+        store_ms = answer.store_ms - (self._clock.boot_time_ms() - sent_ms)
+        if self._shared:
+            self._shared.reaches_store = True
+            self._shared.is_configuration_outdated = False
+            self._shared.store_clock.note_answer(
+                sent_ms=sent_ms, store_ms=answer.store_ms
+            )
         rows = [row for row in answer.rows if row.key == CONFIGURATION_KEY]
         is_readable = all([self._apply_row(row) for row in rows])
         if self._version is None or rows:
             self._version = answer.version
         if is_readable and self._configuration.table is not None:
-            self._configuration.confirm_current(sent_ms)
+            self._configuration.confirm_current(sent_ms, store_ms)
         if self._configuration.table is None:
             # Without a first configuration, the next call is delayed like a retry.
             return self._backoff.next_ms()
@@ -192,10 +222,11 @@
                 first=CONFIGURATION_KEY,
                 end=CONFIGURATION_KEY + "\0",
             )
+        wait_ms = self._wait_ms
+        if self._shared and self._shared.has_followers:
+            wait_ms = min(wait_ms, MAX_FOLLOWED_WATCH_MS)
         return await self._store.watch(
-            CONFIGURATION_TABLE,
-            after=self._version,
-            wait_ms=self._wait_ms,
+            CONFIGURATION_TABLE, after=self._version, wait_ms=wait_ms
         )
 
     def _note_failure(self, fault: Fault) -> float:
@@ -203,6 +234,8 @@
         self._version = None
         if fault.kind is ErrorKind.CONFLICT:
             return 0.0
+        if self._shared:
+            self._shared.reaches_store = False
         self._monitor.note_failure(fault)
         return self._backoff.next_ms()
 
@@ -228,6 +261,7 @@
                 routes=len(configuration.routes),
                 teams=len(configuration.teams),
             )
+            self._on_change()
         return True
 
 
@@ -252,6 +286,8 @@
         Source of time.
     random : random.Random
         Random number generator.
+    shared : SharedReads, default=None
+        What peers know of the store; None to read all the time.
 
     Notes
     -----
@@ -267,6 +303,7 @@
         "_interval_ms",
         "_monitor",
         "_on_change",
+        "_shared",
         "_store",
         "_unreadable_keys",
     )
@@ -282,7 +319,9 @@
         events: EventLog,
         clock: Clock,
         random: random.Random,
+        shared: SharedReads | None = None,
     ):
+        self._shared = shared
         self._store = store
         self._directory = directory
         self._on_change = on_change
@@ -302,17 +341,43 @@
     async def run(self) -> None:
         """Read the list until cancelled."""
         while True:
-            await self._clock.sleep_ms(await self.poll_once())
+            wait_ms = await self.poll_once()
+            await self._clock.sleep_ms(
+                min(wait_ms, FOLLOW_CHECK_INTERVAL_MS) if self._shared else wait_ms
+            )
+            if self._shared:
+                await self._follow(wait_ms)
+
+    async def _follow(self, wait_ms: float) -> None:
+        """Wait until the list must be read, which peers may put off or bring forward.
+
+        After a failure or in a grace period, `wait_ms` is shorter than the interval.
+        """
+        assert self._shared is not None
+        due_ms = self._clock.now_ms() + wait_ms
+        while not self._shared.should_read_targets(self._interval_ms):
+            is_due = self._clock.now_ms() >= due_ms
+            if is_due and wait_ms < self._interval_ms:
+                return
+            await self._clock.sleep_ms(FOLLOW_CHECK_INTERVAL_MS)
 
     async def poll_once(self) -> float:
         """Read the list once, and return the delay before the next reading."""
+        sent_ms = self._clock.boot_time_ms()
         answered = await self._store.read_all(TARGET_TABLE)
         if isinstance(answered, Failure):
             self._monitor.note_failure(answered.failure())
             return self._backoff.next_ms()
         self._monitor.note_success()
         self._backoff.reset()
-        change = self._directory.update(self._decode(answered.unwrap().rows))
+        answer = answered.unwrap()
+        if self._shared:
+            self._shared.is_target_list_outdated = False
+            self._shared.store_clock.note_answer(
+                sent_ms=sent_ms, store_ms=answer.store_ms
+            )
+        store_ms = answer.store_ms - (self._clock.boot_time_ms() - sent_ms)
+        change = self._directory.update(self._decode(answer.rows), store_ms)
         for name, incarnations in (
             ("target_joined", change.joined),
             ("target_leaving", change.leaving),
--- a/carobroute/gateway/_stored_duty.py
+++ b/carobroute/gateway/_stored_duty.py
@@ -26,6 +26,9 @@
 # Delay after a failed attempt: another process took the duty first, or the store is
 # unavailable.
 RETRY_INTERVAL_MS = 400.0
+# Delay with which each further process tries to take a free duty, and its upper limit.
+TURN_DELAY_MS = 60.0
+MAX_TURN_DELAY_MS = 900.0
 
 
 class DutyRow(msgspec.Struct, frozen=True, kw_only=True):
@@ -53,11 +56,20 @@
     is_gone : callable
         Returns whether a holder is known to have ended, so that its duty may be taken
         before the term ends.
+    find_holder : callable, default=None
+        Returns the live process that says that it holds a duty, or an empty string;
+        None if processes do not tell each other.
+    count_stronger : callable, default=None
+        Returns the number of live processes that should take a duty rather than this
+        one; None for none.
     """
 
     __slots__ = (
         "_clock",
+        "_count_stronger",
         "_events",
+        "_find_holder",
+        "_free_since_ms",
         "_holder",
         "_is_gone",
         "_name",
@@ -77,8 +89,14 @@
         events: EventLog,
         clock: Clock,
         is_gone: Callable[[str], bool],
+        find_holder: Callable[[str], str] | None = None,
+        count_stronger: Callable[[], int] | None = None,
     ):
         self._is_gone = is_gone
+        self._find_holder = find_holder or (lambda name: "")
+        self._count_stronger = count_stronger or (lambda: 0)
+        # Time at which this process first saw the duty without a holder.
+        self._free_since_ms: float | None = None
         self._name = name
         self._holder = holder
         self._store = store
@@ -91,6 +109,17 @@
         # Holder of the duty at the last attempt, if that was another process.
         self._other_holder = ""
 
+    @property
+    def name(self) -> str:
+        """Name of the duty."""
+        return self._name
+
+    @property
+    def is_held(self) -> bool:
+        """Whether this process holds the duty and its term has not ended."""
+        is_in_term = self._clock.boot_time_ms() < self._term_end_ms
+        return self._row_version is not None and is_in_term
+
     async def acquire(self) -> bool:
         """Acquire or renew the duty, and return whether this process holds it."""
         now_ms = self._clock.boot_time_ms()
@@ -104,9 +133,26 @@
             self._other_holder and self._is_gone(self._other_holder)
         ):
             return False
+        if self._row_version is None and not self._is_own_turn(now_ms):
+            return False
         self._other_holder = ""
         return await self._acquire_or_renew(now_ms)
 
+    def _is_own_turn(self, now_ms: float) -> bool:
+        """Return whether this process should try to take the duty now.
+
+        While a live process says that it holds the duty, the store is not asked. When
+        there is none, the strongest process tries first, and the others follow in
+        turn, so that not all ask at once.
+        """
+        if self._find_holder(self._name):
+            self._free_since_ms = None
+            return False
+        if self._free_since_ms is None:
+            self._free_since_ms = now_ms
+        turn_ms = min(MAX_TURN_DELAY_MS, TURN_DELAY_MS * self._count_stronger())
+        return now_ms >= self._free_since_ms + turn_ms
+
     async def release(self) -> None:
         """Release the duty, so that a successor need not wait for the term to end."""
         version, self._row_version = self._row_version, None
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -1,8 +1,9 @@
 """Targets in the store's list, with the load that this gateway sees there."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import msgspec
+import xxhash
 
 from carobroute.domain import ListedTargetState, TargetEntry
 from carobroute.health import HealthParameters, TargetHealth
@@ -135,6 +136,8 @@
         "_health",
         "_lapsed_grace_ms",
         "_last_read_ms",
+        "_list_hash",
+        "_list_store_ms",
         "_peer_calls",
         "_store_outage_ms",
         "_targets",
@@ -159,10 +162,22 @@
         self._targets_by_service: dict[str, list[Target]] = {}
         self._last_read_ms: float | None = None
         self._grace_until_ms = 0.0
+        self._list_hash = 0
+        self._list_store_ms = 0.0
+
+    @property
+    def list_hash(self) -> int:
+        """Hash of the list that was read last; 0 before the first reading."""
+        return self._list_hash
+
+    @property
+    def list_store_ms(self) -> float:
+        """Time by the store's clock at which it held that list."""
+        return self._list_store_ms
 
     @property
     def age_ms(self) -> float:
-        """Time since the last reading of the list; infinite before the first."""
+        """Time since the list was last read or confirmed; infinite before that."""
         if self._last_read_ms is None:
             return float("inf")
         return self._clock.boot_time_ms() - self._last_read_ms
@@ -184,8 +199,32 @@
         """Return the targets of all services."""
         return list(self._targets.values())
 
-    def update(self, entries: list[TargetEntry]) -> DirectoryChange:
-        """Apply a complete reading of the list, and return the changes."""
+    def confirm(self, read_ms: float, store_ms: float) -> None:
+        """Record that the store still held the same list at a time.
+
+        Parameters
+        ----------
+        read_ms, store_ms : float
+            That time as a boot time of this machine, and by the store's clock.
+        """
+        if self._last_read_ms is not None:
+            self._last_read_ms = max(self._last_read_ms, read_ms)
+            self._list_store_ms = max(self._list_store_ms, store_ms)
+
+    def update(
+        self, entries: list[TargetEntry], store_ms: float = 0.0
+    ) -> DirectoryChange:
+        """Apply a complete reading of the list, and return the changes.
+
+        Parameters
+        ----------
+        entries : list of TargetEntry
+            All entries.
+        store_ms : float, default=0.0
+            Time by the store's clock at which it held them.
+        """
+        self._list_hash = hash_entries(entries)
+        self._list_store_ms = store_ms
         now_ms = self._clock.boot_time_ms()
         if (
             self._last_read_ms is not None
@@ -224,3 +263,22 @@
             peer_calls=self._peer_calls,
         )
         change.joined.append(entry.incarnation)
+
+
+def hash_entries(entries: Iterable[TargetEntry]) -> int:
+    """Return a hash of a list of targets, without what changes all the time.
+
+    Examples
+    --------
+    >>> from carobroute.testing.gateway_data import make_target_entry
+    >>> entries = [make_target_entry(), make_target_entry(incarnation="i-2")]
+    >>> hash_entries(entries) == hash_entries(reversed(entries))
+    True
+    >>> hash_entries(entries) == hash_entries(entries[:1])
+    False
+    """
+    stable = sorted(
+        msgspec.json.encode(msgspec.structs.replace(entry, slow_start_ms=0.0))
+        for entry in entries
+    )
+    return xxhash.xxh64_intdigest(b"\n".join(stable))
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -8,7 +8,9 @@
 import pytest
 import uvloop
 
+from carobroute.gateway import ActiveConfiguration
 from carobroute.gateway._peers import Digest, PeerProtocol, PeerState
+from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
 from carobroute.gateway._stored_duty import StoredDuty
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._targets import TargetDirectory
@@ -52,6 +54,17 @@
             directory=self.directory,
             suspects=self.suspects,
             calls_per_s=lambda: 0.0,
+            shared=SharedReads(
+                clock=clock,
+                name=f"{name}~1",
+                configuration=ActiveConfiguration(
+                    clock=clock, revoke_ms=5_000.0, margin_ms=400.0
+                ),
+                directory=self.directory,
+                peers=self.peer_state.knowledge,
+            ),
+            duties=lambda: [],
+            capacity=100.0,
             on_gateway_count=self.gateway_counts.append,
             events=EventLog(name=name, stream=log or io.StringIO(), clock=clock),
             clock=clock,
@@ -89,7 +102,7 @@
     run(_check_that_two_gateways_exchange_digests())
 
 
-def _duty(holder, store, clock, *, is_gone=lambda holder: False):
+def _duty(holder, store, clock, *, is_gone=lambda holder: False, **options):
     return StoredDuty(
         name="experts/g",
         holder=holder,
@@ -97,9 +110,60 @@
         events=EventLog(name=holder, stream=io.StringIO(), clock=clock),
         clock=clock,
         is_gone=is_gone,
+        **options,
     )
 
 
+async def test_the_store_is_not_asked_for_a_duty_that_a_live_peer_holds():
+    """With many gateways, their questions would be most of the calls to the store."""
+    clock = ManualClock()
+    store = MemoryRowStore(clock=clock)
+    holder = ["a"]
+    duty = _duty("b", store, clock, find_holder=lambda name: holder[0])
+    for _ in range(100):
+        assert not await duty.acquire()
+        clock.advance_ms(50)
+    assert store.calls == 0
+    holder[0] = ""
+    assert await duty.acquire()
+
+
+async def test_the_strongest_gateway_takes_a_free_duty_first():
+    clock = ManualClock()
+    store = MemoryRowStore(clock=clock)
+    strong = _duty("a", store, clock, count_stronger=lambda: 0)
+    weak = _duty("b", store, clock, count_stronger=lambda: 5)
+    assert not await weak.acquire()
+    assert await strong.acquire()
+    assert store.calls == 2
+    # It is taken by another one if the strongest does not act.
+    await strong.release()
+    clock.advance_ms(1_000)
+    assert await weak.acquire()
+
+
+def test_a_duty_is_left_to_live_peers_with_larger_links():
+    clock = ManualClock()
+    peer_state = PeerState(clock=clock, calls_expiry_ms=1_200, gone_after_ms=700)
+    for name, capacity in (("a", 100.0), ("b", 20.0), ("c", 100.0)):
+        digest = Digest(
+            name,
+            f"10.0.0.1:{ord(name)}",
+            1,
+            {},
+            {},
+            0.0,
+            StoreKnowledge(),
+            [],
+            capacity,
+        )
+        peer_state.update(digest)
+    assert peer_state.count_stronger("bb", 100.0) == 1
+    assert peer_state.count_stronger("bb", 20.0) == 3
+    clock.advance_ms(701)
+    assert peer_state.count_stronger("bb", 20.0) == 0
+
+
 async def test_a_duty_has_one_holder_until_its_term_ends():
     clock = ManualClock()
     store = MemoryRowStore(clock=clock)
--- a/carobroute/platform/_process_settings.py
+++ b/carobroute/platform/_process_settings.py
@@ -60,6 +60,8 @@
     heartbeat_ms : float
         Interval at which targets renew their entries in the list. An entry lapses
         after three of them without a renewal.
+    link_mbps : float
+        Bandwidth of the instance's network link; 0 if it is not known.
     bounds : PlatformDeadlines
         Deadlines and retry limits.
     """
@@ -74,6 +76,7 @@
     peer_ports: tuple[int, int]
     store_address: str
     heartbeat_ms: float = 1_200.0
+    link_mbps: float = 0.0
     bounds: PlatformDeadlines
 
 
@@ -94,6 +97,10 @@
     ready: str = ""
 
 
+class _WireCapacity(msgspec.Struct, rename="camel"):
+    link_mbps: float = 0.0
+
+
 class _WirePlatform(msgspec.Struct):
     address: str
 
@@ -109,6 +116,7 @@
     zones: dict[str, str] = {}
     port_range: tuple[int, int] = (0, 0)
     heartbeat_ms: float = 1_200
+    limits: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
     bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
 
 
@@ -134,6 +142,7 @@
             peer_ports=wire.port_range,
             store_address=wire.platform.address,
             heartbeat_ms=wire.heartbeat_ms,
+            link_mbps=wire.limits.link_mbps,
             bounds=PlatformDeadlines(
                 drain_ms=bounds.drain_ms,
                 stop_ms=bounds.grace_s * 1_000,
--- a/carobroute/testing/row_store_data.py
+++ b/carobroute/testing/row_store_data.py
@@ -15,6 +15,7 @@
 from carobroute.utils import Clock
 
 PAGE_ROWS = 500
+WATCH_CHECK_MS = 10.0
 
 
 class MemoryRowStore(RowStore):
@@ -74,14 +75,17 @@
             return fail(ErrorKind.STORE_UNAVAILABLE, "the store is away")
         if after < self.history_from:
             return fail(ErrorKind.CONFLICT, "that history is gone")
-        rows = [
-            row
-            for (name, _), row in self._kept.items()
-            if name == table and row.version > after
-        ]
-        if not rows:
-            await self._clock.sleep_ms(wait_ms)
-        return Success(self._answer(rows))
+        end_ms = self._clock.now_ms() + wait_ms
+        while True:
+            rows = [
+                row
+                for (name, _), row in self._kept.items()
+                if name == table and row.version > after
+            ]
+            remaining_ms = end_ms - self._clock.now_ms()
+            if rows or remaining_ms <= 0:
+                return Success(self._answer(rows))
+            await self._clock.sleep_ms(min(WATCH_CHECK_MS, remaining_ms))
 
     async def transact(
         self,
