Average samples of the demand, bound resent orders, and watch for a first configuration

(3) Gateways polled for the first configuration, and read the list at each change while targets register: 941 of 1,034 calls to the store in 16 s of traffic were made before traffic began.

Change: (1) a sample covers 12 calls, and is averaged with earlier ones until one differs by 0.3 or passes become 15% slower; while passes are well within the gap target a plan must reduce the imbalance by 20%. Logs carry the number of samples and the distance. (2) Refused orders are sent again after growing delays up to 400 ms, and an undo reads the rank's report to learn with which version it is armed. (3) The first configuration is watched for, and the list is read at most every 0.6 intervals. A free duty is left to gateways with larger links also when its term ends: a map for 129 ranks takes 1.7 s on a small link, in place of 0.55 s. Slots and gateways are ordered by data centre.

Ruled out for (1): longer samples (a group pauses 5 ms for each rank that is read).

--- a/carobroute/experts/_rank_group.py
+++ b/carobroute/experts/_rank_group.py
@@ -52,6 +52,8 @@
         Number of times that the group has formed.
     ranks : list of ExpertRankHandle
         Handles of all ranks, in rank order.
+    slots : int
+        Largest number of calls that a rank runs at a time.
     experts : ExpertProfile
         Number, size and limits of the group's experts.
     report_lag_ms : float
@@ -63,6 +65,7 @@
     name: str
     epoch: int
     ranks: list[ExpertRankHandle]
+    slots: int
     experts: ExpertProfile
     report_lag_ms: float
     gap_target_ms: float
--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -47,13 +47,16 @@
     slowdown_ratio : float
         Increase of the pass time, relative to the shortest one since the last plan,
         that indicates other demand for experts.
-    min_imbalance_reduction : float
-        Smallest relative reduction of the imbalance for which a plan is carried out.
+    urgent_pass_share : float
+        Fraction of the gap target from which on small reductions count as well.
+    min_imbalance_reduction, min_urgent_reduction : float
+        Smallest relative reduction of the imbalance for which a plan is carried out,
+        and the same while passes are close to the gap target.
     max_prediction_error : float
         Relative excess of the measured imbalance of a map over the planned one up to
         which the map is left as it is.
-    sample_ranks : int
-        Number of ranks whose counts are read.
+    sample_calls : int
+        Number of calls whose choices are counted, if all slots are taken.
     sample_ms : float
         Time over which choices are counted: one or two passes.
     copy_budget_ms : float
@@ -76,9 +79,11 @@
 
     slow_pass_share: float = 0.5
     slowdown_ratio: float = 1.15
-    min_imbalance_reduction: float = 0.12
-    max_prediction_error: float = 0.15
-    sample_ranks: int = 2
+    urgent_pass_share: float = 0.75
+    min_imbalance_reduction: float = 0.2
+    min_urgent_reduction: float = 0.12
+    max_prediction_error: float = 0.25
+    sample_calls: int = 12
     sample_ms: float = 160.0
     copy_budget_ms: float = 250.0
     retry_interval_ms: float = 400.0
@@ -178,7 +183,7 @@
         self._sampler = CountSampler(
             clock=clock,
             random=random,
-            rank_count=self._parameters.sample_ranks,
+            min_calls=self._parameters.sample_calls,
             duration_ms=self._parameters.sample_ms,
         )
         self._next_action_ms = 0.0
@@ -197,7 +202,9 @@
         """Check the group once, and free or rebalance it if necessary."""
         pass_ms = self._pass_time_estimator.pass_ms
         self._fastest_pass_ms = min(self._fastest_pass_ms or pass_ms, pass_ms)
-        if self._clock.now_ms() < self._next_action_ms and not self._has_slowed_down:
+        if self._has_slowed_down:
+            self._sampler.reset()
+        elif self._clock.now_ms() < self._next_action_ms:
             return
         is_stalled = (
             self._pass_time_estimator.silent_ms > self._parameters.stall_silence_ms
@@ -297,6 +304,7 @@
             version=known.version,
             planned=round(known.planned_imbalance, 2),
             measured=round(measured, 2),
+            distance=round(self._sampler.last_distance, 2),
             pass_ms=round(self._pass_time_estimator.pass_ms, 1),
         )
         return measured <= limit
@@ -344,7 +352,7 @@
         before = compute_imbalance(layout, shares, self._slowdowns)
         planned = await self._plan(group, layout, shares)
         after = compute_imbalance(planned, shares, self._slowdowns)
-        is_accepted = after <= (1 - self._parameters.min_imbalance_reduction) * before
+        is_accepted = after <= (1 - self._min_reduction(group)) * before
         copies = _list_received_counts(layout, planned)
         self._events.event(
             "layout_planned",
@@ -354,6 +362,8 @@
             slowest_rank=max(report.slowdown for report in reports),
             imbalance=round(before, 2),
             planned=round(after, 2),
+            samples=self._sampler.sample_count,
+            distance=round(self._sampler.last_distance, 2),
             copies=sum(copies),
             bought=is_accepted,
         )
@@ -388,6 +398,12 @@
         )
         return 0.0
 
+    def _min_reduction(self, group: RankGroup) -> float:
+        urgent_ms = self._parameters.urgent_pass_share * group.gap_target_ms
+        if self._pass_time_estimator.pass_ms >= urgent_ms:
+            return self._parameters.min_urgent_reduction
+        return self._parameters.min_imbalance_reduction
+
     async def _plan(
         self, group: RankGroup, layout: ExpertLayout, shares: list[list[float]]
     ) -> ExpertLayout:
--- a/carobroute/experts/_sampling.py
+++ b/carobroute/experts/_sampling.py
@@ -1,6 +1,7 @@
 """Sampling of how often a group's calls choose each expert."""
 
 import asyncio
+import math
 import random
 from collections.abc import Sequence
 
@@ -9,11 +10,18 @@
 from carobroute.platform import ExpertCounts
 from carobroute.utils import Clock
 
+# L1 distance of two samples, averaged over the layer sets, from which on they show
+# different demand. It is at most 2.
+MAX_SAMPLE_DISTANCE = 0.3
+# Samples that are averaged; older ones lose weight.
+MAX_SAMPLES = 4
+
 
 class CountSampler:
-    """Reads the counts of a few ranks twice, and returns the difference.
+    """Estimates the demand for experts from the counts of a few ranks.
 
     Each rank counts the choices of its own calls, which are a sample of the group's.
+    Samples are averaged until one differs so much that the demand must have changed.
 
     Parameters
     ----------
@@ -21,33 +29,81 @@
         Source of time.
     random : random.Random
         Random number generator that selects the ranks.
-    rank_count : int
-        Number of ranks whose counts are read. A group pauses for each reading.
+    min_calls : int
+        Number of calls that a sample must cover if all slots of the ranks are taken. A
+        group pauses for each rank that is read.
     duration_ms : float
         Time over which choices are counted.
     """
 
-    __slots__ = ("_clock", "_duration_ms", "_random", "_rank_count")
+    __slots__ = (
+        "_clock",
+        "_demand",
+        "_duration_ms",
+        "_last_distance",
+        "_min_calls",
+        "_random",
+        "_sample_count",
+    )
 
     def __init__(
         self,
         *,
         clock: Clock,
         random: random.Random,
-        rank_count: int,
+        min_calls: int,
         duration_ms: float,
     ):
         self._clock = clock
         self._random = random
-        self._rank_count = rank_count
+        self._min_calls = min_calls
         self._duration_ms = duration_ms
+        # Mean of the samples since the last change of the demand, and their number.
+        self._demand: list[list[float]] = []
+        self._sample_count = 0
+        self._last_distance = 0.0
+
+    @property
+    def sample_count(self) -> int:
+        """Number of samples in the estimate, a measure of how sure it is."""
+        return self._sample_count
+
+    @property
+    def last_distance(self) -> float:
+        """Distance of the last sample from the estimate before it."""
+        return self._last_distance
+
+    def reset(self) -> None:
+        """Forget earlier samples, because the demand has probably changed."""
+        self._demand, self._sample_count = [], 0
 
     async def sample_shares(self, group: RankGroup) -> list[list[float]] | None:
-        """Return each expert's share of the tokens of its layer set.
+        """Return each expert's estimated share of the tokens of its layer set.
 
         Returns None if no choices were counted or a counter was reset.
         """
-        rank_count = min(self._rank_count, len(group.ranks))
+        sample = await self._take_sample(group)
+        if sample is None:
+            return None
+        is_first = not self._demand
+        self._last_distance = 0.0 if is_first else distance(self._demand, sample)
+        is_same = not is_first and self._last_distance < MAX_SAMPLE_DISTANCE
+        self._sample_count = min(self._sample_count, MAX_SAMPLES - 1) if is_same else 0
+        self._sample_count += 1
+        if not is_same:
+            self._demand = sample
+            return sample
+        weight = 1.0 / self._sample_count
+        self._demand = [
+            [old + weight * (new - old) for old, new in zip(*sets, strict=True)]
+            for sets in zip(self._demand, sample, strict=True)
+        ]
+        return self._demand
+
+    async def _take_sample(self, group: RankGroup) -> list[list[float]] | None:
+        rank_count = min(
+            len(group.ranks), max(2, math.ceil(self._min_calls / group.slots))
+        )
         ranks = self._random.sample(group.ranks, rank_count)
         before = await self._read(ranks)
         await self._clock.sleep_ms(self._duration_ms)
@@ -69,3 +125,18 @@
         self, ranks: Sequence[ExpertRankHandle]
     ) -> list[ExpertCounts | None]:
         return list(await asyncio.gather(*(rank.read_counts() for rank in ranks)))
+
+
+def distance(first: list[list[float]], second: list[list[float]]) -> float:
+    """Return the L1 distance of two demands, averaged over the layer sets.
+
+    Examples
+    --------
+    >>> distance([[1.0, 0.0], [0.5, 0.5]], [[0.0, 1.0], [0.5, 0.5]])
+    1.0
+    """
+    distances = [
+        sum(abs(one - other) for one, other in zip(*sets, strict=True))
+        for sets in zip(first, second, strict=True)
+    ]
+    return sum(distances) / len(distances)
--- a/carobroute/experts/_switch.py
+++ b/carobroute/experts/_switch.py
@@ -20,6 +20,9 @@
 # never prepare different maps under one version.
 VERSION_STRIDE = 1 << 16
 
+# Longest delay before a refused order is sent again.
+MAX_RESEND_DELAY_MS = 400.0
+
 ACCEPTED_RESULTS = frozenset({OrderResult.BEGUN, OrderResult.IN_EFFECT})
 
 
@@ -69,7 +72,7 @@
         Delay before an unanswered order is sent again.
     rearm_delay_ms : float
         Delay before a refused order to arm is sent again: the rank still copies
-        experts.
+        experts. It doubles each time.
     prepare_timeout_ms : float
         Longest time until all ranks accept the order to prepare.
     arm_timeout_ms : float
@@ -348,6 +351,7 @@
     async def _arm_rank(self, rank: int) -> bool:
         """Arm a rank for the held pass, once it has copied its experts."""
         deadline_ms = self._clock.now_ms() + self._parameters.arm_timeout_ms
+        delay_ms = self._parameters.rearm_delay_ms
         order = RankOrder(
             action=OrderAction.ARM,
             epoch=self._epoch,
@@ -359,36 +363,47 @@
             result = await self._retry_order(rank, order, remaining_ms)
             if result in ACCEPTED_RESULTS:
                 return True
-            delay_ms = self._parameters.rearm_delay_ms
             is_late = self._clock.now_ms() + delay_ms >= deadline_ms
             if result is not OrderResult.REFUSED or is_late:
                 return False
             await self._clock.sleep_ms(delay_ms)
+            delay_ms = min(MAX_RESEND_DELAY_MS, 2 * delay_ms)
 
     async def _disarm(self, rank: int) -> bool:
-        """Disarm a rank, and make it refuse late orders to arm."""
+        """Disarm a rank, and make it refuse late orders to arm.
+
+        A rank that refuses to prepare the current layout is armed with a version that
+        this process does not know of, or has had a higher one. Its report tells.
+        """
         deadline_ms = self._clock.now_ms() + self._parameters.undo_timeout_ms
-        disarm = RankOrder(
-            action=OrderAction.DISARM, epoch=self._epoch, version=self._version
-        )
+        delay_ms = self._parameters.rearm_delay_ms
+        armed_version = self._version
         version = next_version(self._version, self._version_remainder)
         while self._clock.now_ms() < deadline_ms:
             remaining_ms = deadline_ms - self._clock.now_ms()
-            if not await self._confirm_order(rank, disarm, remaining_ms):
-                return False
+            disarm = RankOrder(
+                action=OrderAction.DISARM, epoch=self._epoch, version=armed_version
+            )
             prepare_current = RankOrder(
                 action=OrderAction.PREPARE,
                 epoch=self._epoch,
                 version=version,
                 layout=self._current,
             )
+            if not await self._confirm_order(rank, disarm, remaining_ms):
+                return False
             result = await self._retry_order(rank, prepare_current, remaining_ms)
             if result in ACCEPTED_RESULTS:
                 return True
-            # A late order has armed the rank again, or the rank has had a higher
-            # version.
-            version += VERSION_STRIDE
-            await self._clock.sleep_ms(self._parameters.resend_delay_ms)
+            await self._clock.sleep_ms(delay_ms)
+            delay_ms = min(MAX_RESEND_DELAY_MS, 2 * delay_ms)
+            report = await self._ranks[rank].read_report()
+            if report is not None and report.epoch != self._epoch:
+                return False
+            if report is not None and report.armed is not None:
+                armed_version = report.armed.version
+            known = max(version, armed_version, (report and report.prepared) or 0)
+            version = next_version(known, self._version_remainder)
         return False
 
     async def _release(self, holds: Sequence[RankHold]) -> bool:
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -71,6 +71,8 @@
         Duties that the gateway holds.
     capacity : float
         Bandwidth of the gateway's link, in Mbit/s.
+    data_centre : str
+        Data centre of the gateway.
     """
 
     incarnation: str
@@ -82,6 +84,7 @@
     knowledge: StoreKnowledge = StoreKnowledge()
     duties: list[str] = []
     capacity: float = 0.0
+    data_centre: str = ""
 
 
 class GatewayRow(msgspec.Struct, frozen=True):
@@ -153,9 +156,15 @@
         now_ms = self._clock.now_ms()
         return sum(now_ms - heard_ms for heard_ms in self._last_heard_ms.values())
 
-    def calls_per_s(self) -> dict[str, float]:
-        """Return the recent rate of calls to rank groups of each peer."""
-        return {name: digest.calls_per_s for name, digest in self._latest.items()}
+    def calls_per_s(self) -> dict[tuple[str, str], float]:
+        """Return the recent rate of calls to rank groups of each peer.
+
+        Keys are the data centre and the incarnation of the peer.
+        """
+        return {
+            (digest.data_centre, name): digest.calls_per_s
+            for name, digest in self._latest.items()
+        }
 
     def knowledge(self) -> dict[str, StoreKnowledge]:
         """Return what each peer knows of the store."""
@@ -261,6 +270,8 @@
         Returns the duties that this gateway holds.
     capacity : float
         Bandwidth of this gateway's link, in Mbit/s.
+    data_centre : str
+        Data centre of this gateway.
     on_gateway_count : callable
         Called with the number of known gateways when it changes.
     events : EventLog
@@ -289,6 +300,7 @@
         shared: SharedReads,
         duties: Callable[[], list[str]],
         capacity: float,
+        data_centre: str,
         on_gateway_count: Callable[[int], None],
         events: EventLog,
         clock: Clock,
@@ -307,6 +319,7 @@
         self._shared = shared
         self._duties = duties
         self._capacity = capacity
+        self._data_centre = data_centre
         self._on_gateway_count = on_gateway_count
         self._events = events
         self._clock = clock
@@ -415,6 +428,7 @@
             knowledge=self._shared.current_knowledge(),
             duties=self._duties(),
             capacity=self._capacity,
+            data_centre=self._data_centre,
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -148,13 +148,15 @@
             directory=self._directory,
             peers=self._peer_state.knowledge,
         )
+        own_key = (self._settings.data_centre, self._incarnation)
         self._slot_shares = SlotShares(
             clock=clock,
+            data_centre=self._settings.data_centre,
             name=self._incarnation,
             directory=self._directory,
             calls_per_s=lambda: {
                 **self._peer_state.calls_per_s(),
-                self._incarnation: self._dispatcher.engine_calls_per_s,
+                own_key: self._dispatcher.engine_calls_per_s,
             },
         )
         self._dispatcher = Dispatcher(
@@ -227,6 +229,7 @@
             shared=self._shared_reads,
             duties=lambda: self._groups.held_duties,
             capacity=self._settings.link_mbps,
+            data_centre=self._settings.data_centre,
             on_gateway_count=self._update_gateway_count,
             events=self._events,
             clock=clock,
--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -330,6 +330,7 @@
                 )
                 for rank in range(entry.group_size)
             ],
+            slots=max(1, entry.slots),
             experts=experts,
             report_lag_ms=service.engine.report_lag_ms,
             gap_target_ms=table.gap_target_ms(entry.service),
--- a/carobroute/gateway/_shared_reads.py
+++ b/carobroute/gateway/_shared_reads.py
@@ -23,9 +23,14 @@
 # to which keys are accepted, and from this age if there is no such limit.
 MAX_FOLLOWED_RATIO = 0.75
 MAX_FOLLOWED_AGE_MS = 4_600.0
+# Interval at which a gateway that follows asks for a first configuration.
+FIRST_READ_INTERVAL_MS = 2_000.0
 # Age of the list of targets, in intervals of the readers, from which on a gateway that
 # follows reads it itself.
 MAX_LIST_AGE_INTERVALS = 1.5
+# Shortest time between two readings of the list, in intervals of the readers, while
+# targets come and go one after the other.
+MIN_READ_SPACING_INTERVALS = 0.6
 
 
 class StoreKnowledge(msgspec.Struct, frozen=True, array_like=True):
@@ -169,28 +174,42 @@
         )
         return before < READER_COUNT
 
-    def should_read_configuration(self) -> bool:
-        """Return whether the configuration must be read or watched now."""
-        if self._configuration.table is None or self.is_reader:
+    def should_read_configuration(self, idle_ms: float) -> bool:
+        """Return whether the configuration must be read or watched now.
+
+        Parameters
+        ----------
+        idle_ms : float
+            Time since the last call of this gateway for it.
+        """
+        if self.is_reader:
             return True
+        if self._configuration.table is None:
+            return self.is_configuration_outdated or idle_ms > FIRST_READ_INTERVAL_MS
         max_age_ms = MAX_FOLLOWED_RATIO * min(
             self._configuration.max_proof_age_ms, MAX_FOLLOWED_AGE_MS
         )
         is_stale = self._configuration.proof_age_ms > max_age_ms
         return is_stale or self.is_configuration_outdated
 
-    def should_read_targets(self, interval_ms: float) -> bool:
+    def should_read_targets(self, interval_ms: float, idle_ms: float) -> bool:
         """Return whether the list of targets must be read now.
 
         Parameters
         ----------
         interval_ms : float
             Interval at which readers read it.
+        idle_ms : float
+            Time since this gateway has read it.
         """
         is_stale = self._directory.age_ms >= MAX_LIST_AGE_INTERVALS * interval_ms
         if self.is_reader:
             is_stale = self._directory.age_ms >= interval_ms
-        return is_stale or self.is_target_list_outdated
+        is_outdated = (
+            self.is_target_list_outdated
+            and idle_ms >= MIN_READ_SPACING_INTERVALS * interval_ms
+        )
+        return is_stale or is_outdated
 
     def current_knowledge(self) -> StoreKnowledge:
         """Return what this gateway knows, for its next digest."""
@@ -207,7 +226,9 @@
         """Take over what a peer knows, or note that something must be read."""
         proof_ms = self.store_clock.to_boot_ms(knowledge.configuration_ms)
         table = self._configuration.table
-        if proof_ms is not None and table is not None:
+        if table is None:
+            self.is_configuration_outdated |= knowledge.configuration_version >= 0
+        elif proof_ms is not None:
             if knowledge.configuration_version == table.version:
                 self._configuration.confirm_current(
                     proof_ms, knowledge.configuration_ms
--- a/carobroute/gateway/_slot_shares.py
+++ b/carobroute/gateway/_slot_shares.py
@@ -17,8 +17,9 @@
 class SlotShares:
     """Divides the slots of a service among gateways in proportion to their calls.
 
-    All slots are ordered by a hash, and each gateway has a range of that order, as
-    long as its share of all calls. Gateways with the same digests compute the same
+    All slots are ordered by data centre and then by a hash, and so are the gateways.
+    Each gateway has a range of that order, as long as its share of all calls, which
+    mostly lies in its own data centre. Gateways with the same digests compute the same
     ranges. Shares are a preference, not a limit: where gateways disagree for a while,
     or one uses a slot of another, calls meet at a target and one of them waits.
 
@@ -26,12 +27,13 @@
     ----------
     clock : Clock
         Source of time.
-    name : str
-        Incarnation of this gateway.
+    data_centre, name : str
+        Data centre and incarnation of this gateway.
     directory : TargetDirectory
         Known targets.
     calls_per_s : callable
-        Returns the calls per second of each gateway, this one included.
+        Returns the calls per second of each gateway, this one included, by its data
+        centre and incarnation.
 
     Examples
     --------
@@ -45,11 +47,11 @@
     ...     for n in range(4)
     ... ]
     >>> _ = directory.update(entries)
-    >>> rates = {"gateway-1": 2.0, "gateway-2": 1.0}
+    >>> rates = {("a", "gateway-1"): 2.0, ("b", "gateway-2"): 1.0}
     >>> shares = [
-    ...     SlotShares(clock=clock, name=name, directory=directory,
-    ...                calls_per_s=lambda: rates)
-    ...     for name in rates
+    ...     SlotShares(clock=clock, data_centre=data_centre, name=name,
+    ...                directory=directory, calls_per_s=lambda: rates)
+    ...     for data_centre, name in rates
     ... ]
     >>> [sum(share.own_slots("model").values()) for share in shares]
     [8, 4]
@@ -59,7 +61,7 @@
         "_calls_per_s",
         "_clock",
         "_directory",
-        "_name",
+        "_key",
         "_order_by_service",
         "_own_by_service",
     )
@@ -68,12 +70,13 @@
         self,
         *,
         clock: Clock,
+        data_centre: str,
         name: str,
         directory: TargetDirectory,
-        calls_per_s: Callable[[], Mapping[str, float]],
+        calls_per_s: Callable[[], Mapping[tuple[str, str], float]],
     ):
         self._clock = clock
-        self._name = name
+        self._key = (data_centre, name)
         self._directory = directory
         self._calls_per_s = calls_per_s
         # Targets that the order was computed for, and the order of their slots.
@@ -105,12 +108,15 @@
         known_key, order = self._order_by_service.get(service, (None, []))
         if known_key != key:
             slots = [
-                (_hash_slot(target.incarnation, slot), target)
+                (
+                    target.entry.data_centre,
+                    _hash_slot(target.incarnation, slot),
+                    target.incarnation,
+                )
                 for target in usable
                 for slot in range(target.entry.slots)
             ]
-            slots.sort(key=lambda item: item[0])
-            order = [target.incarnation for _, target in slots]
+            order = [incarnation for _, _, incarnation in sorted(slots)]
             self._order_by_service[service] = (key, order)
         return order
 
@@ -120,8 +126,8 @@
         min_weight = MIN_WEIGHT_RATIO * sum(rates.values()) / max(1, len(rates))
         weights = {name: max(rate, min_weight) or 1.0 for name, rate in rates.items()}
         total = sum(weights.values())
-        before = sum(weight for name, weight in weights.items() if name < self._name)
-        return before / total, (before + weights[self._name]) / total
+        before = sum(weight for name, weight in weights.items() if name < self._key)
+        return before / total, (before + weights[self._key]) / total
 
 
 def _hash_slot(incarnation: str, slot: int) -> int:
--- a/carobroute/gateway/_stored_duty.py
+++ b/carobroute/gateway/_stored_duty.py
@@ -150,8 +150,11 @@
             return False
         if self._free_since_ms is None:
             self._free_since_ms = now_ms
-        turn_ms = min(MAX_TURN_DELAY_MS, TURN_DELAY_MS * self._count_stronger())
-        return now_ms >= self._free_since_ms + turn_ms
+        return now_ms >= self._free_since_ms + self._turn_delay_ms
+
+    @property
+    def _turn_delay_ms(self) -> float:
+        return min(MAX_TURN_DELAY_MS, TURN_DELAY_MS * self._count_stronger())
 
     async def release(self) -> None:
         """Release the duty, so that a successor need not wait for the term to end."""
@@ -182,7 +185,7 @@
                 continue
             if stored.holder != self._holder and not self._is_gone(stored.holder):
                 wait_ms = min(RENEWAL_MARGIN_MS, stored.until_ms - answer.store_ms)
-                self._next_attempt_ms = sent_ms + wait_ms
+                self._next_attempt_ms = sent_ms + wait_ms + self._turn_delay_ms
                 self._other_holder = stored.holder
                 return self._fail_acquire(
                     Fault(kind=ErrorKind.CONFLICT, detail=f"held by {stored.holder}")
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -65,6 +65,7 @@
             ),
             duties=lambda: [],
             capacity=100.0,
+            data_centre="a",
             on_gateway_count=self.gateway_counts.append,
             events=EventLog(name=name, stream=log or io.StringIO(), clock=clock),
             clock=clock,
--- a/carobroute/testing/drifting_group_data.py
+++ b/carobroute/testing/drifting_group_data.py
@@ -103,6 +103,7 @@
             epoch=1,
             ranks=list(self._ranks),
             experts=self._experts,
+            slots=6,
             report_lag_ms=REPORT_LAG_MS,
             gap_target_ms=120.0,
         )
--- a/carobroute/testing/gateway_fleet_data.py
+++ b/carobroute/testing/gateway_fleet_data.py
@@ -60,11 +60,12 @@
         self.directory.update(fleet.entries)
         self.slot_shares = SlotShares(
             clock=fleet.clock,
+            data_centre="a",
             name=name,
             directory=self.directory,
             calls_per_s=lambda: {
                 **self.peer_state.calls_per_s(),
-                name: self.dispatcher.engine_calls_per_s,
+                ("a", name): self.dispatcher.engine_calls_per_s,
             },
         )
         self.dispatcher = Dispatcher(
@@ -92,6 +93,7 @@
             calls,
             {},
             self.dispatcher.engine_calls_per_s,
+            data_centre="a",
         )
 
 
--- a/carobroute/testing/rank_group_data.py
+++ b/carobroute/testing/rank_group_data.py
@@ -277,6 +277,7 @@
             epoch=self.epoch,
             ranks=list(self.ranks),
             experts=experts,
+            slots=6,
             report_lag_ms=REPORT_LAG_MS,
             gap_target_ms=120.0,
         )
