Break off answers that never end, and remove a race from two tests of duties

Cause: (1) operators reported targets that send bytes without end which are no answer. A plain answer was read whole without a bound, and so were an event of a stream and a rank's report, until the process is killed for its memory.

Ruled out for (1): heads without end; the HTTP library refuses those. A chunk extension without end is dropped by its parser, so only the caller's deadline ends that call.

The tests wait for the fence.

--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -432,7 +432,7 @@
     async def _buffer_response(
         self, grant: Grant, response: WatchedResponse
     ) -> Attempt:
-        body = await response.read()
+        body = await self._read_body(response)
         response.check_end()
         self._context.recorder.observe_first_byte(self._record)
         self._context.dispatcher.circuit_breaker(grant.target).note_event()
@@ -444,6 +444,24 @@
         fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=f"status {response.status}")
         return Attempt(outcome=AttemptOutcome.FAILED, response=answer, fault=fault)
 
+    async def _read_body(self, response: WatchedResponse) -> bytes:
+        """Return the whole body.
+
+        Raises
+        ------
+        aiohttp.ClientPayloadError
+            If it broke off, or is longer than this gateway buffers.
+        """
+        max_bytes = self._context.parameters.body_buffer_bytes
+        body = bytearray()
+        async for data in response.content.iter_any():
+            body += data
+            if len(body) > max_bytes:
+                raise aiohttp.ClientPayloadError(
+                    f"the body is longer than {max_bytes} bytes"
+                )
+        return bytes(body)
+
     async def _relay_stream(self, grant: Grant, response: WatchedResponse) -> Attempt:
         caller_response = await self._relay.relay(
             grant.target, response, can_fail_over=self._can_fail_over
--- a/carobroute/gateway/_parameters.py
+++ b/carobroute/gateway/_parameters.py
@@ -57,7 +57,8 @@
         Maximum number of open connections from callers; half of the file descriptors
         of a small instance.
     body_buffer_bytes : int
-        Maximum size of an answer that is buffered until it is complete.
+        Maximum size of an answer, or of an event of a stream, that is buffered until
+        it is complete. A longer one is broken off.
     crash_limit : int
         Number of target crashes with the same request in flight after which that
         request is refused.
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+import aiohttp
 from aiohttp import web
 
 from carobroute.engines import WatchedResponse, end_to_end
@@ -85,7 +86,8 @@
         CallerLostError
             If the caller no longer reads the answer.
         aiohttp.ClientError, OSError
-            If the answer broke off.
+            If the answer broke off, or has an event that is longer than this gateway
+            buffers.
         """
         self._framer.discard_partial_event()
         self._last_event_ms = 0.0
@@ -111,6 +113,7 @@
         breaker = self._context.dispatcher.circuit_breaker(target)
         while data := await response.content.readany():
             events = self._framer.feed(data)
+            self._check_partial_event()
             if not events:
                 continue
             now_ms = self._context.clock.now_ms()
@@ -123,6 +126,13 @@
             breaker.note_event()
             await self._write(events, response)
 
+    def _check_partial_event(self) -> None:
+        max_bytes = self._context.parameters.body_buffer_bytes
+        if len(self._framer.partial_event) > max_bytes:
+            raise aiohttp.ClientPayloadError(
+                f"an event is longer than {max_bytes} bytes"
+            )
+
     async def _close_if_stuck(self, target: Target, response: WatchedResponse) -> None:
         """Close a stream that is silent while other streams of its group have events.
 
--- /dev/null
+++ b/carobroute/gateway/tests/test_endless_answers.py
@@ -0,0 +1,138 @@
+"""Targets that send bytes without end which are no answer, until the caller closes."""
+
+import asyncio
+import tracemalloc
+
+import aiohttp
+import pytest
+from returns.result import Failure
+
+from carobroute.domain import CallClass
+from carobroute.gateway import GatewayParameters
+from carobroute.gateway.tests.gateway_harness import GatewayHarness
+from carobroute.platform import RankClient
+from carobroute.testing import wait_until
+from carobroute.testing.gateway_data import make_configuration, make_route
+
+# Bytes that a target may get rid of: the largest answer that is buffered, and what the
+# kernel holds on both ends of a connection.
+MAX_SENT_BYTES = (2 << 20) + (16 << 20)
+DEADLINE_MS = 20_000
+# Deadline of a call whose answer never gives the parser anything to pass on.
+SHORT_DEADLINE_MS = 2_000
+MAX_MEMORY_BYTES = 32 << 20
+ORDER = make_route(
+    call_class=CallClass.NON_IDEMPOTENT, max_attempts=1, timeout_ms=DEADLINE_MS
+)
+LOOKUP = make_route(max_attempts=1, timeout_ms=DEADLINE_MS)
+STREAM = make_route(
+    streaming=True, resumable=False, max_attempts=1, timeout_ms=DEADLINE_MS
+)
+SEAL = b"Request-Id: %s\r\nServer-Seal: seal\r\n"
+
+
+class EndlessTarget:
+    """Script that sends a beginning, and then the same piece until it is stopped."""
+
+    def __init__(self, beginning, piece):
+        self._beginning = beginning
+        self._piece = piece
+        self.sent_bytes = 0
+        self.has_ended = False
+
+    async def __call__(self, call):
+        request_id = call.headers.get("request-id", "").encode()
+        call.writer.write(self._beginning.replace(b"%s", request_id))
+        try:
+            while True:
+                call.writer.write(self._piece)
+                self.sent_bytes += len(self._piece)
+                await call.writer.drain()
+                await asyncio.sleep(0)
+        except (ConnectionError, OSError):
+            pass
+        finally:
+            self.has_ended = True
+            call.disconnect()
+
+
+OK = b"HTTP/1.1 200 OK\r\n" + SEAL
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+FILLER = b"x" * 65_536
+ENDLESS = {
+    "header line": (b"HTTP/1.1 200 OK\r\nX-Note: ", FILLER),
+    "header lines": (b"HTTP/1.1 200 OK\r\n", b"X-Note: %b\r\n" % (b"x" * 4_000) * 16),
+    "status line": (b"HTTP/1.1 200 ", FILLER),
+    "no protocol": (b"", FILLER),
+    "body without a length": (OK + b"\r\n", FILLER),
+    "chunked body": (CHUNKED, b"%x\r\n%b\r\n" % (len(FILLER), FILLER)),
+    "trailer": (CHUNKED + b"2\r\nok\r\n0\r\n", b"X-Note: %b\r\n" % (b"x" * 4_000) * 16),
+}
+
+
+@pytest.mark.parametrize(
+    "route", [ORDER, LOOKUP, STREAM], ids=["order", "lookup", "stream"]
+)
+@pytest.mark.parametrize("name", list(ENDLESS))
+async def test_endless_bytes_end_in_bounded_time_and_memory(name, route):
+    """Memory would grow until the process is killed, with all its other calls."""
+    target = EndlessTarget(*ENDLESS[name])
+    harness = GatewayHarness(
+        configuration=make_configuration(routes=[route]),
+        parameters=GatewayParameters(),
+    )
+    await harness.start(target)
+    try:
+        async with asyncio.timeout(DEADLINE_MS / 2_000):
+            try:
+                status, _, _ = await harness.call("POST", Deadline_Ms=str(DEADLINE_MS))
+            except aiohttp.ClientError:
+                status = None
+            await wait_until(lambda: target.has_ended)
+    finally:
+        await harness.stop()
+    # A stream that has begun is broken off; nothing looks like a success.
+    assert status in (None, 502)
+    assert target.sent_bytes <= MAX_SENT_BYTES
+
+
+@pytest.mark.parametrize(
+    "route", [ORDER, LOOKUP, STREAM], ids=["order", "lookup", "stream"]
+)
+async def test_an_endless_chunk_extension_ends_at_the_deadline(route):
+    """The parser drops an extension without a trace, so only time can end it."""
+    target = EndlessTarget(CHUNKED + b"5;", FILLER)
+    harness = GatewayHarness(configuration=make_configuration(routes=[route]))
+    await harness.start(target)
+    tracemalloc.start()
+    try:
+        async with asyncio.timeout(3 * SHORT_DEADLINE_MS / 1_000):
+            try:
+                status, _, _ = await harness.call(
+                    "POST", Deadline_Ms=str(SHORT_DEADLINE_MS)
+                )
+            except aiohttp.ClientError:
+                status = None
+            await wait_until(lambda: target.has_ended)
+        _, peak_bytes = tracemalloc.get_traced_memory()
+    finally:
+        tracemalloc.stop()
+        await harness.stop()
+    assert status in (None, 502, 504)
+    assert peak_bytes <= MAX_MEMORY_BYTES
+
+
+async def test_an_endless_report_of_a_rank_ends_in_bounded_time_and_memory():
+    """The coordinator of a group would read it for ever, and switch no map."""
+    target = EndlessTarget(b"HTTP/1.1 200 OK\r\n\r\n", FILLER)
+    harness = GatewayHarness(configuration=make_configuration(routes=[STREAM]))
+    await harness.start(target)
+    try:
+        transport = await harness.pool.transport(harness.directory.all_targets()[0])
+        async with asyncio.timeout(2.0):
+            answered = await RankClient().read_report(transport)
+            await wait_until(lambda: target.has_ended)
+    finally:
+        await harness.stop()
+    assert isinstance(answered, Failure)
+    assert target.sent_bytes <= MAX_SENT_BYTES
--- a/carobroute/leases/tests/test_lease.py
+++ b/carobroute/leases/tests/test_lease.py
@@ -175,18 +175,21 @@
 
 async def test_duty_follows_the_first_candidate_in_order(processes):
     candidates, (first, second, third) = processes
-    await wait_until(lambda: first.duties.held)
+    # The work notes its fence a moment after the duty is held.
+    await wait_until(lambda: first.duties.held and first.fences)
     assert not third.fences
     candidates.remove(first.name)
-    await wait_until(lambda: second.duties.held and not first.duties.held)
+    await wait_until(
+        lambda: second.duties.held and second.fences and not first.duties.held
+    )
     assert second.fences[-1] > first.fences[-1]
 
 
 async def test_duty_of_a_dead_process_is_taken_over(processes):
     candidates, (first, second, _) = processes
-    await wait_until(lambda: first.duties.held)
+    await wait_until(lambda: first.duties.held and first.fences)
     await first.duties._tasks.close()
-    await wait_until(lambda: second.duties.held)
+    await wait_until(lambda: second.duties.held and second.fences)
     assert second.fences[-1] == first.fences[-1] + 1
     assert not first.duties.held
 
--- a/carobroute/platform/_rank_client.py
+++ b/carobroute/platform/_rank_client.py
@@ -1,5 +1,6 @@
 """Client for the ranks of a group: reports, expert counts and orders."""
 
+import asyncio
 import enum
 
 import aiohttp
@@ -14,6 +15,9 @@
 COUNTS_PATH = "/api/picked"
 ORDER_PATH = "/api/order"
 
+MS_PER_S = 1_000
+# Largest answer to a read; counts of many experts take some ten kilobytes.
+MAX_ANSWER_BYTES = 1 << 20
 OK_STATUS = 200
 BEGUN_STATUS = 202
 REFUSED_STATUSES = frozenset({400, 409, 412, 421})
@@ -285,8 +289,17 @@
         if isinstance(sent, Failure):
             return sent
         response = sent.unwrap()
+        data = bytearray()
         try:
-            data = await response.read()
+            async with asyncio.timeout(self._read_timeout_ms / MS_PER_S):
+                async for piece in response.content.iter_any():
+                    data += piece
+                    if len(data) > MAX_ANSWER_BYTES:
+                        return fail(
+                            ErrorKind.TARGET_FAILED,
+                            f"{path}: the answer is longer than "
+                            f"{MAX_ANSWER_BYTES} bytes",
+                        )
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return fail(
                 ErrorKind.TARGET_FAILED,
@@ -299,7 +312,7 @@
                 ErrorKind.TARGET_FAILED,
                 f"{path} answered with status {response.status}",
             )
-        return Success(data)
+        return Success(bytes(data))
 
 
 def decode_rank_report(data: bytes) -> Result[RankReport, Fault]:
