Count choices for a whole pass, however long it is

Ruled out: the reports and the duty, which were there all the time.

Change: a sample lasts 1.3 passes, at least 160 ms and at most 1.5 s; a cycle that can't plan says why (layout_not_planned). The test with passes of 600 ms failed before.

--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -58,7 +58,7 @@
     sample_calls : int
         Number of calls whose choices are counted, if all slots are taken.
     sample_ms : float
-        Time over which choices are counted: one or two passes.
+        Shortest time over which choices are counted.
     copy_budget_ms : float
         Time that a rank may take to copy the experts of one plan. The first copies
         gain most, and the next plan adds others.
@@ -184,7 +184,7 @@
             clock=clock,
             random=random,
             min_calls=self._parameters.sample_calls,
-            duration_ms=self._parameters.sample_ms,
+            min_duration_ms=self._parameters.sample_ms,
         )
         self._next_action_ms = 0.0
         # Shortest pass time since the last cycle.
@@ -257,7 +257,7 @@
         known = self._find_map_in_use(group)
         if known is not None and not known.is_verified:
             # The map has just come into use: reports would not show it yet.
-            shares = await self._sampler.sample_shares(group)
+            shares = await self._sample_shares(group)
             if shares is None:
                 return self._parameters.retry_interval_ms
             if self._verify(group, known, shares):
@@ -266,7 +266,7 @@
             reports = await self._read_reports(group)
         else:
             reports, shares = await asyncio.gather(
-                self._read_reports(group), self._sampler.sample_shares(group)
+                self._read_reports(group), self._sample_shares(group)
             )
         if reports is None:
             return self._parameters.retry_interval_ms
@@ -278,9 +278,19 @@
             return self._parameters.pending_check_interval_ms
         layout = await self._find_layout(group, reports)
         if layout is None or shares is None:
+            self._events.event(
+                "layout_not_planned",
+                group=group.name,
+                is_layout_known=layout is not None,
+                is_demand_known=shares is not None,
+            )
             return self._parameters.retry_interval_ms
         return await self._rebalance(group, reports, layout, shares)
 
+    async def _sample_shares(self, group: RankGroup) -> list[list[float]] | None:
+        pass_ms = self._pass_time_estimator.pass_ms
+        return await self._sampler.sample_shares(group, pass_ms)
+
     def _find_map_in_use(self, group: RankGroup) -> MapInUse | None:
         known = self._map_in_use
         return known if known is not None and known.epoch == group.epoch else None
--- a/carobroute/experts/_sampling.py
+++ b/carobroute/experts/_sampling.py
@@ -13,6 +13,9 @@
 # L1 distance of two samples, averaged over the layer sets, from which on they show
 # different demand. It is at most 2.
 MAX_SAMPLE_DISTANCE = 0.3
+# Longest pass that a sample waits for, and the margin for passes of unlike length.
+MAX_SAMPLED_PASS_MS = 1_500.0
+PASS_TIME_MARGIN = 1.3
 # Samples that are averaged; older ones lose weight.
 MAX_SAMPLES = 4
 
@@ -32,16 +35,16 @@
     min_calls : int
         Number of calls that a sample must cover if all slots of the ranks are taken. A
         group pauses for each rank that is read.
-    duration_ms : float
-        Time over which choices are counted.
+    min_duration_ms : float
+        Shortest time over which choices are counted. A sample covers a whole pass.
     """
 
     __slots__ = (
         "_clock",
         "_demand",
-        "_duration_ms",
         "_last_distance",
         "_min_calls",
+        "_min_duration_ms",
         "_random",
         "_sample_count",
     )
@@ -52,12 +55,12 @@
         clock: Clock,
         random: random.Random,
         min_calls: int,
-        duration_ms: float,
+        min_duration_ms: float,
     ):
         self._clock = clock
         self._random = random
         self._min_calls = min_calls
-        self._duration_ms = duration_ms
+        self._min_duration_ms = min_duration_ms
         # Mean of the samples since the last change of the demand, and their number.
         self._demand: list[list[float]] = []
         self._sample_count = 0
@@ -77,12 +80,21 @@
         """Forget earlier samples, because the demand has probably changed."""
         self._demand, self._sample_count = [], 0
 
-    async def sample_shares(self, group: RankGroup) -> list[list[float]] | None:
+    async def sample_shares(
+        self, group: RankGroup, pass_ms: float
+    ) -> list[list[float]] | None:
         """Return each expert's estimated share of the tokens of its layer set.
 
+        Parameters
+        ----------
+        group : RankGroup
+            Group whose ranks are read.
+        pass_ms : float
+            Current time of one of its passes.
+
         Returns None if no choices were counted or a counter was reset.
         """
-        sample = await self._take_sample(group)
+        sample = await self._take_sample(group, pass_ms)
         if sample is None:
             return None
         is_first = not self._demand
@@ -100,13 +112,17 @@
         ]
         return self._demand
 
-    async def _take_sample(self, group: RankGroup) -> list[list[float]] | None:
+    async def _take_sample(
+        self, group: RankGroup, pass_ms: float
+    ) -> list[list[float]] | None:
         rank_count = min(
             len(group.ranks), max(2, math.ceil(self._min_calls / group.slots))
         )
         ranks = self._random.sample(group.ranks, rank_count)
         before = await self._read(ranks)
-        await self._clock.sleep_ms(self._duration_ms)
+        # Choices are counted when a pass ends, and passes vary in length.
+        pass_ms = min(MAX_SAMPLED_PASS_MS, PASS_TIME_MARGIN * pass_ms)
+        await self._clock.sleep_ms(max(self._min_duration_ms, pass_ms))
         after = await self._read(ranks)
         sets, experts = group.experts.layer_sets, group.experts.experts_per_set
         totals = [0] * (sets * experts)
--- a/carobroute/experts/tests/test_rebalancer.py
+++ b/carobroute/experts/tests/test_rebalancer.py
@@ -244,3 +244,20 @@
             version = next_version(version, remainder)
             assert version not in versions
             versions.add(version)
+
+
+@pytest.mark.parametrize("pass_ms", [180.0, 320.0, 600.0])
+def test_group_with_passes_longer_than_a_sample_gets_new_map(pass_ms):
+    """A slow rank makes passes so long that a short sample counts no choice."""
+
+    async def scenario(group):
+        group.pass_ms = pass_ms
+        pass_time_estimator = make_busy_pace(group, gap_ms=pass_ms)
+        rebalancer = make_rebalancer(group, pass_time_estimator)
+        for _ in range(40):
+            pass_time_estimator.note_event_gap(pass_ms)
+            await step_for(rebalancer, group, 100)
+
+    group = run_scenario(scenario)
+    assert group.versions_by_pass[-1][0] > 0
+    assert not group.mixed_passes
