--- a/carobroute/experts/_sampling.py
+++ b/carobroute/experts/_sampling.py
@@ -13,8 +13,9 @@
 # L1 distance of two samples, averaged over the layer sets, from which on they show
 # different demand. It is at most 2.
 MAX_SAMPLE_DISTANCE = 0.3
-# Longest pass that a sample waits for, and the margin for passes of unlike length.
-MAX_SAMPLED_PASS_MS = 1_500.0
+# Longest time for which a sample waits for the end of a pass, and the margin for passes
+# of unlike length.
+MAX_DURATION_MS = 1_500.0
 PASS_TIME_MARGIN = 1.3
 # Samples that are averaged; older ones lose weight.
 MAX_SAMPLES = 4
@@ -120,22 +121,16 @@
         )
         ranks = self._random.sample(group.ranks, rank_count)
         before = await self._read(ranks)
+        began_ms = self._clock.now_ms()
         # Choices are counted when a pass ends, and passes vary in length.
-        pass_ms = min(MAX_SAMPLED_PASS_MS, PASS_TIME_MARGIN * pass_ms)
-        await self._clock.sleep_ms(max(self._min_duration_ms, pass_ms))
-        after = await self._read(ranks)
-        sets, experts = group.experts.layer_sets, group.experts.experts_per_set
-        totals = [0] * (sets * experts)
-        for first, last in zip(before, after, strict=True):
-            if first is None or last is None or first.epoch != last.epoch:
-                continue
-            if len(last.counts) != len(totals) or len(first.counts) != len(totals):
-                continue
-            triples = zip(totals, first.counts, last.counts, strict=True)
-            totals = [total + new - old for total, old, new in triples]
-        if sum(totals) <= 0 or min(totals) < 0:
-            return None
-        return compute_expert_shares(totals, sets=sets, experts=experts)
+        wait_ms = max(self._min_duration_ms, PASS_TIME_MARGIN * pass_ms)
+        while self._clock.now_ms() - began_ms < MAX_DURATION_MS:
+            await self._clock.sleep_ms(min(wait_ms, MAX_DURATION_MS))
+            shares = _compare_counts(group, before, await self._read(ranks))
+            if shares is not None:
+                return shares
+            wait_ms = self._min_duration_ms
+        return None
 
     async def _read(
         self, ranks: Sequence[ExpertRankHandle]
@@ -143,6 +138,29 @@
         return list(await asyncio.gather(*(rank.read_counts() for rank in ranks)))
 
 
+def _compare_counts(
+    group: RankGroup,
+    before: Sequence[ExpertCounts | None],
+    after: Sequence[ExpertCounts | None],
+) -> list[list[float]] | None:
+    """Return each expert's share of the choices between two readings of some ranks.
+
+    Returns None if no choices were counted or a counter was reset.
+    """
+    sets, experts = group.experts.layer_sets, group.experts.experts_per_set
+    totals = [0] * (sets * experts)
+    for first, last in zip(before, after, strict=True):
+        if first is None or last is None or first.epoch != last.epoch:
+            continue
+        if len(last.counts) != len(totals) or len(first.counts) != len(totals):
+            continue
+        triples = zip(totals, first.counts, last.counts, strict=True)
+        totals = [total + new - old for total, old, new in triples]
+    if sum(totals) <= 0 or min(totals) < 0:
+        return None
+    return compute_expert_shares(totals, sets=sets, experts=experts)
+
+
 def distance(first: list[list[float]], second: list[list[float]]) -> float:
     """Return the L1 distance of two demands, averaged over the layer sets.
 
