Give no calls to ranks that hold up their group, and move their streams

Cause: each pass of a group lasts at least as long as the slowest rank's own part. Only the coordinator read its report, for the layout.

Ruled out: a layout alone (planned imbalance 1.8 to 2.5 in place of 7 to 14, passes still 400 ms and more: the rank's own streams).

Change: a gateway that reads a report notes the slowdown, and tells its peers in its digests. A rank that is twice as slow or more gets no calls while at least 70% of the ranks are not slow; streams that may be resumed move to another rank while the retry budget has room.

--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -19,6 +19,9 @@
 # The lower loaded of two random targets is far better than one random target.
 MIN_SAMPLE_SIZE = 2
 
+# Slow ranks are left out only while at least this part of the targets is not slow.
+MIN_FAST_SHARE = 0.7
+
 
 class DispatchParameters(msgspec.Struct, frozen=True, kw_only=True):
     """Weights, limits and intervals of the dispatcher.
@@ -422,7 +425,7 @@
         healthy = [target for target in targets if not target.health.is_ejected]
         free = [
             target
-            for target in healthy or targets
+            for target in self._without_slow(healthy or targets)
             if target.load + 1 <= self._max_calls(target, request.service)
         ]
         if not free:
@@ -439,6 +442,11 @@
         size = self._sample_size(request.service.name, len(free))
         return min(self._random.sample(free, size), key=self._relative_load)
 
+    def _without_slow(self, targets: list[Target]) -> list[Target]:
+        """Return the targets without slow ranks, if most of them are not slow."""
+        fast = [target for target in targets if not target.is_slow]
+        return fast if len(fast) >= MIN_FAST_SHARE * len(targets) else targets
+
     def _sample_size(self, service: str, free_count: int) -> int:
         """Return the number of free targets that are compared.
 
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -10,7 +10,7 @@
 
 from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
 from carobroute.gateway._suspect_requests import SuspectRequests
-from carobroute.gateway._targets import TargetDirectory
+from carobroute.gateway._targets import SLOW_TARGET_SLOWDOWN, TargetDirectory
 from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
 from carobroute.utils import Clock, TaskSet, split_host_port
@@ -73,6 +73,8 @@
         Bandwidth of the gateway's link, in Mbit/s.
     data_centre : str
         Data centre of the gateway.
+    slowdowns : dict of str to float
+        Slowdown of each slow target in reports that the gateway has read.
     """
 
     incarnation: str
@@ -85,6 +87,7 @@
     duties: list[str] = []
     capacity: float = 0.0
     data_centre: str = ""
+    slowdowns: dict[str, float] = {}
 
 
 class GatewayRow(msgspec.Struct, frozen=True):
@@ -166,6 +169,13 @@
             for name, digest in self._latest.items()
         }
 
+    def slowdown_at(self, incarnation: str) -> float:
+        """Return the slowdown of a target that peers know; 1 if they know of none."""
+        slowdowns = (
+            digest.slowdowns.get(incarnation, 1.0) for digest in self._latest.values()
+        )
+        return max(slowdowns, default=1.0)
+
     def knowledge(self) -> dict[str, StoreKnowledge]:
         """Return what each peer knows of the store."""
         return {name: digest.knowledge for name, digest in self._latest.items()}
@@ -429,6 +439,11 @@
             duties=self._duties(),
             capacity=self._capacity,
             data_centre=self._data_centre,
+            slowdowns={
+                target.incarnation: target.own_slowdown
+                for target in self._directory.all_targets()
+                if target.own_slowdown >= SLOW_TARGET_SLOWDOWN
+            },
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -140,6 +140,7 @@
             ),
             lapsed_grace_ms=self._parameters.lapsed_grace_ms,
             peer_calls=self._peer_state.calls_at,
+            peer_slowdown=self._peer_state.slowdown_at,
         )
         self._shared_reads = SharedReads(
             clock=clock,
--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -102,7 +102,12 @@
     async def read_report(self) -> RankReport | None:
         """Return the rank's report, or None without an answer."""
         transport = await self._pool.transport(self._target)
-        return self._unwrap_or_log(await self._client.read_report(transport), "report")
+        report = self._unwrap_or_log(
+            await self._client.read_report(transport), "report"
+        )
+        if report is not None:
+            self._target.note_slowdown(report.slowdown)
+        return report
 
     async def read_counts(self) -> ExpertCounts | None:
         """Return how often each expert was chosen, or None without an answer."""
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -16,6 +16,8 @@
 CALLER_WRITE_TIMEOUT_MS = 5_000.0
 # Interval at which a stream is checked for being stuck.
 STUCK_CHECK_INTERVAL_MS = 200.0
+# Retries that a moved stream must leave in the budget.
+MIN_RETRIES_LEFT = 3.0
 
 
 class CallerLostError(Exception):
@@ -44,6 +46,7 @@
         "_last_event_ms",
         "_record",
         "_request",
+        "_service",
     )
 
     def __init__(
@@ -54,6 +57,7 @@
         self._record = record
         self._framer = EventFramer()
         self._caller_response: web.StreamResponse | None = None
+        self._service = ""
         # Monotonic time of the current target's last event; 0 before its first.
         self._last_event_ms = 0.0
 
@@ -91,6 +95,7 @@
         """
         self._framer.discard_partial_event()
         self._last_event_ms = 0.0
+        self._service = target.entry.service
         stuck_watch = None
         if can_fail_over and target.entry.group:
             stuck_watch = asyncio.create_task(self._close_if_stuck(target, response))
@@ -146,11 +151,21 @@
             silent_ms = (
                 clock.now_ms() - self._last_event_ms if self._last_event_ms else 0.0
             )
+            if target.is_slow and self._can_afford_move():
+                # The call would hold up all others of its group.
+                self._record.note("stream_moved", target=target.incarnation)
+                response.close()
+                return
             if silent_ms > stuck_ms and pass_time_estimator.silent_ms < stuck_ms / 2:
                 self._record.note("stream_stuck", silent_ms=round(silent_ms))
                 response.close()
                 return
 
+    def _can_afford_move(self) -> bool:
+        """Whether retries would be left for failures after a stream has moved."""
+        remaining = self._context.retry_budget.remaining(self._service)
+        return bool(self._last_event_ms) and remaining >= MIN_RETRIES_LEFT
+
     async def _start_response(self, response: WatchedResponse) -> web.StreamResponse:
         caller_response = web.StreamResponse(
             status=response.status, headers=end_to_end(response.headers)
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -14,6 +14,13 @@
 # gateways, it includes calls of gateways that have crashed, but it goes stale quickly.
 REPORTED_LOAD_MAX_AGE_MS = 400.0
 
+# Age from which a reported slowdown is ignored. Reports are read every 1.5 s while
+# passes are slow.
+SLOWDOWN_MAX_AGE_MS = 4_000.0
+# Slowdown from which on a rank gets no calls while others can take them: each pass of
+# its group lasts at least as long as its own part.
+SLOW_TARGET_SLOWDOWN = 2.0
+
 
 class Target:
     """One incarnation of a target, with this gateway's calls in flight there.
@@ -29,13 +36,19 @@
     peer_calls : callable
         Returns the number of calls that other gateways have in flight at an
         incarnation.
+    peer_slowdown : callable, default=None
+        Returns the slowdown of an incarnation that other gateways know; None if there
+        are none.
     """
 
     __slots__ = (
         "_clock",
         "_load_reported_ms",
+        "_own_slowdown",
         "_peer_calls",
+        "_peer_slowdown",
         "_reported_other_calls",
+        "_slowdown_reported_ms",
         "entry",
         "health",
         "in_flight",
@@ -50,9 +63,13 @@
         clock: Clock,
         health: HealthParameters,
         peer_calls: Callable[[str], int],
+        peer_slowdown: Callable[[str], float] | None = None,
     ):
         self._clock = clock
         self._peer_calls = peer_calls
+        self._peer_slowdown = peer_slowdown or (lambda incarnation: 1.0)
+        self._own_slowdown = 1.0
+        self._slowdown_reported_ms = -SLOWDOWN_MAX_AGE_MS
         self._reported_other_calls = 0.0
         self._load_reported_ms = -REPORTED_LOAD_MAX_AGE_MS
         self.entry = entry
@@ -92,6 +109,23 @@
         """Estimate of the calls that all gateways have in flight there."""
         return self.in_flight + self.other_calls
 
+    @property
+    def own_slowdown(self) -> float:
+        """Slowdown in a recent report that this gateway read; 1 if there is none."""
+        age_ms = self._clock.now_ms() - self._slowdown_reported_ms
+        return self._own_slowdown if age_ms < SLOWDOWN_MAX_AGE_MS else 1.0
+
+    @property
+    def is_slow(self) -> bool:
+        """Whether the target is so slow that it holds up its whole group."""
+        slowdown = max(self.own_slowdown, self._peer_slowdown(self.incarnation))
+        return slowdown >= SLOW_TARGET_SLOWDOWN
+
+    def note_slowdown(self, slowdown: float) -> None:
+        """Record the step time, relative to the published one, that a rank reports."""
+        self._own_slowdown = slowdown
+        self._slowdown_reported_ms = self._clock.now_ms()
+
     def note_load(self, reported: ReportedLoad) -> None:
         """Update the estimate from the load that the target reports with an answer."""
         calls = reported.running + reported.waiting
@@ -128,6 +162,9 @@
     peer_calls : callable, default=None
         Returns the number of calls that other gateways have in flight at an
         incarnation; None if there are no other gateways.
+    peer_slowdown : callable, default=None
+        Returns the slowdown of an incarnation that other gateways know; None if there
+        are none.
     """
 
     __slots__ = (
@@ -139,6 +176,7 @@
         "_list_hash",
         "_list_store_ms",
         "_peer_calls",
+        "_peer_slowdown",
         "_store_outage_ms",
         "_targets",
         "_targets_by_service",
@@ -152,12 +190,14 @@
         lapsed_grace_ms: float,
         health: HealthParameters | None = None,
         peer_calls: Callable[[str], int] | None = None,
+        peer_slowdown: Callable[[str], float] | None = None,
     ):
         self._clock = clock
         self._store_outage_ms = store_outage_ms
         self._lapsed_grace_ms = lapsed_grace_ms
         self._health = health or HealthParameters()
         self._peer_calls = peer_calls or (lambda incarnation: 0)
+        self._peer_slowdown = peer_slowdown
         self._targets: dict[str, Target] = {}
         self._targets_by_service: dict[str, list[Target]] = {}
         self._last_read_ms: float | None = None
@@ -261,6 +301,7 @@
             clock=self._clock,
             health=self._health,
             peer_calls=self._peer_calls,
+            peer_slowdown=self._peer_slowdown,
         )
         change.joined.append(entry.incarnation)
 
--- a/carobroute/gateway/tests/test_rank_groups.py
+++ b/carobroute/gateway/tests/test_rank_groups.py
@@ -8,6 +8,7 @@
 from carobroute.errors import ErrorKind, fail
 from carobroute.gateway._rank_groups import TargetRank
 from carobroute.telemetry import EventLog
+from carobroute.testing.gateway_data import make_rank_report
 from carobroute.utils import ManualClock
 
 
@@ -31,16 +32,25 @@
 
 
 class TargetStub:
-    """Target with nothing but an incarnation."""
+    """Target with an incarnation, which keeps the slowdowns that it is told."""
 
     incarnation = "i-1~1"
 
+    def __init__(self):
+        self.slowdowns = []
+
+    def note_slowdown(self, slowdown):
+        self.slowdowns.append(slowdown)
+
+
+REPORT = make_rank_report(slowdown=3.0)
+
 
 @pytest.mark.parametrize("read", ["read_report", "read_counts", "read_held_experts"])
 @pytest.mark.parametrize(
     ("answer", "expected", "is_logged"),
     [
-        (Success(7), 7, False),
+        (Success(REPORT), REPORT, False),
         (fail(ErrorKind.TARGET_FAILED, "reset by peer"), None, True),
     ],
 )
@@ -48,8 +58,9 @@
     read, answer, expected, is_logged
 ):
     lines = io.StringIO()
+    target = TargetStub()
     rank = TargetRank(
-        target=TargetStub(),
+        target=target,
         pool=EmptyPool(),
         client=RankClientStub(answer),
         events=EventLog(name="a", stream=lines, clock=ManualClock()),
@@ -57,3 +68,5 @@
     assert await getattr(rank, read)() == expected
     assert ("rank_not_known" in lines.getvalue()) is is_logged
     assert ("reset by peer" in lines.getvalue()) is is_logged
+    is_noted = expected is not None and read == "read_report"
+    assert target.slowdowns == ([3.0] if is_noted else [])
--- a/carobroute/gateway/tests/test_stuck_calls.py
+++ b/carobroute/gateway/tests/test_stuck_calls.py
@@ -12,8 +12,11 @@
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._targets import Target
 from carobroute.health import HealthParameters
-from carobroute.platform import RankReport
-from carobroute.testing.gateway_data import make_engine, make_target_entry
+from carobroute.testing.gateway_data import (
+    make_engine,
+    make_rank_report,
+    make_target_entry,
+)
 from carobroute.utils import ManualClock
 
 STUCK_AFTER_MS = 700.0
@@ -40,22 +43,6 @@
         return Success(report) if report else fail(ErrorKind.PEER_LOST, "no answer")
 
 
-def make_report(*, running, queued):
-    return RankReport(
-        epoch=1,
-        is_group_open=True,
-        slowdown=1.0,
-        order_count=0,
-        running=running,
-        queued=queued,
-        step=1,
-        version=0,
-        prepared=None,
-        armed=None,
-        held_step=None,
-    )
-
-
 async def is_stuck(client, *, waited_ms, group_silent_ms=20.0):
     clock = ManualClock()
     estimator = PassTimeEstimator(clock=clock)
@@ -77,13 +64,13 @@
 
 @pytest.mark.parametrize(("running", "queued"), [(3, 1), (3, 0), (2, 1)])
 async def test_a_call_that_waits_its_turn_is_not_stuck(running, queued):
-    client = ScriptedReports(make_report(running=running, queued=queued))
+    client = ScriptedReports(make_rank_report(running=running, queued=queued))
     assert not await is_stuck(client, waited_ms=STUCK_AFTER_MS + 100)
     assert client.read_count == 1
 
 
 async def test_a_call_that_the_rank_does_not_have_is_stuck():
-    client = ScriptedReports(make_report(running=1, queued=0))
+    client = ScriptedReports(make_rank_report(running=1, queued=0))
     assert await is_stuck(client, waited_ms=STUCK_AFTER_MS)
 
 
@@ -93,12 +80,12 @@
 
 
 async def test_one_dead_connection_does_not_show_a_silent_rank():
-    client = ScriptedReports(None, make_report(running=3, queued=1))
+    client = ScriptedReports(None, make_rank_report(running=3, queued=1))
     assert not await is_stuck(client, waited_ms=STUCK_AFTER_MS)
 
 
 async def test_a_call_lost_at_a_busy_rank_is_stuck_after_its_expected_wait():
-    client = ScriptedReports(make_report(running=3, queued=0))
+    client = ScriptedReports(make_rank_report(running=3, queued=0))
     assert not await is_stuck(client, waited_ms=1_400.0)
     assert await is_stuck(client, waited_ms=1_700.0)
 
--- a/carobroute/testing/gateway_data.py
+++ b/carobroute/testing/gateway_data.py
@@ -14,6 +14,7 @@
     TargetEntry,
     TeamProfile,
 )
+from carobroute.platform import RankReport
 
 
 def make_target_entry(**changes: Any) -> TargetEntry:
@@ -83,6 +84,24 @@
     return EngineProfile(**{**fields, **changes})
 
 
+def make_rank_report(**changes: Any) -> RankReport:
+    """Return the report of a rank that runs nothing."""
+    fields: dict[str, Any] = {
+        "epoch": 1,
+        "is_group_open": True,
+        "slowdown": 1.0,
+        "order_count": 0,
+        "running": 0,
+        "queued": 0,
+        "step": 1,
+        "version": 0,
+        "prepared": None,
+        "armed": None,
+        "held_step": None,
+    }
+    return RankReport(**{**fields, **changes})
+
+
 def make_configuration(**changes: Any) -> RoutingConfiguration:
     """Return a configuration with one route, one service and one team."""
     fields: dict[str, Any] = {
