--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -198,6 +198,14 @@
         # Slowdown of each rank in the last reports.
         self._slowdowns: list[float] | None = None
 
+    @property
+    def _has_slowed_down(self) -> bool:
+        """Whether passes have become slower since a verified map was left as it is."""
+        if self._map_in_use is None or not self._map_in_use.is_verified:
+            return False
+        limit_ms = self._parameters.slowdown_ratio * self._fastest_pass_ms
+        return self._pass_time_estimator.pass_ms > limit_ms
+
     async def check_group(self, group: RankGroup) -> None:
         """Check the group once, and free or rebalance it if necessary."""
         pass_ms = self._pass_time_estimator.pass_ms
@@ -220,14 +228,6 @@
         self._fastest_pass_ms = self._pass_time_estimator.pass_ms
         self._next_action_ms = self._clock.now_ms() + delay_ms
 
-    @property
-    def _has_slowed_down(self) -> bool:
-        """Whether passes have become slower since a verified map was left as it is."""
-        if self._map_in_use is None or not self._map_in_use.is_verified:
-            return False
-        limit_ms = self._parameters.slowdown_ratio * self._fastest_pass_ms
-        return self._pass_time_estimator.pass_ms > limit_ms
-
     async def release(self) -> None:
         """Release the lease, so that another process can coordinate the group."""
         await self._duty.release()
--- a/carobroute/experts/_switch.py
+++ b/carobroute/experts/_switch.py
@@ -221,6 +221,12 @@
         self._due_ms = 0.0
         self._held_step = 0
 
+    @property
+    def _lead_ms(self) -> float:
+        return self._parameters.lead_ms + self._parameters.lead_per_rank_ms * len(
+            self._ranks
+        )
+
     async def run(self) -> SwitchResult:
         """Switch the group to the new map, or undo the attempt."""
         if not await self._prepare():
@@ -305,12 +311,6 @@
         reports = [report for report in answered if report is not None]
         return reports if len(reports) == len(self._ranks) else []
 
-    @property
-    def _lead_ms(self) -> float:
-        return self._parameters.lead_ms + self._parameters.lead_per_rank_ms * len(
-            self._ranks
-        )
-
     async def _hold(self) -> bool:
         """Hold the group back from a pass that is at least the lead away.
 
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -1,4 +1,4 @@
-"""Digests that gateways exchange: calls in flight at targets, and suspect requests."""
+"""Exchange of digests between gateways, and the table in which they find each other."""
 
 import asyncio
 import random
@@ -8,7 +8,8 @@
 import msgspec
 from returns.result import Failure
 
-from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
+from carobroute.gateway._digests import Digest, PeerState
+from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._targets import SLOW_TARGET_SLOWDOWN, TargetDirectory
 from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
@@ -47,209 +48,12 @@
     lookup_interval_ms: float = 30_000.0
 
 
-class Digest(msgspec.Struct, frozen=True, array_like=True):
-    """State of one gateway, as sent to its peers.
-
-    Parameters
-    ----------
-    incarnation : str
-        Incarnation of the gateway.
-    address : str
-        `host:port` on which the gateway receives digests.
-    number : int
-        Sequence number among the digests of this incarnation.
-    calls : dict of str to int
-        Calls in flight at each incarnation of a target.
-    crashes_by_request : dict of str to list of str
-        Target incarnations that crashed with each suspect request in flight, keyed by
-        the request's fingerprint.
-    calls_per_s : float
-        Recent rate of calls to rank groups.
-    knowledge : StoreKnowledge
-        What the gateway knows of the store.
-    duties : list of str
-        Duties that the gateway holds.
-    capacity : float
-        Bandwidth of the gateway's link, in Mbit/s.
-    data_centre : str
-        Data centre of the gateway.
-    slowdowns : dict of str to float
-        Slowdown of each slow target in reports that the gateway has read.
-    """
-
-    incarnation: str
-    address: str
-    number: int
-    calls: dict[str, int]
-    crashes_by_request: dict[str, list[str]]
-    calls_per_s: float = 0.0
-    knowledge: StoreKnowledge = StoreKnowledge()
-    duties: list[str] = []
-    capacity: float = 0.0
-    data_centre: str = ""
-    slowdowns: dict[str, float] = {}
-
-
 class GatewayRow(msgspec.Struct, frozen=True):
     """Row of a gateway, with the address on which it receives digests."""
 
     address: str
 
 
-class PeerState:
-    """Latest digest of each peer, and the calls of all peers at each target.
-
-    Parameters
-    ----------
-    clock : Clock
-        Source of time.
-    calls_expiry_ms : float
-        Silence after which a peer's calls are no longer counted.
-    gone_after_ms : float
-        Silence after which a peer counts as gone.
-
-    Examples
-    --------
-    >>> from carobroute.utils import ManualClock
-    >>> clock = ManualClock()
-    >>> peer_state = PeerState(clock=clock, calls_expiry_ms=1_000, gone_after_ms=700)
-    >>> peer_state.update(Digest("a", "10.0.0.1:7000", 1, {"run-1": 2}, {}))
-    True
-    >>> peer_state.update(Digest("b", "10.0.0.2:7000", 1, {"run-1": 1}, {}))
-    True
-    >>> peer_state.calls_at("run-1")
-    3
-    >>> clock.advance_ms(1_001)
-    >>> peer_state.drop_silent()
-    >>> peer_state.calls_at("run-1"), peer_state.peer_count
-    (0, 0)
-    """
-
-    __slots__ = (
-        "_calls_by_target",
-        "_calls_expiry_ms",
-        "_clock",
-        "_gone_after_ms",
-        "_last_heard_ms",
-        "_latest",
-        "_started_ms",
-    )
-
-    def __init__(self, *, clock: Clock, calls_expiry_ms: float, gone_after_ms: float):
-        self._clock = clock
-        self._calls_expiry_ms = calls_expiry_ms
-        self._gone_after_ms = gone_after_ms
-        self._started_ms = clock.now_ms()
-        self._latest: dict[str, Digest] = {}
-        self._last_heard_ms: dict[str, float] = {}
-        self._calls_by_target: dict[str, int] = {}
-
-    @property
-    def peer_count(self) -> int:
-        """Number of peers that have sent a digest recently."""
-        return len(self._latest)
-
-    @property
-    def addresses(self) -> set[str]:
-        """Addresses on which these peers receive digests."""
-        return {digest.address for digest in self._latest.values()}
-
-    def sum_ages_ms(self) -> float:
-        """Return the sum of the ages of all peers' digests."""
-        now_ms = self._clock.now_ms()
-        return sum(now_ms - heard_ms for heard_ms in self._last_heard_ms.values())
-
-    def calls_per_s(self) -> dict[tuple[str, str], float]:
-        """Return the recent rate of calls to rank groups of each peer.
-
-        Keys are the data centre and the incarnation of the peer.
-        """
-        return {
-            (digest.data_centre, name): digest.calls_per_s
-            for name, digest in self._latest.items()
-        }
-
-    def slowdown_at(self, incarnation: str) -> float:
-        """Return the slowdown of a target that peers know; 1 if they know of none."""
-        slowdowns = (
-            digest.slowdowns.get(incarnation, 1.0) for digest in self._latest.values()
-        )
-        return max(slowdowns, default=1.0)
-
-    def knowledge(self) -> dict[str, StoreKnowledge]:
-        """Return what each peer knows of the store."""
-        return {name: digest.knowledge for name, digest in self._latest.items()}
-
-    def find_holder(self, duty: str) -> str:
-        """Return the peer that says that it holds a duty; empty for none.
-
-        A peer that has been silent for too long does not count.
-        """
-        for name, digest in self._latest.items():
-            if duty in digest.duties and not self.is_gone(name):
-                return name
-        return ""
-
-    def count_stronger(self, name: str, capacity: float) -> int:
-        """Return the number of peers that a gateway leaves a duty to.
-
-        These are the live peers with a larger link, or with an equal one and a name
-        that comes first.
-        """
-        own = (-capacity, name)
-        return sum(
-            (-digest.capacity, peer) < own and not self.is_gone(peer)
-            for peer, digest in self._latest.items()
-        )
-
-    def is_gone(self, incarnation: str) -> bool:
-        """Return whether a gateway has been silent for so long that it is gone.
-
-        The silence of a gateway without any digest counts from this object's creation.
-        """
-        last_heard_ms = self._last_heard_ms.get(incarnation, self._started_ms)
-        return self._clock.now_ms() - last_heard_ms > self._gone_after_ms
-
-    def calls_at(self, incarnation: str) -> int:
-        """Return the calls that peers have in flight at a target incarnation."""
-        return self._calls_by_target.get(incarnation, 0)
-
-    def update(self, digest: Digest) -> bool:
-        """Apply a digest; return False unless it is newer than the known one."""
-        known = self._latest.get(digest.incarnation)
-        if known is not None and digest.number <= known.number:
-            return False
-        for old in list(self._latest.values()):
-            # A restarted gateway has none of the calls of its previous incarnation.
-            if old.address == digest.address:
-                self._drop(old)
-        self._latest[digest.incarnation] = digest
-        self._last_heard_ms[digest.incarnation] = self._clock.now_ms()
-        self._add_calls(digest, 1)
-        return True
-
-    def drop_silent(self) -> None:
-        """Drop peers whose digests have expired."""
-        oldest_ms = self._clock.now_ms() - self._calls_expiry_ms
-        for name, last_heard_ms in list(self._last_heard_ms.items()):
-            if last_heard_ms < oldest_ms:
-                self._drop(self._latest[name])
-
-    def _drop(self, digest: Digest) -> None:
-        del self._latest[digest.incarnation]
-        del self._last_heard_ms[digest.incarnation]
-        self._add_calls(digest, -1)
-
-    def _add_calls(self, digest: Digest, sign: int) -> None:
-        """Add a digest's calls to the totals, or subtract them if `sign` is -1."""
-        for target, calls in digest.calls.items():
-            total = self._calls_by_target.get(target, 0) + sign * calls
-            if total > 0:
-                self._calls_by_target[target] = total
-            else:
-                self._calls_by_target.pop(target, None)
-
-
 class PeerProtocol(asyncio.DatagramProtocol):
     """Datagram protocol that sends and receives digests.
 
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -14,10 +14,11 @@
 from carobroute.gateway._call_records import CallRecorder
 from carobroute.gateway._configuration import ActiveConfiguration
 from carobroute.gateway._context import GatewayContext
+from carobroute.gateway._digests import PeerState
 from carobroute.gateway._dispatch import Dispatcher
 from carobroute.gateway._exchange import Exchange
 from carobroute.gateway._parameters import GatewayParameters
-from carobroute.gateway._peers import PeerParameters, PeerProtocol, PeerState
+from carobroute.gateway._peers import PeerParameters, PeerProtocol
 from carobroute.gateway._rank_groups import PassTimeEstimators, RebalancingLoop
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._shared_reads import SharedReads
--- a/carobroute/gateway/_stored_duty.py
+++ b/carobroute/gateway/_stored_duty.py
@@ -120,6 +120,10 @@
         is_in_term = self._clock.boot_time_ms() < self._term_end_ms
         return self._row_version is not None and is_in_term
 
+    @property
+    def _turn_delay_ms(self) -> float:
+        return min(MAX_TURN_DELAY_MS, TURN_DELAY_MS * self._count_stronger())
+
     async def acquire(self) -> bool:
         """Acquire or renew the duty, and return whether this process holds it."""
         now_ms = self._clock.boot_time_ms()
@@ -152,10 +156,6 @@
             self._free_since_ms = now_ms
         return now_ms >= self._free_since_ms + self._turn_delay_ms
 
-    @property
-    def _turn_delay_ms(self) -> float:
-        return min(MAX_TURN_DELAY_MS, TURN_DELAY_MS * self._count_stronger())
-
     async def release(self) -> None:
         """Release the duty, so that a successor need not wait for the term to end."""
         version, self._row_version = self._row_version, None
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -9,7 +9,8 @@
 import uvloop
 
 from carobroute.gateway import ActiveConfiguration
-from carobroute.gateway._peers import Digest, PeerProtocol, PeerState
+from carobroute.gateway._digests import Digest, PeerState
+from carobroute.gateway._peers import PeerProtocol
 from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
 from carobroute.gateway._stored_duty import StoredDuty
 from carobroute.gateway._suspect_requests import SuspectRequests
--- a/carobroute/gateway/tests/test_slow_ranks.py
+++ b/carobroute/gateway/tests/test_slow_ranks.py
@@ -9,7 +9,7 @@
 from returns.result import Success
 
 from carobroute.gateway import Dispatcher, DispatchRequest, TargetDirectory
-from carobroute.gateway._peers import Digest, PeerState
+from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._shared_reads import StoreKnowledge
 from carobroute.testing.gateway_data import (
     make_engine,
--- a/carobroute/gateway/tests/test_store_watch.py
+++ b/carobroute/gateway/tests/test_store_watch.py
@@ -1,7 +1,6 @@
 """Configuration and targets of a gateway while the store changes or is unavailable."""
 
 import io
-import json
 import random
 
 import pytest
@@ -14,33 +13,10 @@
 from carobroute.gateway._store_watch import ConfigurationWatcher, TargetListPoller
 from carobroute.telemetry import EventLog
 from carobroute.testing.row_store_data import MemoryRowStore
+from carobroute.testing.shared_reads_data import encode_configuration, encode_entry
 from carobroute.utils import ManualClock
 
 
-def _configuration(version):
-    route = {
-        "name": "r",
-        "host": "a.example",
-        "pathPrefix": "/x/",
-        "kind": "safe",
-        "service": "one",
-    }
-    return json.dumps(
-        {"version": version, "routes": [route], "services": [{"name": "one"}]}
-    ).encode()
-
-
-def _entry(**changes):
-    fields = {
-        "service": "one",
-        "address": "10.0.0.1:80",
-        "zone": "a",
-        "state": "ready",
-        "slots": 2,
-    }
-    return json.dumps({**fields, **changes}).encode()
-
-
 class StoreScenario:
     """A store, with the watcher and the poller that read it."""
 
@@ -79,10 +55,10 @@
 
 
 async def test_a_change_is_active_after_the_watch_that_returns_it(scenario):
-    scenario.store.put("op", "config", _configuration(4))
+    scenario.store.put("op", "config", encode_configuration(4))
     await scenario.watcher.poll_once()
     assert scenario.active.table.version == 4
-    scenario.store.put("op", "config", _configuration(9))
+    scenario.store.put("op", "config", encode_configuration(9))
     await scenario.watcher.poll_once()
     assert scenario.active.table.version == 9
 
@@ -98,13 +74,13 @@
 
 async def test_a_first_configuration_is_active_as_soon_as_it_is_written(scenario):
     await scenario.watcher.poll_once()
-    scenario.store.put("op", "config", _configuration(4))
+    scenario.store.put("op", "config", encode_configuration(4))
     await scenario.watcher.poll_once()
     assert scenario.active.table.version == 4
 
 
 async def test_a_watch_without_changes_gives_a_proof_as_old_as_its_start(scenario):
-    scenario.store.put("op", "config", _configuration(4))
+    scenario.store.put("op", "config", encode_configuration(4))
     await scenario.watcher.poll_once()
     sent_ms = scenario.clock.now_ms()
     await scenario.watcher.poll_once()
@@ -114,7 +90,7 @@
 
 
 async def test_failed_calls_do_not_renew_the_proof_and_are_logged_once(scenario):
-    scenario.store.put("op", "config", _configuration(4))
+    scenario.store.put("op", "config", encode_configuration(4))
     await scenario.watcher.poll_once()
     scenario.store.is_unavailable = True
     for _ in range(10):
@@ -129,7 +105,7 @@
 
 
 async def test_the_first_call_after_a_failure_renews_the_proof_at_once(scenario):
-    scenario.store.put("op", "config", _configuration(4))
+    scenario.store.put("op", "config", encode_configuration(4))
     await scenario.watcher.poll_once()
     scenario.store.is_unavailable = True
     await scenario.watcher.poll_once()
@@ -142,9 +118,9 @@
 async def test_the_row_is_read_again_if_the_store_has_dropped_the_watched_history(
     scenario,
 ):
-    scenario.store.put("op", "config", _configuration(4))
+    scenario.store.put("op", "config", encode_configuration(4))
     await scenario.watcher.poll_once()
-    scenario.store.put("op", "config", _configuration(5))
+    scenario.store.put("op", "config", encode_configuration(5))
     scenario.store.history_from = scenario.store.version
     assert await scenario.watcher.poll_once() == 0
     await scenario.watcher.poll_once()
@@ -154,7 +130,7 @@
 async def test_an_unreadable_configuration_does_not_renew_the_proof_of_the_old_one(
     scenario,
 ):
-    scenario.store.put("op", "config", _configuration(4))
+    scenario.store.put("op", "config", encode_configuration(4))
     await scenario.watcher.poll_once()
     scenario.clock.advance_ms(1_000)
     scenario.store.put("op", "config", b"{")
@@ -164,9 +140,9 @@
 
 
 async def test_unreadable_entries_are_logged_once_and_affect_no_other_target(scenario):
-    scenario.store.put("servers", "i-1", _entry())
+    scenario.store.put("servers", "i-1", encode_entry())
     scenario.store.put("servers", "i-2", b"\xff\xfe")
-    scenario.store.put("servers", "i-3", _entry(state=None))
+    scenario.store.put("servers", "i-3", encode_entry(state=None))
     for _ in range(3):
         await scenario.poller.poll_once()
     assert [target.incarnation for target in scenario.directory.all_targets()] == [
@@ -176,7 +152,7 @@
 
 
 async def test_the_removal_of_an_entry_is_reported_once(scenario):
-    scenario.store.put("servers", "i-1", _entry())
+    scenario.store.put("servers", "i-1", encode_entry())
     await scenario.poller.poll_once()
     scenario.store.remove("servers", "i-1")
     for _ in range(3):
--- a/carobroute/testing/gateway_fleet_data.py
+++ b/carobroute/testing/gateway_fleet_data.py
@@ -8,7 +8,7 @@
 
 from carobroute.domain import ServiceProfile
 from carobroute.gateway import Dispatcher, DispatchRequest, TargetDirectory
-from carobroute.gateway._peers import Digest, PeerState
+from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._slot_shares import SlotShares
 from carobroute.testing.gateway_data import make_target_entry
 from carobroute.utils import Clock
