--- a/carobroute/gateway/_shared_reads.py
+++ b/carobroute/gateway/_shared_reads.py
@@ -104,10 +104,6 @@
             return None
         return min(boot_ms, self._clock.boot_time_ms())
 
-    def to_store_ms(self, boot_ms: float) -> float:
-        """Return the time of the store for a boot time of this machine."""
-        return boot_ms - (self._offset_ms or 0.0)
-
 
 class SharedReads:
     """Decides whether this gateway reads the store itself, or follows its peers.
