Stop the orders of a coordinator that has been replaced

Cause: an undo raises the version of the old map until a rank accepts it, and so replaces the map that the successor has just prepared there; the successor's orders to arm are refused and it undoes its switch in turn. The duty was checked before a switch only. Since resent orders are bounded, versions are apart, and an undo leaves a rank armed by another coordinator alone; the cause was still there: in the new test the successor's switch ended as "undone" before this change.

Change: a coordinator whose term has ended, and that hears from a live peer that it holds the duty, sends no further orders, as if it had crashed; the successor recovers a hold as after a crash (`spec/map_hold.py` covers that).

--- a/carobroute/experts/_rank_group.py
+++ b/carobroute/experts/_rank_group.py
@@ -32,6 +32,11 @@
 
     __slots__ = ()
 
+    @property
+    @abc.abstractmethod
+    def is_superseded(self) -> bool:
+        """Whether another process is known to hold the lease by now."""
+
     @abc.abstractmethod
     async def acquire(self) -> bool:
         """Acquire or renew the lease; return whether this process holds it."""
--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -475,6 +475,7 @@
             report_lag_ms=group.report_lag_ms,
             clock=self._clock,
             parameters=self._switch_parameters,
+            is_superseded=lambda: self._duty.is_superseded,
         )
 
     # The layout in use.
--- a/carobroute/experts/_switch.py
+++ b/carobroute/experts/_switch.py
@@ -44,7 +44,8 @@
     Only `SWITCHED` puts the new map in use. After `NOT_HELD`, the order to hold was not
     sent or not confirmed, or a recovery found no hold. After `STUCK`, an order to
     disarm or to release a rank was not confirmed, or a recovery found holds on all
-    ranks; the group may stay held.
+    ranks; the group may stay held. After `SUPERSEDED`, the rest is left to the
+    coordinator that has taken over.
     """
 
     SWITCHED = "switched"
@@ -52,6 +53,7 @@
     NOT_HELD = "not_held"
     UNDONE = "undone"
     STUCK = "stuck"
+    SUPERSEDED = "superseded"
 
 
 class SwitchParameters(msgspec.Struct, frozen=True, kw_only=True):
@@ -148,6 +150,8 @@
         Source of time.
     parameters : SwitchParameters, default=None
         Times and limits; None for the defaults.
+    is_superseded : callable, optional
+        Returns whether another process coordinates the group by now.
 
     Notes
     -----
@@ -171,6 +175,9 @@
     A successor that finds the group held undoes the attempt in the same way, after it
     has placed a hold of its own on another rank. The previous coordinator, if it
     resumes, can release only its own hold, and the group stays held.
+
+    A coordinator that learns that it has been replaced sends no further orders, as if
+    it had crashed: its undo would replace the maps that its successor has prepared.
     """
 
     __slots__ = (
@@ -181,6 +188,7 @@
         "_epoch",
         "_held_step",
         "_holding_rank",
+        "_is_superseded",
         "_layout",
         "_parameters",
         "_pass_ms",
@@ -204,6 +212,7 @@
         report_lag_ms: float,
         clock: Clock,
         parameters: SwitchParameters | None = None,
+        is_superseded: Callable[[], bool] = lambda: False,
     ):
         self._ranks = ranks
         self._epoch = epoch
@@ -216,6 +225,7 @@
         self._report_lag_ms = report_lag_ms
         self._clock = clock
         self._parameters = parameters or SwitchParameters()
+        self._is_superseded = is_superseded
         self._holding_rank = 0
         # Time at which the held pass is expected to be due.
         self._due_ms = 0.0
@@ -229,6 +239,10 @@
 
     async def run(self) -> SwitchResult:
         """Switch the group to the new map, or undo the attempt."""
+        result = await self._run()
+        return SwitchResult.SUPERSEDED if self._is_superseded() else result
+
+    async def _run(self) -> SwitchResult:
         if not await self._prepare():
             return SwitchResult.NOT_PREPARED
         prepared_ms = self._clock.now_ms() + self._copy_ms
@@ -431,6 +445,8 @@
     ) -> OrderResult:
         deadline_ms = self._clock.now_ms() + timeout_ms
         while True:
+            if self._is_superseded():
+                return OrderResult.UNSENT
             result = await self._ranks[rank].send_order(order)
             if result in ACCEPTED_RESULTS or result is OrderResult.REFUSED:
                 return result
--- a/carobroute/experts/tests/test_rebalancer.py
+++ b/carobroute/experts/tests/test_rebalancer.py
@@ -25,6 +25,10 @@
     def __init__(self):
         self.acquisitions = 0
 
+    @property
+    def is_superseded(self):
+        return False
+
     async def acquire(self):
         self.acquisitions += 1
         return True
--- a/carobroute/experts/tests/test_switch.py
+++ b/carobroute/experts/tests/test_switch.py
@@ -16,6 +16,8 @@
 from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
 
 SEEDS = range(40)
+# Long enough for reports to show that the experts are being copied.
+SLOW_COPY_MS = 800.0
 # The platform delays at most this share of orders.
 MANY_LATE_ORDERS = OrderFaults(late_share=0.35, lost_answer_share=0.1)
 
@@ -267,3 +269,45 @@
         assert all(rank.armed.version == 99 for rank in group.ranks)
 
     run_scenario(scenario)
+
+
+@pytest.mark.parametrize("action", [OrderAction.PREPARE, OrderAction.ARM])
+def test_a_coordinator_that_was_replaced_leaves_the_successors_switch_alone(action):
+    """It wakes from a freeze, and its undo would replace the maps that are prepared."""
+    results = []
+
+    async def scenario(group):
+        resumed = asyncio.Event()
+        late_orders = []
+
+        async def gate(order):
+            if order.action is action:
+                await resumed.wait()
+            if resumed.is_set():
+                late_orders.append(order.action)
+
+        ranks = [GatedRank(rank, gate) for rank in group.ranks]
+        switch = make_switch(group, ranks=ranks, is_superseded=resumed.is_set)
+        first = asyncio.create_task(switch.run())
+        await group.clock.sleep_ms(3_000)
+        recovery = make_switch(group, version=1)
+        await recovery.recover(await read_reports(group))
+        await group.clock.sleep_ms(2 * REPORT_LAG_MS)
+        for rank in group.ranks:
+            rank.copy_ms = SLOW_COPY_MS
+        successor = make_switch(
+            group, version=200_001, version_remainder=1, copy_ms=SLOW_COPY_MS
+        )
+        loop = asyncio.get_running_loop()
+        # While the ranks copy the successor's experts.
+        loop.call_later(0.05, resumed.set)
+        results.append(await successor.run())
+        assert await asyncio.wait_for(first, 60) is SwitchResult.SUPERSEDED
+        # Each rank may have had one order on its way.
+        assert len(late_orders) <= len(group.ranks)
+        assert not any(a is OrderAction.DISARM for a in late_orders)
+
+    group = run_scenario(scenario)
+    assert results == [SwitchResult.SWITCHED]
+    assert not group.mixed_passes
+    assert group.step > 150
--- a/carobroute/gateway/_stored_duty.py
+++ b/carobroute/gateway/_stored_duty.py
@@ -120,6 +120,14 @@
         is_in_term = self._clock.boot_time_ms() < self._term_end_ms
         return self._row_version is not None and is_in_term
 
+    @property
+    def is_superseded(self) -> bool:
+        """Whether this process's term has ended and a live one says it holds the duty.
+
+        The term of a process that was frozen ends while it stands still.
+        """
+        return not self.is_held and bool(self._find_holder(self._name))
+
     @property
     def _turn_delay_ms(self) -> float:
         return min(MAX_TURN_DELAY_MS, TURN_DELAY_MS * self._count_stronger())
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -287,3 +287,17 @@
     assert not PeerState(
         clock=clock, calls_expiry_ms=1_200.0, gone_after_ms=700.0
     ).is_gone("b")
+
+
+async def test_a_gateway_that_wakes_knows_that_another_one_has_its_duty():
+    """Its term ends while it stands still; before that, the peer is out of date."""
+    clock, holders = ManualClock(), []
+    store = MemoryRowStore(clock=clock)
+    duty = _duty("a", store, clock, find_holder=lambda name: "".join(holders))
+    assert await duty.acquire()
+    holders.append("b")
+    assert not duty.is_superseded
+    clock.advance_ms(3_001)
+    assert duty.is_superseded
+    holders.clear()
+    assert not duty.is_superseded
