Take a stream that ends inside an event for broken off

Cause: an answer, a stream too, may come with neither a length nor chunks and end with its connection. A stream that ended inside an event, a line ending or a character was passed on with its torn last event and ended as complete, under each framing. To callers with HTTP/1.0, whose answers end with the connection, every stream that the gateway broke off looked complete.

Change: a stream that ends inside an event fails its attempt: it is resumed where that is allowed, and broken off otherwise. A connection of HTTP/1.0 is then closed with a reset. Events may also end with two carriage returns; one after a CRLF is half of a line ending.

Ruled out: answers without a length that end in order, plain ones anywhere, streams at the end of an event; they are whole, and were delivered so before. Not proved: a target that crashes right after an event and whose kernel closes the connection in order looks like a complete stream.

--- a/carobroute/gateway/_event_framing.py
+++ b/carobroute/gateway/_event_framing.py
@@ -2,8 +2,10 @@
 
 import re
 
-_EVENT_END = re.compile(rb"\r?\n\r?\n")
-_EVENT_ID = re.compile(rb"(?:^|\n)id: ?([^\r\n]*)")
+# A line ends with CRLF, LF or CR. A CR at the end of the data after a CRLF is part of
+# another CRLF, the rest of which has not arrived.
+_EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
+_EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
 class EventFramer:
@@ -16,6 +18,10 @@
     b'id: 7\\ndata: a\\n\\n'
     >>> framer.last_event_id, framer.partial_event
     ('7', b'id: 8\\nda')
+    >>> framer.feed(b"ta: b\\r\\n\\r")
+    b''
+    >>> framer.feed(b"\\nid: 9\\rdata: c\\r\\r")
+    b'id: 8\\ndata: b\\r\\n\\r\\nid: 9\\rdata: c\\r\\r'
     """
 
     __slots__ = ("_buffer", "last_event_id")
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -1,9 +1,12 @@
 """Relaying of an event stream from targets to one caller."""
 
 import asyncio
+import socket
+import struct
+from collections.abc import Callable
 
 import aiohttp
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from carobroute.engines import WatchedResponse, end_to_end
 from carobroute.gateway._call_records import CallRecord
@@ -18,6 +21,9 @@
 STUCK_CHECK_INTERVAL_MS = 200.0
 # Retries that a moved stream must leave in the budget.
 MIN_RETRIES_LEFT = 3.0
+EVENT_STREAM_TYPE = "text/event-stream"
+# Value of SO_LINGER that makes the kernel send a reset when a connection is closed.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 class CallerLostError(Exception):
@@ -72,7 +78,12 @@
         return self._framer.last_event_id
 
     async def relay(
-        self, target: Target, response: WatchedResponse, *, can_fail_over: bool
+        self,
+        target: Target,
+        response: WatchedResponse,
+        *,
+        can_fail_over: bool,
+        on_events: Callable[[], None] = lambda: None,
     ) -> web.StreamResponse:
         """Relay a target's answer to its end.
 
@@ -84,14 +95,16 @@
             The target's answer.
         can_fail_over : bool
             Whether the stream may be resumed at another target.
+        on_events : callable, optional
+            Called each time that events have arrived.
 
         Raises
         ------
         CallerLostError
             If the caller no longer reads the answer.
         aiohttp.ClientError, OSError
-            If the answer broke off, or has an event that is longer than this gateway
-            buffers.
+            If the answer broke off, which a stream also has that ends inside an event,
+            or has an event that is longer than this gateway buffers.
         """
         self._framer.discard_partial_event()
         self._last_event_ms = 0.0
@@ -100,20 +113,33 @@
         if can_fail_over and target.entry.group:
             stuck_watch = asyncio.create_task(self._close_if_stuck(target, response))
         try:
-            await self._relay_events(target, response)
+            await self._relay_events(target, response, on_events)
         finally:
             if stuck_watch is not None:
                 stuck_watch.cancel()
         response.check_end()
+        if self._framer.partial_event and _is_event_stream(response):
+            raise aiohttp.ClientPayloadError("the stream ended inside an event")
         await self._write(self._framer.partial_event, response)
         return await self._finish_response()
 
     def abort(self) -> None:
-        """Close the caller's connection, so that the answer is seen as incomplete."""
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        """Close the caller's connection, so that the answer is seen as incomplete.
 
-    async def _relay_events(self, target: Target, response: WatchedResponse) -> None:
+        An answer in HTTP/1.0 ends with its connection, so only a reset shows that it
+        is incomplete.
+        """
+        transport = self._request.transport
+        if transport is None:
+            return
+        if self._request.version < HttpVersion11:
+            connection = transport.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        transport.abort()
+
+    async def _relay_events(
+        self, target: Target, response: WatchedResponse, on_events: Callable[[], None]
+    ) -> None:
         pass_time_estimator = self._context.pass_time_estimators.get(target.group)
         breaker = self._context.dispatcher.circuit_breaker(target)
         while data := await response.content.readany():
@@ -129,6 +155,7 @@
                 pass_time_estimator.note_first_event()
             self._last_event_ms = target.last_event_ms = now_ms
             breaker.note_event()
+            on_events()
             await self._write(events, response)
 
     def _check_partial_event(self) -> None:
@@ -200,3 +227,8 @@
         except ConnectionError as error:
             raise CallerLostError(f"cannot end the response: {error!r}") from error
         return self._caller_response
+
+
+def _is_event_stream(response: WatchedResponse) -> bool:
+    content_type = response.headers.get("Content-Type", EVENT_STREAM_TYPE)
+    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
