Refuse prompt parts that crash targets, and try suspected ones in one call at a time

Cause: a part of a prompt may crash each target that begins an answer on it, in requests of which no two are alike. The fingerprint of whole requests lets every one of them through, from every gateway.

Change: a gateway that loses a call before its answer has begun asks the target at once whether it has crashed. Crashes with the parts of such calls, and the times at which parts began answers, travel in the digests with their ages and merge in any order. The part that explains most crashes, and of several the one in the fewest calls, is suspected; a call with it is tried alone over all gateways; after two waves of crashes it is refused at once for a minute, then tried again. Parts that have begun answers, or that most calls have, need more. A gateway that has just started waits 0.7 s at most for what its peers know. Log lines and a metric for parts suspected, refused and cleared; operators list and lift refusals on the metrics address.

--- /dev/null
+++ b/carobroute/gateway/_attempt.py
@@ -0,0 +1,51 @@
+"""Results of attempts to send a call to a target."""
+
+import enum
+
+import msgspec
+from aiohttp import web
+
+from carobroute.errors import Fault
+
+
+class AttemptOutcome(enum.StrEnum):
+    """Outcome of one attempt to send a call to a target.
+
+    Attributes
+    ----------
+    ANSWERED
+        The target's answer is complete, or its stream was relayed to the end.
+    FAILED
+        The target answered with an error of its own.
+    NOT_SENT
+        The call was not sent.
+    NOT_RUN
+        The target answered that it did not run the call.
+    UNKNOWN
+        The call was sent, and the target may have run it.
+    """
+
+    ANSWERED = "answered"
+    FAILED = "failed"
+    NOT_SENT = "not_sent"
+    NOT_RUN = "not_run"
+    UNKNOWN = "unknown"
+
+
+class Attempt(msgspec.Struct, frozen=True, kw_only=True):
+    """Result of one attempt to send a call to a target.
+
+    Parameters
+    ----------
+    outcome : AttemptOutcome
+        Outcome of the attempt.
+    response : web.StreamResponse or None
+        Response for the caller: complete for `ANSWERED`, the target's error for
+        `FAILED`.
+    fault : Fault or None
+        Reason of a failure.
+    """
+
+    outcome: AttemptOutcome
+    response: web.StreamResponse | None = None
+    fault: Fault | None = None
--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -119,6 +119,7 @@
         "_ended_count",
         "_events",
         "_first_byte",
+        "_parts",
         "_waits",
     )
 
@@ -131,6 +132,9 @@
         self._attempts = metrics.counter(
             "attempts", "Calls sent to targets.", ["service", "outcome"]
         )
+        self._parts = metrics.counter(
+            "prompt_parts", "Changes of the state of prompt parts.", ["state"]
+        )
         self._first_byte = metrics.histogram(
             "first_byte_ms", "Time to the first byte of an answer.", ["service"]
         )
@@ -142,6 +146,10 @@
         """Count an attempt to send a call to a target."""
         self._attempts.labels(service, outcome).inc()
 
+    def count_part(self, state: str) -> None:
+        """Count a prompt part that was suspected, refused or cleared."""
+        self._parts.labels(state).inc()
+
     def observe_wait(self, service: str, waited_ms: float) -> None:
         """Observe the time that a call waited for a target."""
         self._waits.labels(service).observe(waited_ms)
--- a/carobroute/gateway/_context.py
+++ b/carobroute/gateway/_context.py
@@ -4,8 +4,10 @@
 
 from carobroute.gateway._call_records import CallRecorder
 from carobroute.gateway._configuration import ActiveConfiguration
+from carobroute.gateway._crash_detector import CrashDetector
 from carobroute.gateway._dispatch import Dispatcher
 from carobroute.gateway._parameters import GatewayParameters
+from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rank_groups import PassTimeEstimators
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._stuck_calls import StuckCallDetector
@@ -40,6 +42,10 @@
         Finds calls that a rank has lost.
     suspects : SuspectRequests
         Requests that were in flight when targets crashed.
+    quarantine : PromptQuarantine
+        Prompt parts that crash targets.
+    crash_detector : CrashDetector
+        Tells crashes of targets from answers that broke off.
     pass_time_estimators : PassTimeEstimators
         Pace of each rank group.
     recorder : CallRecorder
@@ -49,12 +55,14 @@
     __slots__ = (
         "clock",
         "configuration",
+        "crash_detector",
         "directory",
         "dispatcher",
         "is_stopping",
         "parameters",
         "pass_time_estimators",
         "pool",
+        "quarantine",
         "random",
         "recorder",
         "retry_budget",
@@ -75,6 +83,8 @@
         retry_budget: RetryBudget,
         stuck_calls: StuckCallDetector,
         suspects: SuspectRequests,
+        quarantine: PromptQuarantine,
+        crash_detector: CrashDetector,
         pass_time_estimators: PassTimeEstimators,
         recorder: CallRecorder,
     ):
@@ -88,6 +98,8 @@
         self.retry_budget = retry_budget
         self.stuck_calls = stuck_calls
         self.suspects = suspects
+        self.quarantine = quarantine
+        self.crash_detector = crash_detector
         self.pass_time_estimators = pass_time_estimators
         self.recorder = recorder
         self.is_stopping = False
--- a/carobroute/gateway/_digests.py
+++ b/carobroute/gateway/_digests.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from carobroute.gateway._part_evidence import EvidenceReport
 from carobroute.gateway._shared_reads import StoreKnowledge
 from carobroute.utils import Clock
 
@@ -34,6 +35,12 @@
         Data centre of the gateway.
     slowdowns : dict of str to float
         Slowdown of each slow target in reports that the gateway has read.
+    part_evidence : dict of str to EvidenceReport
+        Crashes and prompt parts of each service.
+    trials : dict of str to bool
+        Prompt parts whose trial the gateway claims, and whether it runs.
+    is_evidence_complete : bool
+        Whether `part_evidence` is all that the gateway knows.
     """
 
     incarnation: str
@@ -47,6 +54,9 @@
     capacity: float = 0.0
     data_centre: str = ""
     slowdowns: dict[str, float] = {}
+    part_evidence: dict[str, EvidenceReport] = {}
+    trials: dict[str, bool] = {}
+    is_evidence_complete: bool = False
 
 
 class PeerState:
@@ -155,6 +165,21 @@
             for peer, digest in self._latest.items()
         )
 
+    def is_known(self, incarnation: str) -> bool:
+        """Return whether a gateway has sent a digest recently."""
+        return incarnation in self._latest
+
+    def trials_of(self, part: str) -> dict[str, bool]:
+        """Return the live peers that claim the trial of a part.
+
+        Values tell whether the trial runs.
+        """
+        return {
+            name: digest.trials[part]
+            for name, digest in self._latest.items()
+            if part in digest.trials and not self.is_gone(name)
+        }
+
     def is_gone(self, incarnation: str) -> bool:
         """Return whether a gateway has been silent for so long that it is gone.
 
--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -250,6 +250,13 @@
             return Failure(fault)
         return await self._wait_in_queue(request)
 
+    def has_target(self, service: str) -> bool:
+        """Return whether a target of a service takes calls now."""
+        return any(
+            target.is_usable and not self.circuit_breaker(target).is_down
+            for target in self._directory.targets(service)
+        )
+
     def circuit_breaker(self, target: Target) -> GroupCircuitBreaker:
         """Return the circuit breaker of a target's rank group."""
         breaker = self._circuit_breakers.get(target.group)
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -1,7 +1,6 @@
 """Exchange of one caller's request for an answer, with retries and failover."""
 
 import asyncio
-import enum
 from collections.abc import Coroutine
 from typing import Any
 
@@ -13,12 +12,14 @@
 
 from carobroute.engines import WatchedResponse, end_to_end
 from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.gateway._attempt import Attempt, AttemptOutcome
 from carobroute.gateway._call import (
     UNAVAILABLE_RETRY_MS,
     Call,
     CallReader,
     stale_proof_fault,
 )
+from carobroute.gateway._call_parts import CallParts
 from carobroute.gateway._call_records import CallRecord
 from carobroute.gateway._context import GatewayContext
 from carobroute.gateway._dispatch import DispatchRequest, Grant
@@ -50,49 +51,6 @@
 HEALTH_NEUTRAL_FAULTS = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.LEAVING})
 
 
-class AttemptOutcome(enum.StrEnum):
-    """Outcome of one attempt to send a call to a target.
-
-    Attributes
-    ----------
-    ANSWERED
-        The target's answer is complete, or its stream was relayed to the end.
-    FAILED
-        The target answered with an error of its own.
-    NOT_SENT
-        The call was not sent.
-    NOT_RUN
-        The target answered that it did not run the call.
-    UNKNOWN
-        The call was sent, and the target may have run it.
-    """
-
-    ANSWERED = "answered"
-    FAILED = "failed"
-    NOT_SENT = "not_sent"
-    NOT_RUN = "not_run"
-    UNKNOWN = "unknown"
-
-
-class Attempt(msgspec.Struct, frozen=True, kw_only=True):
-    """Result of one attempt to send a call to a target.
-
-    Parameters
-    ----------
-    outcome : AttemptOutcome
-        Outcome of the attempt.
-    response : web.StreamResponse or None
-        Response for the caller: complete for `ANSWERED`, the target's error for
-        `FAILED`.
-    fault : Fault or None
-        Reason of a failure.
-    """
-
-    outcome: AttemptOutcome
-    response: web.StreamResponse | None = None
-    fault: Fault | None = None
-
-
 class Exchange:
     """Sends one caller's request to targets until one answers, and relays the answer.
 
@@ -109,6 +67,7 @@
         "_context",
         "_excluded_targets",
         "_may_have_run",
+        "_parts",
         "_record",
         "_relay",
         "_request",
@@ -117,6 +76,7 @@
 
     # Set once the request has been read and authorized.
     _call: Call
+    _parts: CallParts
 
     def __init__(self, *, context: GatewayContext, request: web.Request):
         self._context = context
@@ -156,6 +116,13 @@
         if isinstance(read, Failure):
             return self._refuse_call(read.failure())
         self._call = read.unwrap()
+        self._parts = CallParts(
+            quarantine=self._context.quarantine,
+            detector=self._context.crash_detector,
+            record=self._record,
+            service=self._call.service.name,
+            parts=head.shared_parts,
+        )
         try:
             async with asyncio.timeout(self._remaining_ms / MS_PER_S):
                 return await self._run_attempts()
@@ -164,6 +131,8 @@
         except CallerLostError as error:
             fault = Fault(kind=ErrorKind.CANCELLED, detail=str(error))
             return self._abort_stream(fault)
+        finally:
+            self._parts.end_attempt()
 
     @property
     def _remaining_ms(self) -> float:
@@ -192,6 +161,12 @@
                 return self._fail_call(attempt, target_error)
 
     async def _acquire_target(self) -> Result[Grant, Fault]:
+        service = self._call.service.name
+        refusal = await self._parts.admit(
+            self._remaining_ms, lambda: self._context.dispatcher.has_target(service)
+        )
+        if refusal is not None:
+            return Failure(refusal)
         request = DispatchRequest(
             request_id=self._record.request_id,
             service=self._call.service,
@@ -231,14 +206,31 @@
             pass_time_estimator.note_call_end()
             self._context.dispatcher.release(grant)
             self._note_attempt(grant, attempt)
+        if attempt.outcome is AttemptOutcome.UNKNOWN:
+            await self._check_crash(grant.target, attempt)
+        self._parts.end_attempt()
         if attempt.outcome in (AttemptOutcome.NOT_SENT, AttemptOutcome.NOT_RUN):
             self._may_have_run = may_have_run_before
         return attempt
 
+    async def _check_crash(self, target: Target, attempt: Attempt) -> None:
+        """Find out whether a target crashed, before the call is retried.
+
+        A target from which nothing comes may be cut off; the list of targets shows
+        later whether it has crashed.
+        """
+        is_silent = attempt.fault is not None and (
+            attempt.fault.kind is ErrorKind.PEER_LOST
+        )
+        if not is_silent:
+            await self._parts.check_crash(target)
+
     def _note_attempt(self, grant: Grant, attempt: Attempt | None) -> None:
         target = grant.target
         outcome = attempt.outcome.value if attempt else "cancelled"
         self._context.recorder.count_attempt(self._call.service.name, outcome)
+        if attempt is None or attempt.outcome is AttemptOutcome.UNKNOWN:
+            self._parts.note_interrupted(target)
         if attempt is None:
             return
         fault = attempt.fault
@@ -256,6 +248,9 @@
             return
         if attempt.outcome is not AttemptOutcome.NOT_SENT:
             self._sent_count += 1
+        elif fault is not None and fault.kind is ErrorKind.OVERLOADED:
+            # The call was withheld for its prompt; another attempt may use the target.
+            return
         self._excluded_targets.add(target.incarnation)
         if attempt.outcome is AttemptOutcome.UNKNOWN:
             self._context.suspects.note_interrupted(
@@ -330,7 +325,7 @@
         if not target.is_usable:
             detail = f"target {target.incarnation} is leaving"
             return Fault(kind=ErrorKind.LEAVING, detail=detail)
-        return None
+        return self._parts.find_obstacle()
 
     @property
     def _can_fail_over(self) -> bool:
@@ -439,6 +434,8 @@
         answer = web.Response(
             status=response.status, body=body, headers=end_to_end(response.headers)
         )
+        if response.status < 300:
+            self._parts.note_answered()
         if response.status < 500:
             return Attempt(outcome=AttemptOutcome.ANSWERED, response=answer)
         fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=f"status {response.status}")
@@ -464,8 +461,12 @@
 
     async def _relay_stream(self, grant: Grant, response: WatchedResponse) -> Attempt:
         caller_response = await self._relay.relay(
-            grant.target, response, can_fail_over=self._can_fail_over
+            grant.target,
+            response,
+            can_fail_over=self._can_fail_over,
+            on_events=self._parts.note_events,
         )
+        self._parts.note_answered()
         return Attempt(outcome=AttemptOutcome.ANSWERED, response=caller_response)
 
     # Retries and final responses.
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from carobroute.gateway._digests import Digest, PeerState
+from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._targets import SLOW_TARGET_SLOWDOWN, TargetDirectory
@@ -76,6 +77,8 @@
         Targets with this gateway's calls in flight.
     suspects : SuspectRequests
         Requests that were in flight when targets crashed.
+    quarantine : PromptQuarantine
+        Prompt parts that crash targets.
     calls_per_s : callable
         Returns this gateway's recent rate of calls to rank groups.
     shared : SharedReads
@@ -110,6 +113,7 @@
         peer_state: PeerState,
         directory: TargetDirectory,
         suspects: SuspectRequests,
+        quarantine: PromptQuarantine,
         calls_per_s: Callable[[], float],
         shared: SharedReads,
         duties: Callable[[], list[str]],
@@ -129,6 +133,7 @@
         self._peer_state = peer_state
         self._directory = directory
         self._suspects = suspects
+        self._quarantine = quarantine
         self._calls_per_s = calls_per_s
         self._shared = shared
         self._duties = duties
@@ -182,8 +187,11 @@
 
     def share_change(self) -> None:
         """Send a digest at once if peers rely on what this gateway has read."""
-        if not self._shared.is_reader:
-            return
+        if self._shared.is_reader:
+            self.send_now()
+
+    def send_now(self) -> None:
+        """Send a digest at once, because peers have to know a change soon."""
         if self._timer is not None:
             self._timer.cancel()
         self._send()
@@ -204,14 +212,20 @@
                 "digest_unreadable", level="warning", sender=addr[0], why=str(error)
             )
             return
-        if digest.incarnation == self._incarnation or not self._peer_state.update(
-            digest
-        ):
+        if digest.incarnation == self._incarnation:
+            return
+        is_new = not self._peer_state.is_known(digest.incarnation)
+        if not self._peer_state.update(digest):
             return
+        if is_new:
+            self._quarantine.note_new_peer()
         self._shared.apply_knowledge(digest.knowledge)
         for fingerprint, incarnations in digest.crashes_by_request.items():
             for incarnation in incarnations:
                 self._suspects.add_crash(fingerprint, incarnation)
+        self._quarantine.merge(
+            digest.part_evidence, is_complete=digest.is_evidence_complete
+        )
 
     def error_received(self, exc: Exception) -> None:
         """Log that a peer is unreachable; its silence is detected separately."""
@@ -228,6 +242,7 @@
             return
         self._last_sent_ms = self._clock.now_ms()
         self._digest_number += 1
+        part_evidence, is_evidence_complete = self._quarantine.make_reports()
         digest = Digest(
             incarnation=self._incarnation,
             address=self._bind,
@@ -248,11 +263,19 @@
                 for target in self._directory.all_targets()
                 if target.own_slowdown >= SLOW_TARGET_SLOWDOWN
             },
+            part_evidence=part_evidence,
+            trials=self._quarantine.trials,
+            is_evidence_complete=is_evidence_complete,
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
             data = msgspec.msgpack.encode(
-                msgspec.structs.replace(digest, crashes_by_request={})
+                msgspec.structs.replace(
+                    digest,
+                    crashes_by_request={},
+                    part_evidence={},
+                    is_evidence_complete=False,
+                )
             )
         for address in self._destinations():
             self._transport.sendto(data, split_host_port(address))
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -6,6 +6,7 @@
 import signal
 import sys
 from pathlib import Path
+from typing import Any
 
 from aiohttp import web
 from returns.result import Failure
@@ -14,11 +15,15 @@
 from carobroute.gateway._call_records import CallRecorder
 from carobroute.gateway._configuration import ActiveConfiguration
 from carobroute.gateway._context import GatewayContext
+from carobroute.gateway._crash_detector import CrashDetector, crash_name
 from carobroute.gateway._digests import PeerState
 from carobroute.gateway._dispatch import Dispatcher
 from carobroute.gateway._exchange import Exchange
+from carobroute.gateway._operations import OperationsInterface
 from carobroute.gateway._parameters import GatewayParameters
+from carobroute.gateway._part_verdicts import PartState
 from carobroute.gateway._peers import PeerParameters, PeerProtocol
+from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rank_groups import PassTimeEstimators, RebalancingLoop
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._shared_reads import SharedReads
@@ -40,7 +45,6 @@
 from carobroute.web import WebSite
 
 METRICS_PORT = 9464
-METRICS_PATH = "/metrics"
 # Limit on a header line; the configuration's own limit is not known at the start.
 MAX_HEADER_BYTES = 16_384
 MAX_BODY_BYTES = 1 << 24
@@ -80,6 +84,7 @@
         "_peer_state",
         "_peers",
         "_pool",
+        "_quarantine",
         "_random",
         "_rank_client",
         "_settings",
@@ -175,6 +180,13 @@
         self._suspects = SuspectRequests(
             clock=clock, crash_limit=self._parameters.crash_limit
         )
+        self._quarantine = PromptQuarantine(
+            clock=clock,
+            name=self._incarnation,
+            peer_trials=self._peer_state.trials_of,
+            on_change=lambda: self._peers.send_now(),
+            on_state=self._note_part_state,
+        )
         self._context = GatewayContext(
             clock=clock,
             random=self._random,
@@ -195,6 +207,12 @@
                 stuck_after_ms=self._parameters.stuck_after_ms,
             ),
             suspects=self._suspects,
+            quarantine=self._quarantine,
+            crash_detector=CrashDetector(
+                pool=self._pool,
+                client=self._rank_client,
+                timeout_ms=self._parameters.connect_timeout_ms,
+            ),
             pass_time_estimators=PassTimeEstimators(clock=clock),
             recorder=CallRecorder(events=self._events, metrics=self._metrics),
         )
@@ -227,6 +245,7 @@
             peer_state=self._peer_state,
             directory=self._directory,
             suspects=self._suspects,
+            quarantine=self._quarantine,
             calls_per_s=lambda: self._dispatcher.engine_calls_per_s,
             shared=self._shared_reads,
             duties=lambda: self._groups.held_duties,
@@ -318,17 +337,26 @@
                     target=incarnation,
                     requests=",".join(fingerprints),
                 )
+        for target in change.lost:
+            self._quarantine.note_target_lost(crash_name(target))
         if change.joined or change.leaving or change.gone:
             self._peers.share_change()
         self._pool.drop_gone()
 
+    def _note_part_state(
+        self, part: str, state: PartState, fields: dict[str, Any]
+    ) -> None:
+        self._context.recorder.count_part(state.value)
+        self._events.event("prompt_part_" + state.value, part=part, **fields)
+
     async def _listen(self) -> WebSite:
         callers = web.Application(client_max_size=MAX_BODY_BYTES)
         callers.router.add_route("*", "/{path:.*}", self._serve)
         operations = web.Application()
         operations.router.add_get(READY_PATH, self._answer_ready)
-        metrics = web.Application()
-        metrics.router.add_get(METRICS_PATH, self._answer_metrics)
+        operators = OperationsInterface(
+            metrics=self._metrics, quarantine=self._quarantine, events=self._events
+        )
         options = {
             "keepalive_timeout": IDLE_TIMEOUT_MS / MS_PER_S,
             "max_line_size": MAX_HEADER_BYTES,
@@ -346,7 +374,7 @@
             WebSite(application=application, bind=bind, stop_timeout_ms=0.0)
             for application, bind in (
                 (operations, self._settings.ready_address),
-                (metrics, f"{self._settings.ip}:{METRICS_PORT}"),
+                (operators.application(), f"{self._settings.ip}:{METRICS_PORT}"),
             )
         ]
         for site in (caller_site, *self._sites):
@@ -367,9 +395,6 @@
     async def _answer_ready(self, request: web.Request) -> web.Response:
         return web.Response(status=200 if self.is_ready else 503)
 
-    async def _answer_metrics(self, request: web.Request) -> web.Response:
-        return web.Response(body=self._metrics.render())
-
     def _reload(self) -> None:
         loaded = read_settings(self._settings_path)
         if isinstance(loaded, Failure):
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -134,11 +134,20 @@
 
 
 class DirectoryChange(msgspec.Struct, frozen=True, kw_only=True):
-    """Incarnations whose state changed with one reading of the list."""
+    """Incarnations whose state changed with one reading of the list.
+
+    Parameters
+    ----------
+    joined, leaving, gone : list of str
+        Incarnations that are new, that have begun to leave, and that are gone.
+    lost : list of Target
+        Those that are gone without having said that they leave.
+    """
 
     joined: list[str]
     leaving: list[str]
     gone: list[str]
+    lost: list[Target]
 
 
 class TargetDirectory:
@@ -272,19 +281,24 @@
         ):
             self._grace_until_ms = now_ms + self._lapsed_grace_ms
         self._last_read_ms = now_ms
-        change = DirectoryChange(joined=[], leaving=[], gone=[])
+        change = DirectoryChange(joined=[], leaving=[], gone=[], lost=[])
         listed = {entry.incarnation: entry for entry in entries}
         for entry in entries:
             self._apply_entry(entry, change)
         if now_ms >= self._grace_until_ms:
             for incarnation in [name for name in self._targets if name not in listed]:
-                self._targets.pop(incarnation).is_gone = True
-                change.gone.append(incarnation)
+                self._note_gone(self._targets.pop(incarnation), change)
         self._targets_by_service = {}
         for target in self._targets.values():
             self._targets_by_service.setdefault(target.entry.service, []).append(target)
         return change
 
+    def _note_gone(self, target: Target, change: DirectoryChange) -> None:
+        target.is_gone = True
+        change.gone.append(target.incarnation)
+        if target.entry.condition is ListedTargetState.READY:
+            change.lost.append(target)
+
     def _apply_entry(self, entry: TargetEntry, change: DirectoryChange) -> None:
         known = self._targets.get(entry.incarnation)
         if known is not None and known.entry.started_ms == entry.started_ms:
@@ -294,8 +308,7 @@
                 change.leaving.append(entry.incarnation)
             return
         if known is not None:
-            known.is_gone = True
-            change.gone.append(entry.incarnation)
+            self._note_gone(known, change)
         self._targets[entry.incarnation] = Target(
             entry=entry,
             clock=self._clock,
--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -20,6 +20,8 @@
 )
 from carobroute.gateway._call_records import CallRecorder
 from carobroute.gateway._context import GatewayContext
+from carobroute.gateway._crash_detector import CrashDetector
+from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rank_groups import PassTimeEstimators
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._target_pool import TargetPool
@@ -208,6 +210,17 @@
                 stuck_after_ms=self.parameters.stuck_after_ms,
             ),
             suspects=SuspectRequests(clock=self.clock, crash_limit=2),
+            quarantine=PromptQuarantine(
+                clock=self.clock,
+                name="g-1",
+                peer_trials=lambda part: {},
+                on_change=lambda: None,
+            ),
+            crash_detector=CrashDetector(
+                pool=self.pool,
+                client=RankClient(),
+                timeout_ms=self.parameters.connect_timeout_ms,
+            ),
             pass_time_estimators=PassTimeEstimators(clock=self.clock),
             recorder=CallRecorder(
                 events=EventLog(name="test", stream=self.log, most_per_s=1e6),
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -11,6 +11,7 @@
 from carobroute.gateway import ActiveConfiguration
 from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._peers import PeerProtocol
+from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
 from carobroute.gateway._stored_duty import StoredDuty
 from carobroute.gateway._suspect_requests import SuspectRequests
@@ -45,6 +46,12 @@
         self.directory.update([make_target_entry()])
         self.target = self.directory.all_targets()[0]
         self.suspects = SuspectRequests(clock=clock, crash_limit=2)
+        self.quarantine = PromptQuarantine(
+            clock=clock,
+            name=f"{name}~1",
+            peer_trials=self.peer_state.trials_of,
+            on_change=lambda: self.protocol.send_now(),
+        )
         self.tasks = TaskSet(on_failure=lambda task, error: None)
         self.protocol = PeerProtocol(
             incarnation=f"{name}~1",
@@ -54,6 +61,7 @@
             peer_state=self.peer_state,
             directory=self.directory,
             suspects=self.suspects,
+            quarantine=self.quarantine,
             calls_per_s=lambda: 0.0,
             shared=SharedReads(
                 clock=clock,
--- a/carobroute/platform/_call_headers.py
+++ b/carobroute/platform/_call_headers.py
@@ -21,6 +21,8 @@
 LENGTH_HINT_HEADER = "Length-Hint"
 CONTENT_ENCODING_HEADER = "Content-Encoding"
 READY_PATH = "/api/ready"
+# Identifiers of prompt parts are kept in memory and sent to peers.
+MAX_PART_NAME_LENGTH = 32
 
 # The system drops these headers of a caller; it sends its own values or none.
 _REPLACED_HEADERS = frozenset(
@@ -52,6 +54,9 @@
         Size of the prompt and largest size of the answer; 0 if unknown.
     expected_output_tokens : int
         The caller's estimate of the answer's size; 0 for none.
+    shared_parts : tuple of str
+        Identifiers of the prompt's parts in order, without the last one, which belongs
+        to this call or its session alone.
     """
 
     request_id: str
@@ -61,6 +66,7 @@
     prompt_tokens: int
     output_tokens: int
     expected_output_tokens: int
+    shared_parts: tuple[str, ...] = ()
 
 
 class ReportedLoad(msgspec.Struct, frozen=True):
@@ -113,6 +119,9 @@
     (1460, 80, 8050.0)
     >>> decode_call_headers({"Deadline-Ms": "soon"}).time_left_ms is None
     True
+    >>> prompt = {"Prompt-Prefix": "5c1e:800, 91bd:410,e440:250"}
+    >>> decode_call_headers(prompt).shared_parts
+    ('5c1e', '91bd')
     """
     counts = headers.get(TOKEN_COUNTS_HEADER, "").split(",")
     return CallHeaders(
@@ -123,6 +132,7 @@
         prompt_tokens=_decode_count(counts[0]),
         output_tokens=_decode_count(counts[1]) if len(counts) > 1 else 0,
         expected_output_tokens=_decode_count(headers.get(LENGTH_HINT_HEADER, "")),
+        shared_parts=_decode_shared_parts(headers.get(PROMPT_PREFIX_HEADER, "")),
     )
 
 
@@ -186,6 +196,17 @@
     return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0
 
 
+def _decode_shared_parts(text: str) -> tuple[str, ...]:
+    """Return the identifiers of all parts but the last, each once.
+
+    An entry without a valid identifier is left out.
+    """
+    entries = text.split(",")[:-1]
+    names = (entry.partition(":")[0].strip().lower() for entry in entries)
+    valid = (name for name in names if 0 < len(name) <= MAX_PART_NAME_LENGTH)
+    return tuple(dict.fromkeys(valid))
+
+
 def _decode_time_left(text: str) -> float | None:
     text = text.strip()
     digits = text.replace(".", "", 1)
--- a/carobroute/platform/_rank_client.py
+++ b/carobroute/platform/_rank_client.py
@@ -63,6 +63,8 @@
         Switch that the rank is armed for.
     held_step : int or None
         Number of the pass that the group does not begin until the rank releases it.
+    started_ms : int or None
+        Unix time of the rank's start in milliseconds; None if it is missing.
     """
 
     epoch: int
@@ -76,6 +78,7 @@
     prepared: int | None
     armed: ArmedSwitch | None
     held_step: int | None
+    started_ms: int | None = None
 
 
 class ExpertCounts(msgspec.Struct, frozen=True, kw_only=True):
@@ -180,6 +183,8 @@
     armed: ArmedSwitch | None = None
     # Number of the pass that is held back, not a count.
     held: int | None = None
+    # Time of the start, not an age.
+    born: int | None = None
 
 
 class _WireCounts(msgspec.Struct):
@@ -336,6 +341,7 @@
             prepared=wire.prepared,
             armed=wire.armed,
             held_step=wire.held,
+            started_ms=wire.born,
         )
     )
 
--- a/carobroute/testing/_gateway_run.py
+++ b/carobroute/testing/_gateway_run.py
@@ -42,6 +42,10 @@
         What is in force at first.
     revoke_ms : float, default=5000.0
         Time after which a key that was taken away opens nothing.
+    name : str, default="gateway-1"
+        Name of the process's instance.
+    platform : PlatformStandIn, default=None
+        Store that it shares with other gateways; None for one of its own.
     """
 
     def __init__(
@@ -50,11 +54,14 @@
         directory: Path,
         configuration: RoutingConfiguration,
         revoke_ms: float = 5_000.0,
+        name: str = "gateway-1",
+        platform: PlatformStandIn | None = None,
     ):
-        self.platform = PlatformStandIn(clock=Clock())
+        self.platform = platform or PlatformStandIn(clock=Clock())
+        self._name = name
         self.configure(configuration)
         self._revoke_ms = revoke_ms
-        self._settings_file = directory / "settings.json"
+        self._settings_file = directory / f"{name}.json"
         # The metrics port is fixed, so each process has a loopback address of its own.
         numbers = random.SystemRandom()
         self._ip = "127." + ".".join(str(numbers.randint(2, 250)) for _ in range(3))
@@ -100,7 +107,7 @@
         """Start the store and the process, and wait until it is ready."""
         address = await self._site.start()
         data = encode_settings(
-            name="gateway-1",
+            name=self._name,
             data_centre="a",
             ip=self._ip,
             ports=self._ports,
