Notice that the store's clock was set, and take no date for younger than it is

Cause: gateways follow confirmations that are dated by the store's clock, and each keeps the largest offset of the two clocks that it has seen. If the store's clock is set forward, or is faster, that offset stays too large for as long as the process lives, and every later date counts as younger than it is; if it is set back, dates from before do. A key that was taken away would be accepted on such a proof. Found by reading.

Change: each answer bounds the offset from both sides, with an allowance for drift. One outside of the bounds shows that the clock was set: no date is converted for 10 s, in which each gateway reads the store itself.

--- a/carobroute/gateway/_shared_reads.py
+++ b/carobroute/gateway/_shared_reads.py
@@ -19,6 +19,11 @@
 READER_COUNT = 3
 # A date from the future of the store's clock, beyond this tolerance, is not believed.
 CLOCK_TOLERANCE_MS = 100.0
+# Largest difference in speed between the store's clock and a machine's.
+MAX_CLOCK_DRIFT = 0.0005
+# Time after the store's clock was set, in which dates from before that may come in.
+# Keys are accepted for a shorter time than this.
+DISTRUST_MS = 10_000.0
 # A gateway that follows reads the configuration itself from this part of the age on up
 # to which keys are accepted, and from this age if there is no such limit.
 MAX_FOLLOWED_RATIO = 0.75
@@ -60,6 +65,11 @@
 class StoreClock:
     """Conversion between the store's clock and the boot time of this machine.
 
+    The store took its time between the sending of a call and its answer, which bounds
+    the offset of the two clocks from both sides. An answer outside of these bounds
+    shows that the store's clock was set; dates from before that can't be told from
+    later ones, so for a while none is converted.
+
     Parameters
     ----------
     clock : Clock
@@ -76,33 +86,52 @@
     900.0
     """
 
-    __slots__ = ("_clock", "_offset_ms")
+    __slots__ = ("_clock", "_distrusted_until_ms", "_max_ms", "_min_ms", "_noted_ms")
 
     def __init__(self, *, clock: Clock):
         self._clock = clock
-        self._offset_ms: float | None = None
+        # Bounds of boot time minus the store's time, as of `_noted_ms`.
+        self._min_ms: float | None = None
+        self._max_ms = 0.0
+        self._noted_ms = 0.0
+        self._distrusted_until_ms = 0.0
 
     def note_answer(self, *, sent_ms: float, store_ms: float) -> None:
-        """Note the store's time in an answer to a call sent at boot time `sent_ms`.
+        """Note the store's time in an answer that has just arrived.
 
-        The store took its time after the call was sent, so converted times are never
-        too young.
+        Parameters
+        ----------
+        sent_ms : float
+            Boot time at which the call was sent.
+        store_ms : float
+            Time of the store in its answer.
         """
-        offset_ms = sent_ms - store_ms
-        if self._offset_ms is None or offset_ms > self._offset_ms:
-            self._offset_ms = offset_ms
+        received_ms = self._clock.boot_time_ms()
+        min_ms, max_ms = sent_ms - store_ms, received_ms - store_ms
+        if self._min_ms is not None:
+            drift_ms = MAX_CLOCK_DRIFT * (received_ms - self._noted_ms)
+            known_min_ms = self._min_ms - drift_ms
+            known_max_ms = self._max_ms + drift_ms
+            if min_ms > known_max_ms or max_ms < known_min_ms:
+                self._distrusted_until_ms = received_ms + DISTRUST_MS
+            else:
+                min_ms, max_ms = max(min_ms, known_min_ms), min(max_ms, known_max_ms)
+        self._min_ms, self._max_ms, self._noted_ms = min_ms, max_ms, received_ms
 
     def to_boot_ms(self, store_ms: float) -> float | None:
         """Return the boot time for a time of the store; None if it is not known.
 
-        A time in the future is not believed, and gives None as well.
+        It is never too young. A time in the future is not believed, and gives None
+        as well.
         """
-        if self._offset_ms is None:
+        now_ms = self._clock.boot_time_ms()
+        if self._min_ms is None or now_ms < self._distrusted_until_ms:
             return None
-        boot_ms = store_ms + self._offset_ms
-        if boot_ms > self._clock.boot_time_ms() + CLOCK_TOLERANCE_MS:
+        drift_ms = MAX_CLOCK_DRIFT * (now_ms - self._noted_ms)
+        boot_ms = store_ms + self._min_ms - drift_ms
+        if boot_ms > now_ms + CLOCK_TOLERANCE_MS:
             return None
-        return min(boot_ms, self._clock.boot_time_ms())
+        return min(boot_ms, now_ms)
 
 
 class SharedReads:
--- a/carobroute/gateway/tests/test_shared_reads.py
+++ b/carobroute/gateway/tests/test_shared_reads.py
@@ -5,12 +5,14 @@
 
 import pytest
 
+from carobroute.gateway._shared_reads import DISTRUST_MS, StoreClock
 from carobroute.testing.shared_reads_data import (
     REVOKE_MS,
     ReadingFleet,
     encode_configuration,
 )
 from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
+from carobroute.utils import ManualClock
 
 DRAIN_MS = 4_000.0
 CONFIGURATION_MS = 4_000.0
@@ -137,3 +139,49 @@
         assert not any(g.configuration.accepts_keys for g in others)
 
     run_fleet(scenario)
+
+
+def answer(store_clock, clock, store_offset_ms, *, took_ms=4.0):
+    """Note an answer of a store whose clock shows boot time minus an offset."""
+    sent_ms = clock.boot_time_ms()
+    clock.advance_ms(took_ms)
+    store_clock.note_answer(
+        sent_ms=sent_ms, store_ms=clock.boot_time_ms() - store_offset_ms
+    )
+
+
+@pytest.mark.parametrize("step_ms", [3_000.0, -3_000.0, 90.0, -90.0])
+def test_no_date_is_taken_for_younger_after_the_stores_clock_was_set(step_ms):
+    """A revoked key would be accepted on a proof that looks younger than it is."""
+    clock = ManualClock(start_ms=100_000.0)
+    store_clock = StoreClock(clock=clock)
+    answer(store_clock, clock, 50_000.0)
+    dates = []
+    for _ in range(100):
+        # A peer's confirmations: their true boot time, and the store's time.
+        dates.append((clock.boot_time_ms(), clock.boot_time_ms() - 50_000.0))
+        clock.advance_ms(50.0)
+    offset_ms = 50_000.0 - step_ms
+    for _ in range(60):
+        answer(store_clock, clock, offset_ms)
+        dates.append((clock.boot_time_ms(), clock.boot_time_ms() - offset_ms))
+        for true_ms, store_ms in dates:
+            converted_ms = store_clock.to_boot_ms(store_ms)
+            is_old = clock.boot_time_ms() - true_ms > DISTRUST_MS
+            assert is_old or converted_ms is None or converted_ms <= true_ms + 0.1
+        clock.advance_ms(250.0)
+    # Peers are believed again.
+    assert store_clock.to_boot_ms(dates[-1][1]) is not None
+
+
+def test_dates_are_not_younger_when_the_stores_clock_is_faster():
+    clock = ManualClock(start_ms=100_000.0)
+    store_clock = StoreClock(clock=clock)
+    for number in range(2_000):
+        offset_ms = 50_000.0 - 0.1 * number
+        answer(store_clock, clock, offset_ms)
+        true_ms = clock.boot_time_ms()
+        clock.advance_ms(1_000.0)
+        converted_ms = store_clock.to_boot_ms(true_ms - offset_ms)
+        assert converted_ms is not None
+        assert true_ms - 10.0 <= converted_ms <= true_ms + 0.1
