Serve connections that a stopping site has just accepted

Cause: right after the listener is closed, the HTTP server closes all connections without a request in hand, also those whose first request is on its way. Change: a stopping site waits for first requests for at most 300 ms, out of its stop time. Requests of connections that the kernel has accepted and the process has not are still reset.

--- a/carobroute/web/_site.py
+++ b/carobroute/web/_site.py
@@ -15,6 +15,9 @@
 HEADER_TIMEOUT_MS = 30_000.0
 MAX_CONNECTIONS = 1_024
 MS_PER_S = 1_000
+# Longest wait of a stopping site for the first requests of connections that it has
+# accepted: they are on their way, and their callers expect answers.
+FIRST_REQUEST_GRACE_MS = 300.0
 
 
 class _RefusingProtocol(asyncio.Protocol):
@@ -49,6 +52,7 @@
     __slots__ = (
         "_application",
         "_bind",
+        "_has_first_request",
         "_header_timeout_ms",
         "_listener",
         "_max_connections",
@@ -81,8 +85,13 @@
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
         self._unserved: set[web.RequestHandler] = set()
+        self._has_first_request = asyncio.Event()
         self.counts: Counter[str] = Counter()
 
+    @property
+    def _grace_ms(self) -> float:
+        return min(FIRST_REQUEST_GRACE_MS, self._stop_timeout_ms)
+
     async def start(self) -> str:
         """Listen, and return the address as `host:port`."""
         self._application.middlewares.insert(0, self._note_request)
@@ -90,7 +99,7 @@
             self._application,
             access_log=None,
             handler_cancellation=True,
-            shutdown_timeout=self._stop_timeout_ms / MS_PER_S,
+            shutdown_timeout=(self._stop_timeout_ms - self._grace_ms) / MS_PER_S,
             **self._options,
         )
         await self._runner.setup()
@@ -110,9 +119,22 @@
     async def stop(self) -> None:
         """Close everything, after what is in flight has had its time to end."""
         await self.stop_accepting()
+        await self._wait_for_first_requests()
         if self._runner is not None:
             await self._runner.cleanup()
 
+    async def _wait_for_first_requests(self) -> None:
+        """Wait until connections that have just been accepted have sent a request."""
+        try:
+            async with asyncio.timeout(self._grace_ms / MS_PER_S):
+                while any(
+                    protocol.transport is not None for protocol in self._unserved
+                ):
+                    self._has_first_request.clear()
+                    await self._has_first_request.wait()
+        except TimeoutError:
+            self.counts["silent_connections"] += 1
+
     @web.middleware
     async def _note_request(
         self,
@@ -120,6 +142,7 @@
         handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
         self._unserved.discard(request.protocol)
+        self._has_first_request.set()
         return await handler(request)
 
     def _make_protocol(self) -> asyncio.Protocol:
--- a/carobroute/web/tests/test_site.py
+++ b/carobroute/web/tests/test_site.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from carobroute.daemon._process import load_tls
+from carobroute.testing import wait_until
 from carobroute.web import WebSite
 
 
@@ -113,3 +114,16 @@
             await served.get("https")
         with pytest.raises(aiohttp.ClientError):
             await served.get("http")
+
+
+async def test_a_connection_that_was_just_accepted_is_served_by_a_stopping_site():
+    """Its first request is on its way; a planned stop must not cut it off."""
+    async with Served() as served:
+        reader, writer = await served.connect()
+        await wait_until(lambda: served.site._unserved, what="it is accepted")
+        stopping = asyncio.create_task(served.site.stop())
+        await asyncio.sleep(0.05)
+        writer.write(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+        assert (await end_of(reader)).endswith(b"hello")
+        await stopping
+        writer.close()
