--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
 
 bench-%: setup  ## run one benchmark
-	$(BIN)/python -m benchmarks.$* --seed $(SEED) $(if $(QUICK),--quick)
+	$(BIN)/python -m benchmarks.$(subst -,_,$*) --seed $(SEED) $(if $(QUICK),--quick)
 
 clean:  ## remove the virtual environment and caches
 	rm -rf $(VENV) build dist *.egg-info .pytest_cache .mypy_cache .ruff_cache
--- a/carobroute/testing/_gateway_run.py
+++ b/carobroute/testing/_gateway_run.py
@@ -29,6 +29,9 @@
 
 STOP_TIMEOUT_S = 20.0
 STOP_MS = 4_000.0
+RUN_GATEWAY = (
+    'import runpy; runpy.run_module("carobroute.gateway", run_name="__main__")'
+)
 
 
 class GatewayRun:
@@ -46,6 +49,8 @@
         Name of the process's instance.
     platform : PlatformStandIn, default=None
         Store that it shares with other gateways; None for one of its own.
+    patch : str, default=""
+        Code that the process runs before it starts, to seed a mistake.
     """
 
     def __init__(
@@ -56,9 +61,11 @@
         revoke_ms: float = 5_000.0,
         name: str = "gateway-1",
         platform: PlatformStandIn | None = None,
+        patch: str = "",
     ):
         self.platform = platform or PlatformStandIn(clock=Clock())
         self._name = name
+        self._patch = patch
         self.configure(configuration)
         self._revoke_ms = revoke_ms
         self._settings_file = directory / f"{name}.json"
@@ -125,8 +132,8 @@
             await self._reader
         self._process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "carobroute.gateway",
+            "-c",
+            f"{self._patch}\n{RUN_GATEWAY}",
             stdout=asyncio.subprocess.PIPE,
             env={**os.environ, SETTINGS_VARIABLE: str(self._settings_file)},
         )
