Send what clears a prompt part at once, and forget interrupted calls of live targets

Found in review and by the test of a constant neighbour at 35 gateways: (1) An answer that clears a part of crashes older than 5 s was told to peers only with the next complete report, up to 2 s later; trials of a cleared part went on, and a sound call was refused. Now the next digest after a clearing is complete. (2) Interrupted calls were kept for ever under the name of a target that never crashes; now for 8 s. (3) A gateway that has just started passed its empty report on as complete. A new peer gets a digest at once.

--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -218,7 +218,8 @@
         if not self._peer_state.update(digest):
             return
         if is_new:
-            self._quarantine.note_new_peer()
+            self._quarantine.request_complete_report()
+            self.note_change()
         self._shared.apply_knowledge(digest.knowledge)
         for fingerprint, incarnations in digest.crashes_by_request.items():
             for incarnation in incarnations:
--- a/carobroute/gateway/_prompt_quarantine.py
+++ b/carobroute/gateway/_prompt_quarantine.py
@@ -207,8 +207,7 @@
     def note_begun(self, service: str, parts: Collection[str]) -> None:
         """Clear the parts of a call whose answer has begun and goes on."""
         if parts and self._of(service).note_begun(parts):
-            self.announce_states()
-            self._on_change()
+            self._share_clearing()
 
     def note_interrupted(
         self,
@@ -231,19 +230,15 @@
         interruption = _Interruption(
             service=service, parts=parts, tried=tried, at_ms=self._clock.now_ms()
         )
-        self._interruptions.setdefault(crash, []).append(interruption)
+        self._interruptions[crash] = [*self._recent_interruptions(crash), interruption]
         self._interruptions.move_to_end(crash)
         while len(self._interruptions) > MAX_INTERRUPTIONS:
             self._interruptions.popitem(last=False)
 
     def note_target_lost(self, crash: str) -> list[str]:
         """Count a crash against the calls that it interrupted; return their parts."""
-        oldest_ms = self._clock.now_ms() - INTERRUPTION_RETENTION_MS
-        interruptions = [
-            interruption
-            for interruption in self._interruptions.pop(crash, [])
-            if interruption.at_ms > oldest_ms
-        ]
+        interruptions = self._recent_interruptions(crash)
+        self._interruptions.pop(crash, None)
         for interruption in interruptions:
             self._of(interruption.service).note_crash(
                 crash, interruption.parts, interruption.tried, self._name
@@ -259,9 +254,14 @@
         evidence = self._evidence.get(service)
         if evidence is None or not evidence.note_begun([part]):
             return False
+        self._share_clearing()
+        return True
+
+    def _share_clearing(self) -> None:
+        """Tell peers that a part is cleared, also of crashes that are no news."""
         self.announce_states()
+        self.request_complete_report()
         self._on_change()
-        return True
 
     def announce_states(self) -> None:
         """Report the parts whose state has changed, also because time has passed."""
@@ -301,12 +301,15 @@
         if is_complete:
             self._uninformed_until_ms = 0.0
 
-    def note_new_peer(self) -> None:
-        """Make the next report a complete one, for a peer that knows nothing yet."""
+    def request_complete_report(self) -> None:
+        """Make the next report a complete one, not only one with news."""
         self._last_complete_ms = float("-inf")
 
     def make_reports(self) -> tuple[dict[str, EvidenceReport], bool]:
-        """Return what peers should know of each service, and whether that is all."""
+        """Return what peers should know of each service, and whether that is all.
+
+        It is not all while this gateway has not heard from peers itself.
+        """
         now_ms = self._clock.now_ms()
         interval_ms = self._parameters.complete_report_interval_ms
         is_complete = now_ms - self._last_complete_ms >= interval_ms
@@ -317,7 +320,8 @@
             report = evidence.report(is_complete=is_complete)
             if report is not None:
                 reports[service] = report
-        return reports, is_complete
+        is_informed = now_ms >= self._uninformed_until_ms
+        return reports, is_complete and is_informed
 
     # Calls.
 
@@ -433,6 +437,14 @@
             evidence = self._evidence[service] = PartEvidence(clock=self._clock)
         return evidence
 
+    def _recent_interruptions(self, crash: str) -> list[_Interruption]:
+        oldest_ms = self._clock.now_ms() - INTERRUPTION_RETENTION_MS
+        return [
+            interruption
+            for interruption in self._interruptions.get(crash, [])
+            if interruption.at_ms > oldest_ms
+        ]
+
     def _suspected(self, service: str, parts: Collection[str]) -> tuple[str, ...]:
         evidence = self._evidence.get(service)
         return () if evidence is None else tuple(evidence.suspected_parts(parts))
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -132,8 +132,8 @@
         transport = self._request.transport
         if transport is None:
             return
-        if self._request.version < HttpVersion11:
-            connection = transport.get_extra_info("socket")
+        connection = transport.get_extra_info("socket")
+        if self._request.version < HttpVersion11 and connection is not None:
             connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
         transport.abort()
 
--- a/carobroute/gateway/tests/test_poison_parts.py
+++ b/carobroute/gateway/tests/test_poison_parts.py
@@ -14,6 +14,7 @@
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.testing.poison_part_data import PartCall, PoisonedFleet
 from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
+from carobroute.utils import ManualClock
 
 DIGEST_MS = 400.0
 CONTACT_MS = 3_000.0
@@ -356,3 +357,31 @@
     assert len(evidence._crashes) <= 32
     reports, _ = quarantine.make_reports()
     assert sum(len(crash.parts) for crash in reports["model"].crashes) <= 400
+
+
+def test_interruptions_at_a_target_that_never_crashes_are_forgotten():
+    clock = ManualClock()
+    quarantine = PromptQuarantine(
+        clock=clock, name="g", peer_trials=lambda part: {}, on_change=lambda: None
+    )
+    for _ in range(1_000):
+        clock.advance_ms(100.0)
+        quarantine.note_interrupted("model", "i-1@1", ("part",))
+    assert len(quarantine._interruptions["i-1@1"]) <= 80
+
+
+def test_a_restarted_gateway_does_not_take_the_word_of_another_one():
+    """Reports are complete only from gateways that have heard from peers."""
+    clock = ManualClock()
+    started, other = (
+        PromptQuarantine(
+            clock=clock, name=name, peer_trials=lambda part: {}, on_change=lambda: None
+        )
+        for name in ("g-1", "g-2")
+    )
+    assert not other.make_reports()[1]
+    clock.advance_ms(701.0)
+    other.request_complete_report()
+    reports, is_complete = other.make_reports()
+    assert is_complete
+    started.merge(reports, is_complete=is_complete)
--- a/carobroute/testing/poison_part_data.py
+++ b/carobroute/testing/poison_part_data.py
@@ -316,7 +316,7 @@
         is_new = not receiver.peer_state.is_known(digest.incarnation)
         if receiver.peer_state.update(digest):
             if is_new:
-                receiver.quarantine.note_new_peer()
+                receiver.quarantine.request_complete_report()
             receiver.quarantine.merge(
                 digest.part_evidence, is_complete=digest.is_evidence_complete
             )
