--- a/carobroute/experts/tests/test_switch.py
+++ b/carobroute/experts/tests/test_switch.py
@@ -311,3 +311,35 @@
     assert results == [SwitchResult.SWITCHED]
     assert not group.mixed_passes
     assert group.step > 150
+
+
+@pytest.mark.parametrize("action", [OrderAction.PREPARE, OrderAction.HOLD])
+@pytest.mark.parametrize("later_ms", [0.0, 40.0, 120.0, 200.0, 320.0])
+def test_a_rank_that_crashes_in_a_switch_leaves_no_map_behind(action, later_ms):
+    """A bad part of a prompt may crash a rank at any moment of a switch."""
+    results = []
+
+    async def scenario(group):
+        crashes = []
+
+        async def crash_later():
+            await group.clock.sleep_ms(later_ms)
+            await group.crash(4_600.0)
+
+        async def gate(order):
+            if order.action is action and not crashes:
+                crashes.append(asyncio.create_task(crash_later()))
+
+        ranks = [GatedRank(rank, gate) for rank in group.ranks]
+        began_ms = group.clock.now_ms()
+        results.append(await make_switch(group, ranks=ranks).run())
+        assert group.clock.now_ms() - began_ms < 10_000.0
+        await crashes[0]
+        assert group.epoch == 2
+        await group.clock.sleep_ms(1_000)
+        results.append(await make_switch(group).run())
+
+    group = run_scenario(scenario)
+    assert results[-1] is SwitchResult.SWITCHED
+    assert not group.mixed_passes
+    assert group.versions_by_pass[-1] == [1, 1, 1, 1]
--- a/carobroute/testing/rank_group_data.py
+++ b/carobroute/testing/rank_group_data.py
@@ -86,6 +86,9 @@
 
     async def send_order(self, order: RankOrder) -> OrderResult:
         """Carry out an order, late or without an answer if the faults say so."""
+        if self._group.is_forming:
+            await self._group.clock.sleep_ms(ANSWER_DELAY_MS)
+            return OrderResult.UNSENT
         draw = self._group.random.random()
         if draw < self._faults.late_share:
             delay_ms = self._group.random.uniform(*LATE_ORDER_DELAY_MS)
@@ -100,9 +103,19 @@
             return OrderResult.UNANSWERED
         return result
 
+    def forget(self) -> None:
+        """Forget all maps, orders and reports, as after a restart."""
+        self._highest_version = 0
+        self._reports.clear()
+        self.version = 0
+        self.prepared = self.preparing = self.armed = self.held_step = None
+        self.order_count = 0
+
     async def read_report(self) -> RankReport | None:
         """Return the rank's state as of `REPORT_LAG_MS` ago."""
         await self._group.clock.sleep_ms(ANSWER_DELAY_MS)
+        if self._group.is_forming:
+            return None
         self.record_report()
         limit_ms = self._group.clock.now_ms() - REPORT_LAG_MS
         while len(self._reports) > 1 and self._reports[1][0] <= limit_ms:
@@ -246,6 +259,7 @@
         self.random = random
         self.pass_ms = pass_ms
         self.epoch = 1
+        self.is_forming = False
         self.step = 0
         self.versions_by_pass: list[list[int]] = []
         self.ranks = [
@@ -289,10 +303,20 @@
             versions for versions in self.versions_by_pass if len(set(versions)) > 1
         ]
 
+    async def crash(self, down_ms: float) -> None:
+        """Lose a rank; the group forms again after `down_ms`, with the initial map."""
+        self.is_forming = True
+        await self.clock.sleep_ms(down_ms)
+        for rank in self.ranks:
+            rank.forget()
+        self.epoch += 1
+        self.is_forming = False
+
     async def run(self) -> None:
         """Make passes, unless a rank holds the group back, until cancelled."""
         while True:
-            self.begin_pass()
+            if not self.is_forming:
+                self.begin_pass()
             await self.clock.sleep_ms(self.pass_ms)
 
     def begin_pass(self) -> bool:
