--- a/carobroute/engines/_stream.py
+++ b/carobroute/engines/_stream.py
@@ -2,28 +2,36 @@
 
 import asyncio
 from collections.abc import AsyncIterator
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import aiohttp
 import msgspec
-from returns.result import Failure
+from returns.result import Failure, Result
 
 from carobroute.engines._events import EventSplitter, is_done
 from carobroute.engines._interface import EngineCall, EngineParameters
 from carobroute.errors import ErrorKind, Fault, FaultError
 
-if TYPE_CHECKING:
-    from carobroute.engines._openai import OpenAiEngine
-
 MS_PER_S = 1_000
 
 
+class ReconnectingEngine(Protocol):
+    """Engine that opens further connections for a call."""
+
+    @property
+    def silence_ms(self) -> float:
+        """Time without a byte after which a connection counts as silent."""
+
+    async def connect(self, call: EngineCall) -> Result[aiohttp.ClientResponse, Fault]:
+        """Open a connection on which the call is answered."""
+
+
 class ResumingStream:
     """The events of one answer, over as many connections as it takes.
 
     Parameters
     ----------
-    engine : OpenAiEngine
+    engine : ReconnectingEngine
         Opens further connections.
     call : EngineCall
         The call that is answered.
@@ -38,7 +46,7 @@
     def __init__(
         self,
         *,
-        engine: "OpenAiEngine",
+        engine: ReconnectingEngine,
         call: EngineCall,
         response: aiohttp.ClientResponse,
         parameters: EngineParameters,
--- a/carobroute/placement/_engine_monitor.py
+++ b/carobroute/placement/_engine_monitor.py
@@ -1,15 +1,11 @@
 """Supervision of a member's engine: attachment, status polling and clean-up."""
 
-from typing import TYPE_CHECKING
-
 from returns.result import Success
 
 from carobroute.placement._engine_orders import EngineOrderSender
 from carobroute.placement._interface import EngineStatus
 from carobroute.placement._map_loader import MapLoader
-
-if TYPE_CHECKING:
-    from carobroute.placement._member import RankMember
+from carobroute.placement._member_state import MemberState
 
 
 class EngineMonitor:
@@ -17,7 +13,7 @@
 
     Parameters
     ----------
-    member : RankMember
+    member : MemberState
         Member that is updated with each status.
     map_loader : MapLoader
         Loaded maps; the experts of unneeded maps are freed.
@@ -30,7 +26,7 @@
     def __init__(
         self,
         *,
-        member: "RankMember",
+        member: MemberState,
         map_loader: MapLoader,
         order_sender: EngineOrderSender,
     ):
--- a/carobroute/placement/_engine_orders.py
+++ b/carobroute/placement/_engine_orders.py
@@ -2,15 +2,12 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
-from typing import TYPE_CHECKING
 
 from returns.result import Result, Success
 
 from carobroute.errors import ErrorKind, Fault
 from carobroute.placement._map import MapVersion
-
-if TYPE_CHECKING:
-    from carobroute.placement._member import RankMember
+from carobroute.placement._member_state import MemberState
 
 REFUSAL_KINDS = frozenset({ErrorKind.STALE_FENCE, ErrorKind.CONFLICT})
 
@@ -20,7 +17,7 @@
 
     Parameters
     ----------
-    member : RankMember
+    member : MemberState
         Member whose ranks get the orders.
 
     Notes
@@ -31,7 +28,7 @@
 
     __slots__ = ("_lock", "_member", "_number")
 
-    def __init__(self, *, member: "RankMember"):
+    def __init__(self, *, member: MemberState):
         self._member = member
         self._lock = asyncio.Lock()
         self._number = 0
--- a/carobroute/placement/_epoch_join.py
+++ b/carobroute/placement/_epoch_join.py
@@ -1,25 +1,22 @@
 """Agreement of all members on the map with which a new epoch begins."""
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from returns.result import Success
 
 from carobroute.placement._interface import EngineStatus, GroupMember
 from carobroute.placement._map import ExpertMap, MapVersion
+from carobroute.placement._member_state import MemberState
 from carobroute.placement._messages import AskJoin, FetchMap, JoinReply, MapReply
 from carobroute.placement._settlement import owns_ranks
 
-if TYPE_CHECKING:
-    from carobroute.placement._member import RankMember
-
 
 class EpochJoin:
     """Finds the map with which a member joins an epoch, the same for all members.
 
     Parameters
     ----------
-    member : RankMember
+    member : MemberState
         Member that joins.
     epoch : int
         Epoch to join.
@@ -35,7 +32,7 @@
 
     __slots__ = ("_epoch", "_member", "_reports")
 
-    def __init__(self, *, member: "RankMember", epoch: int):
+    def __init__(self, *, member: MemberState, epoch: int):
         self._member = member
         self._epoch = epoch
         self._reports: dict[str, MapVersion] = {}
--- a/carobroute/placement/_settlement.py
+++ b/carobroute/placement/_settlement.py
@@ -1,17 +1,14 @@
 """Settlement (cooperative termination): the members find an attempt's outcome."""
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from returns.result import Success
 
 from carobroute.placement._interface import GroupMember
 from carobroute.placement._map import Attempt
+from carobroute.placement._member_state import MemberState
 from carobroute.placement._messages import AskOutcome, OutcomeReply, SwitchOutcome
 
-if TYPE_CHECKING:
-    from carobroute.placement._member import RankMember
-
 
 def owns_ranks(member: GroupMember, incarnation: str, roster: dict[int, str]) -> bool:
     """Return whether `incarnation` owns all of the member's ranks by the roster.
@@ -26,7 +23,7 @@
 
     Parameters
     ----------
-    member : RankMember
+    member : MemberState
         Member with an open promise, which now ignores an abort by the coordinator.
     attempt : Attempt
         Attempt to settle.
@@ -42,7 +39,7 @@
     __slots__ = ("_attempt", "_member", "_promised", "_roster")
 
     def __init__(
-        self, *, member: "RankMember", attempt: Attempt, roster: dict[int, str]
+        self, *, member: MemberState, attempt: Attempt, roster: dict[int, str]
     ):
         self._member = member
         self._attempt = attempt
