--- a/benchmarks/poison_part.py
+++ b/benchmarks/poison_part.py
@@ -15,8 +15,8 @@
 
 from benchmarks._report import parse_arguments, print_result, print_table
 from carobroute.domain import ServiceShare
+from carobroute.standins._crashing_target import CrashingTarget
 from carobroute.testing import GatewayRun
-from carobroute.testing.crashing_target import CrashingTarget
 from carobroute.testing.gateway_data import (
     make_configuration,
     make_engine,
--- a/carobroute/gateway/tests/test_poison_part_targets.py
+++ b/carobroute/gateway/tests/test_poison_part_targets.py
@@ -8,9 +8,9 @@
 from carobroute.domain import ServiceShare
 from carobroute.gateway._operations import OperationsInterface
 from carobroute.gateway.tests.gateway_harness import GatewayHarness
+from carobroute.standins._crashing_target import CrashingTarget
 from carobroute.telemetry import EventLog, Metrics
 from carobroute.testing import wait_until
-from carobroute.testing.crashing_target import CrashingTarget
 from carobroute.testing.gateway_data import (
     make_configuration,
     make_engine,
@@ -97,10 +97,7 @@
     harness, targets = fleet
 
     async def break_connections():
-        await wait_until(lambda: any(target._writers for target in targets))
-        for target in targets:
-            for writer in list(target._writers):
-                writer.transport.abort()
+        await wait_until(lambda: any(t.reset_connections() for t in targets))
 
     breaker = asyncio.create_task(break_connections())
     status, _, _ = await call(harness, 1, "new-part")
@@ -115,7 +112,7 @@
     await call(harness, 1, "first", "bad")
     assert (await call(harness, 2, "bad"))[0] == 503
     for target in targets:
-        target._bad_part = "none"
+        target.bad_part = "none"
     assert harness.context.quarantine.lift("model", "bad")
     assert not harness.context.quarantine.lift("model", "unknown")
     assert (await call(harness, 3, "bad"))[0] == 200
--- a/carobroute/testing/crashing_target.py
+++ b/carobroute/standins/_crashing_target.py
@@ -7,13 +7,13 @@
 
 from multidict import CIMultiDict
 
-from carobroute.domain import TargetEntry
+from carobroute.domain import ListedTargetState, TargetEntry
 from carobroute.platform import CallHeaders, decode_call_headers
-from carobroute.testing.gateway_data import make_target_entry
 
 READ_S = 0.05
 EVENT_GAP_S = 0.03
 EVENTS = 8
+SLOTS = 6
 
 
 class CrashingTarget:
@@ -43,7 +43,7 @@
         on_entry: Callable[[TargetEntry], None] = lambda entry: None,
     ):
         self._incarnation = incarnation
-        self._bad_part = bad_part
+        self.bad_part = bad_part
         self._restart_s = restart_s
         self._on_entry = on_entry
         self._starts = itertools.count(1)
@@ -59,11 +59,15 @@
     @property
     def entry(self) -> TargetEntry:
         """Entry of the target for the list."""
-        return make_target_entry(
+        return TargetEntry(
             incarnation=self._incarnation,
             started_ms=self._started_ms,
-            address=f"127.0.0.1:{self._port}",
             service="model",
+            address=f"127.0.0.1:{self._port}",
+            data_centre="a",
+            slots=SLOTS,
+            condition=ListedTargetState.READY,
+            slow_start_ms=0.0,
         )
 
     async def start(self) -> None:
@@ -79,11 +83,16 @@
             self._restart.cancel()
         self._end_process()
 
+    def reset_connections(self) -> bool:
+        """Reset all connections; return whether there were any."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+        return bool(self._writers)
+
     def _end_process(self) -> None:
         if self._server is not None:
             self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
+        self.reset_connections()
 
     def _crash(self) -> None:
         self.crash_times.append(asyncio.get_running_loop().time())
@@ -124,7 +133,7 @@
         writer.write(body)
 
     async def _run(self, call: CallHeaders, writer: asyncio.StreamWriter) -> None:
-        is_bad = self._bad_part in call.shared_parts
+        is_bad = self.bad_part in call.shared_parts
         if is_bad:
             self.bad_call_times.append(asyncio.get_running_loop().time())
         await asyncio.sleep(READ_S)
