Let a call with a suspected part be the probe of a rank group that is down

Found in review: while the circuit breaker of a service's only group was open, calls with a suspected part were admitted without a trial, took the breaker's probes, and were withheld before they were sent. If all calls have that part, which may be after a restart of all gateways, no probe was ever sent and the group stayed down for good. Change: such a call is tried as long as the list has a usable target; the trial is the probe. The new test never got an answer before (10 s). Wording: parts are blamed, not accused.

--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -251,11 +251,8 @@
         return await self._wait_in_queue(request)
 
     def has_target(self, service: str) -> bool:
-        """Return whether a target of a service takes calls now."""
-        return any(
-            target.is_usable and not self.circuit_breaker(target).is_down
-            for target in self._directory.targets(service)
-        )
+        """Return whether a target of a service may be sent calls, probes included."""
+        return any(target.is_usable for target in self._directory.targets(service))
 
     def circuit_breaker(self, target: Target) -> GroupCircuitBreaker:
         """Return the circuit breaker of a target's rank group."""
--- a/carobroute/gateway/_part_verdicts.py
+++ b/carobroute/gateway/_part_verdicts.py
@@ -14,7 +14,7 @@
 # of the crashes meanwhile.
 MIN_WAVES = 2
 MIN_WAVES_AMONG_OTHERS = 3
-# The same for established parts. Traffic would stop if they were accused wrongly.
+# The same for established parts. Traffic would stop if they were blamed wrongly.
 ESTABLISHED_SUSPECT_WAVES = 3
 ESTABLISHED_MIN_WAVES = 4
 # Parts that come in at most this many times as many calls as another one explain the
--- a/carobroute/gateway/tests/test_poison_part_targets.py
+++ b/carobroute/gateway/tests/test_poison_part_targets.py
@@ -144,3 +144,20 @@
     finally:
         await site.stop()
     assert "prompt_part_lifted" in harness.log.getvalue()
+
+
+async def test_a_suspected_part_does_not_keep_a_group_down(fleet):
+    """If all calls have it, one of them has to be the probe that ends the outage."""
+    harness, targets = fleet
+    quarantine = harness.context.quarantine
+    quarantine.note_interrupted("model", "i-9@1", ("first",))
+    quarantine.note_target_lost("i-9@1")
+    for target in harness.directory.all_targets():
+        harness.context.dispatcher.circuit_breaker(target).note_outage()
+    statuses = []
+    async with asyncio.timeout(10.0):
+        while 200 not in statuses:
+            statuses.append((await call(harness, len(statuses), "first"))[0])
+            await asyncio.sleep(0.05)
+    assert set(statuses) <= {200, 503}
+    assert quarantine.verdicts() == {}
--- a/carobroute/gateway/tests/test_poison_parts.py
+++ b/carobroute/gateway/tests/test_poison_parts.py
@@ -296,7 +296,7 @@
 # Seeded mistakes: with each of them, some check above fails.
 
 
-class FirstPartAccused(PartEvidence):
+class FirstPartBlamed(PartEvidence):
     """Holds the first part of each call for the cause of a crash."""
 
     __slots__ = ()
@@ -325,7 +325,7 @@
     return False
 
 
-@pytest.mark.parametrize("mistake", [FirstPartAccused, BegunDoesNotClear])
+@pytest.mark.parametrize("mistake", [FirstPartBlamed, BegunDoesNotClear])
 def test_a_seeded_mistake_is_caught(monkeypatch, mistake):
     assert not is_caught(monkeypatch, PartEvidence)
     assert is_caught(monkeypatch, mistake)
