--- a/carobroute/testing/poison_part_data.py
+++ b/carobroute/testing/poison_part_data.py
@@ -163,7 +163,7 @@
         self._group_size = group_size
         self._broken_until_ms: dict[int, float] = {}
         self.gateways = [self._make_gateway(f"g-{n}") for n in range(gateways)]
-        self._background: list[asyncio.Task[None]] = []
+        self._background: dict[PartGateway, list[asyncio.Task[None]]] = {}
         self.calls: list[PartCall] = []
         self.crash_times_ms: list[float] = []
 
@@ -193,11 +193,12 @@
             self.calls.append(call)
             calls.append(asyncio.create_task(self._call(gateway, call)))
         await asyncio.gather(*calls)
-        for task in self._background:
-            task.cancel()
+        for gateway in list(self._background):
+            self._stop(gateway)
 
     def restart(self, index: int) -> PartGateway:
         """Replace a gateway by one that knows nothing."""
+        self._stop(self.gateways[index])
         gateway = self._make_gateway(f"{self.gateways[index].name}-restarted")
         self.gateways[index] = gateway
         self._start_digests(gateway)
@@ -290,7 +291,11 @@
         return PartGateway(clock=self.clock, name=name, on_change=lambda: None)
 
     def _start_digests(self, gateway: PartGateway) -> None:
-        self._background.append(asyncio.create_task(self._send_digests(gateway)))
+        self._background[gateway] = [asyncio.create_task(self._send_digests(gateway))]
+
+    def _stop(self, gateway: PartGateway) -> None:
+        for task in self._background.pop(gateway, []):
+            task.cancel()
 
     async def _send_digests(self, gateway: PartGateway) -> None:
         await self.clock.sleep_ms(self._random.uniform(0.0, self._digest_ms))
