Keep the evidence on prompt parts in the store, over a restart of all gateways

Cause: the evidence was in the memory of gateways and in their digests only. With the last gateway it was gone, and each restart paid for it again.

The evidence of a service is one row of the store now, merged under the condition of its version and read at each start.

--- /dev/null
+++ b/carobroute/gateway/_evidence_store.py
@@ -0,0 +1,210 @@
+"""Evidence on prompt parts in the platform's store, for when all gateways restart."""
+
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure
+
+from carobroute.gateway._part_evidence import EvidenceReport
+from carobroute.gateway._prompt_quarantine import PromptQuarantine
+from carobroute.gateway._store_watch import Backoff, DependencyMonitor
+from carobroute.platform import RowCondition, RowsAnswer, RowStore, RowWrite, StoredRow
+from carobroute.telemetry import EventLog
+from carobroute.utils import Clock
+
+EVIDENCE_TABLE = "prompt_parts"
+# Interval at which evidence is compared with what was stored. The crashes of a wave
+# mostly fall into one or two of them.
+CHECK_INTERVAL_MS = 250.0
+# Gateways that store what any gateway has seen.
+KEEPER_COUNT = 2
+# Answers clear the parts of a crash one after the other, so that is stored together.
+CLEARING_DELAY_MS = 2_000.0
+
+
+class StoredEvidence(msgspec.Struct, frozen=True, kw_only=True):
+    """Evidence on the prompt parts of one service, as it is stored.
+
+    Parameters
+    ----------
+    store_ms : float
+        Time by the store's clock at which the ages in `report` held.
+    report : EvidenceReport
+        What was known then.
+    """
+
+    store_ms: float
+    report: EvidenceReport
+
+
+class EvidenceStore:
+    """Keeps the evidence of all gateways in the store, one row for each service.
+
+    Evidence only grows, so a row is read, merged, and written if it lacks something
+    that this gateway knows. A gateway stores the crashes that it saw first; a few
+    gateways store all that they hear of.
+
+    Parameters
+    ----------
+    store : RowStore
+        The platform's store.
+    quarantine : PromptQuarantine
+        Evidence of this gateway.
+    count_stronger : callable
+        Returns the number of live gateways that should store evidence rather than this.
+    events : EventLog
+        Log of what was read and written.
+    clock : Clock
+        Source of time.
+    backoff : Backoff
+        Delays after failed calls to the store.
+    """
+
+    __slots__ = (
+        "_backoff",
+        "_clock",
+        "_count_stronger",
+        "_dependency",
+        "_events",
+        "_quarantine",
+        "_store",
+        "_stored",
+        "_stored_ms",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: RowStore,
+        quarantine: PromptQuarantine,
+        count_stronger: Callable[[], int],
+        events: EventLog,
+        clock: Clock,
+        backoff: Backoff,
+    ):
+        self._store = store
+        self._quarantine = quarantine
+        self._count_stronger = count_stronger
+        self._events = events
+        self._clock = clock
+        self._backoff = backoff
+        self._dependency = DependencyMonitor(
+            name="prompt parts", events=events, clock=clock
+        )
+        # What the row of each service is known to hold, and since when.
+        self._stored: dict[str, frozenset[tuple[str, str]]] = {}
+        self._stored_ms: dict[str, float] = {}
+
+    async def run(self) -> None:
+        """Read all rows, then store what is new."""
+        while not await self._load():
+            await self._clock.sleep_ms(self._backoff.next_ms())
+        while True:
+            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+            for service in self._quarantine.services:
+                if self._is_due(service) and not await self._save(service):
+                    await self._clock.sleep_ms(self._backoff.next_ms())
+
+    async def _load(self) -> bool:
+        read = await self._store.read(EVIDENCE_TABLE)
+        if isinstance(read, Failure):
+            self._dependency.note_failure(read.failure())
+            return False
+        self._note_success()
+        answer = read.unwrap()
+        for row in answer.rows:
+            self._apply(row, answer)
+        return True
+
+    def _is_due(self, service: str) -> bool:
+        """Return whether this gateway should store its evidence on a service now."""
+        suspicions = self._quarantine.open_suspicions(service)
+        stored = self._stored.get(service, frozenset())
+        if suspicions == stored:
+            return False
+        is_keeper = self._count_stronger() < KEEPER_COUNT
+        if suspicions - stored:
+            return is_keeper or self._quarantine.has_reported(service)
+        age_ms = self._clock.now_ms() - self._stored_ms[service]
+        return is_keeper and age_ms >= CLEARING_DELAY_MS
+
+    async def _save(self, service: str) -> bool:
+        """Merge the row of a service; return False if the store did not answer."""
+        read = await self._store.read(EVIDENCE_TABLE, first=service, end=service + "\0")
+        if isinstance(read, Failure):
+            self._dependency.note_failure(read.failure())
+            return False
+        answer = read.unwrap()
+        version = 0
+        for row in answer.rows:
+            version = row.version
+            self._apply(row, answer)
+        suspicions = self._quarantine.open_suspicions(service)
+        if version and suspicions == self._stored.get(service):
+            self._note_success()
+            return True
+        report = self._quarantine.make_complete_report(service)
+        value = StoredEvidence(store_ms=answer.store_ms, report=report)
+        written = await self._store.transact(
+            conditions=[
+                RowCondition(table=EVIDENCE_TABLE, key=service, version=version)
+            ],
+            writes=[
+                RowWrite(
+                    table=EVIDENCE_TABLE,
+                    key=service,
+                    value=msgspec.json.encode(value),
+                )
+            ],
+            removals=[],
+        )
+        if isinstance(written, Failure):
+            self._dependency.note_failure(written.failure())
+            return False
+        self._note_success()
+        if written.unwrap().committed:
+            self._note_stored(service, suspicions)
+            self._events.event(
+                "part_evidence_stored",
+                service=service,
+                version=written.unwrap().version,
+                crashes=len(report.crashes),
+            )
+        return True
+
+    def _note_success(self) -> None:
+        self._dependency.note_success()
+        self._backoff.reset()
+
+    def _note_stored(
+        self, service: str, suspicions: frozenset[tuple[str, str]]
+    ) -> None:
+        self._stored[service] = suspicions
+        self._stored_ms[service] = self._clock.now_ms()
+
+    def _apply(self, row: StoredRow, answer: RowsAnswer) -> None:
+        """Merge a row into the evidence of this gateway."""
+        try:
+            stored = msgspec.json.decode(row.value, type=StoredEvidence)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            self._events.event(
+                "part_evidence_unreadable",
+                level="warning",
+                service=row.key,
+                version=row.version,
+                why=str(error),
+            )
+            return
+        age_ms = max(0.0, answer.store_ms - stored.store_ms)
+        report = stored.report.aged(age_ms)
+        known = self._quarantine.open_suspicions(row.key)
+        self._quarantine.merge({row.key: report})
+        self._note_stored(row.key, report.open_suspicions())
+        if self._quarantine.open_suspicions(row.key) != known:
+            self._events.event(
+                "part_evidence_read",
+                service=row.key,
+                version=row.version,
+                age_ms=round(age_ms),
+                crashes=len(report.crashes),
+            )
--- a/carobroute/gateway/_part_evidence.py
+++ b/carobroute/gateway/_part_evidence.py
@@ -5,6 +5,7 @@
 Both only grow, so reports of peers may be merged late, twice and in any order.
 """
 
+import math
 from collections.abc import Collection, Iterable
 
 import msgspec
@@ -69,6 +70,34 @@
     crashes: list[CrashReport]
     begun_ages_ms: dict[str, float]
 
+    def aged(self, age_ms: float) -> "EvidenceReport":
+        """Return the report as of `age_ms` milliseconds later."""
+        crashes = [
+            msgspec.structs.replace(crash, age_ms=crash.age_ms + age_ms)
+            for crash in self.crashes
+        ]
+        begun_ages_ms = {
+            part: begun_age_ms + age_ms
+            for part, begun_age_ms in self.begun_ages_ms.items()
+        }
+        return EvidenceReport(crashes, begun_ages_ms)
+
+    def open_suspicions(self) -> frozenset[tuple[str, str]]:
+        """Return each crash with each part that has not begun an answer since.
+
+        Examples
+        --------
+        >>> crash = CrashReport("i-1@7", 100.0, ["sound", "bad"])
+        >>> sorted(EvidenceReport([crash], {"sound": 50.0}).open_suspicions())
+        [('i-1@7', 'bad')]
+        """
+        return frozenset(
+            (crash.crash, part)
+            for crash in self.crashes
+            for part in crash.parts
+            if self.begun_ages_ms.get(part, math.inf) > crash.age_ms
+        )
+
 
 class PartEvidence:
     """Judges the prompt parts of one service by crashes and by answers that began.
@@ -191,6 +220,15 @@
             },
         )
 
+    def open_suspicions(self) -> frozenset[tuple[str, str]]:
+        """Return each crash with each part that has not begun an answer since."""
+        report = self.report()
+        return frozenset() if report is None else report.open_suspicions()
+
+    def has_reported(self, reporter: str) -> bool:
+        """Return whether a gateway saw one of the crashes first."""
+        return any(crash.reporter == reporter for crash in self._crashes.values())
+
     def find_verdict(self, parts: Collection[str]) -> Verdict | None:
         """Return the weightiest verdict on the parts of a call, or None.
 
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -18,6 +18,7 @@
 from carobroute.gateway._crash_detector import CrashDetector, crash_name
 from carobroute.gateway._digests import PeerState
 from carobroute.gateway._dispatch import Dispatcher
+from carobroute.gateway._evidence_store import EvidenceStore
 from carobroute.gateway._exchange import Exchange
 from carobroute.gateway._operations import OperationsInterface
 from carobroute.gateway._parameters import GatewayParameters
@@ -28,7 +29,11 @@
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._slot_shares import SlotShares
-from carobroute.gateway._store_watch import ConfigurationWatcher, TargetListPoller
+from carobroute.gateway._store_watch import (
+    Backoff,
+    ConfigurationWatcher,
+    TargetListPoller,
+)
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._target_pool import TargetPool
@@ -229,9 +234,7 @@
             random=self._random,
             is_gone=self._peer_state.is_gone,
             find_holder=self._peer_state.find_holder,
-            count_stronger=lambda: self._peer_state.count_stronger(
-                self._incarnation, self._settings.link_mbps
-            ),
+            count_stronger=self._count_stronger,
             is_stopping=lambda: self._context.is_stopping,
             tasks=self._tasks,
         )
@@ -258,6 +261,12 @@
             tasks=self._tasks,
         )
 
+    def _count_stronger(self) -> int:
+        """Return the number of live gateways that duties are left to."""
+        return self._peer_state.count_stronger(
+            self._incarnation, self._settings.link_mbps
+        )
+
     def _update_gateway_count(self, count: int) -> None:
         # A peer that only this gateway cannot reach still makes retries.
         assumed_count = max(count, len(self._settings.data_centres))
@@ -313,6 +322,19 @@
             clock=self._clock,
             random=self._random,
         )
+        evidence = EvidenceStore(
+            store=self._store,
+            quarantine=self._quarantine,
+            count_stronger=self._count_stronger,
+            events=self._events,
+            clock=self._clock,
+            backoff=Backoff(
+                random=self._random,
+                min_ms=self._parameters.store_retry_min_ms,
+                max_ms=self._parameters.store_retry_max_ms,
+            ),
+        )
+        self._tasks.spawn(evidence.run(), name="store prompt parts")
         self._tasks.spawn(self._groups.run(), name="rebalance groups")
         self._tasks.spawn(configuration.run(), name="watch configuration")
         self._tasks.spawn(targets.run(), name="watch targets")
--- a/carobroute/gateway/_prompt_quarantine.py
+++ b/carobroute/gateway/_prompt_quarantine.py
@@ -172,6 +172,11 @@
         """Trials that this gateway claims, and whether each of them runs."""
         return dict(self._trials)
 
+    @property
+    def services(self) -> list[str]:
+        """Services whose calls have prompt parts."""
+        return list(self._evidence)
+
     def verdicts(self) -> dict[str, list[Verdict]]:
         """Return the verdicts on the parts of each service."""
         return {
@@ -323,6 +328,22 @@
         is_informed = now_ms >= self._uninformed_until_ms
         return reports, is_complete and is_informed
 
+    # Stored evidence.
+
+    def open_suspicions(self, service: str) -> frozenset[tuple[str, str]]:
+        """Return each crash with each part that has not begun an answer since."""
+        evidence = self._evidence.get(service)
+        return frozenset() if evidence is None else evidence.open_suspicions()
+
+    def has_reported(self, service: str) -> bool:
+        """Return whether this gateway saw one of the known crashes first."""
+        evidence = self._evidence.get(service)
+        return evidence is not None and evidence.has_reported(self._name)
+
+    def make_complete_report(self, service: str) -> EvidenceReport:
+        """Return all that is known of the crashes of a service."""
+        return self._of(service).report() or EvidenceReport([], {})
+
     # Calls.
 
     async def admit(
--- a/carobroute/gateway/tests/test_poison_parts.py
+++ b/carobroute/gateway/tests/test_poison_parts.py
@@ -258,6 +258,46 @@
     assert not any(call.sent_ms for call in restarted)
 
 
+@pytest.mark.parametrize("targets", TARGETS, ids=["plain", "12", "63", "129"])
+def test_a_bad_part_stays_refused_when_all_gateways_restart(targets):
+    """Guards against evidence that is lost with the memory of the last gateway."""
+
+    async def restart_all(fleet):
+        await fleet.clock.sleep_ms(15_000.0)
+        for index in range(len(fleet.gateways)):
+            fleet.restart(index)
+
+    fleet = play(Traffic(COMMON), targets=targets, disturb=restart_all)
+    check_bounds(fleet)
+    restarted = [
+        call
+        for call in fleet.calls
+        if call.gateway.endswith("-restarted") and is_poisoned(call.parts)
+    ]
+    assert restarted
+    assert not any(call.sent_ms for call in restarted)
+
+
+@pytest.mark.parametrize("targets", TARGETS, ids=["plain", "12", "63", "129"])
+def test_a_bad_part_is_found_although_all_gateways_restart_after_each_crash(targets):
+    """Guards against evidence that is lost before it suffices to refuse a part."""
+
+    async def restart_all_often(fleet):
+        await fleet.clock.sleep_ms(POISON_FROM_MS + 2_500.0)
+        for _ in range(4):
+            for index in range(len(fleet.gateways)):
+                fleet.restart(index)
+            await fleet.clock.sleep_ms(5_500.0)
+
+    fleet = play(
+        Traffic(COMMON),
+        targets=targets,
+        disturb=restart_all_often,
+        duration_ms=40_000.0,
+    )
+    check_bounds(fleet)
+
+
 def test_sound_calls_that_share_all_parts_but_one_are_served():
     """The caller, the first part and all other parts are those of the bad calls."""
 
--- a/carobroute/testing/poison_part_data.py
+++ b/carobroute/testing/poison_part_data.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import io
 import random
 from collections.abc import Callable
 
@@ -12,7 +13,12 @@
 from returns.result import Failure
 
 from carobroute.gateway._digests import Digest, PeerState
+from carobroute.gateway._evidence_store import EvidenceStore
 from carobroute.gateway._prompt_quarantine import PromptQuarantine, Trial
+from carobroute.gateway._store_watch import Backoff
+from carobroute.platform import RowStore
+from carobroute.telemetry import EventLog
+from carobroute.testing.row_store_data import MemoryRowStore
 from carobroute.utils import Clock
 
 SERVICE = "model"
@@ -80,6 +86,7 @@
     __slots__ = (
         "clock",
         "digest_number",
+        "evidence_store",
         "frozen_until_ms",
         "is_cut_off",
         "name",
@@ -87,7 +94,15 @@
         "quarantine",
     )
 
-    def __init__(self, *, clock: Clock, name: str, on_change: Callable[[], None]):
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        name: str,
+        on_change: Callable[[], None],
+        store: RowStore,
+        random: random.Random,
+    ):
         self.clock = clock
         self.name = name
         self.peer_state = PeerState(
@@ -99,6 +114,14 @@
             peer_trials=self.peer_state.trials_of,
             on_change=on_change,
         )
+        self.evidence_store = EvidenceStore(
+            store=store,
+            quarantine=self.quarantine,
+            count_stronger=lambda: self.peer_state.count_stronger(name, 0.0),
+            events=EventLog(name=name, stream=io.StringIO(), clock=clock),
+            clock=clock,
+            backoff=Backoff(random=random, min_ms=100.0, max_ms=800.0),
+        )
         self.digest_number = 0
         self.is_cut_off = False
         self.frozen_until_ms = 0.0
@@ -157,6 +180,7 @@
         self._digest_ms = digest_ms
         self._is_bad = is_bad
         self._passes_digest = passes_digest or (lambda sender, receiver: True)
+        self.store = MemoryRowStore(clock=clock)
         self.targets = [
             PartTarget(name=f"i-{n}", group=n // group_size) for n in range(targets)
         ]
@@ -175,7 +199,7 @@
     ) -> None:
         """Send calls at random times to random gateways."""
         for gateway in self.gateways:
-            self._start_digests(gateway)
+            self._start(gateway)
         calls = []
         end_ms = self.clock.now_ms() + duration_ms
         while self.clock.now_ms() < end_ms:
@@ -201,7 +225,7 @@
         self._stop(self.gateways[index])
         gateway = self._make_gateway(f"{self.gateways[index].name}-restarted")
         self.gateways[index] = gateway
-        self._start_digests(gateway)
+        self._start(gateway)
         return gateway
 
     def crash(self, target: PartTarget) -> None:
@@ -288,10 +312,19 @@
     # Digests.
 
     def _make_gateway(self, name: str) -> PartGateway:
-        return PartGateway(clock=self.clock, name=name, on_change=lambda: None)
+        return PartGateway(
+            clock=self.clock,
+            name=name,
+            on_change=lambda: None,
+            store=self.store,
+            random=self._random,
+        )
 
-    def _start_digests(self, gateway: PartGateway) -> None:
-        self._background[gateway] = [asyncio.create_task(self._send_digests(gateway))]
+    def _start(self, gateway: PartGateway) -> None:
+        self._background[gateway] = [
+            asyncio.create_task(self._send_digests(gateway)),
+            asyncio.create_task(gateway.evidence_store.run()),
+        ]
 
     def _stop(self, gateway: PartGateway) -> None:
         for task in self._background.pop(gateway, []):
