Log and share the rate limits that targets name

Server-Limit is decoded, the latest word of each target is kept and passed on in digests with its age, and each change is logged (target_limit_named, _lifted, with source and age) and counted. Nothing acts on it yet.

A header that is not a decimal number tells nothing; what was known stays.

--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -119,6 +119,7 @@
         "_ended_count",
         "_events",
         "_first_byte",
+        "_limits",
         "_parts",
         "_waits",
     )
@@ -135,6 +136,9 @@
         self._parts = metrics.counter(
             "prompt_parts", "Changes of the state of prompt parts.", ["state"]
         )
+        self._limits = metrics.counter(
+            "target_limits", "Changes of the rate limits that targets name.", ["change"]
+        )
         self._first_byte = metrics.histogram(
             "first_byte_ms", "Time to the first byte of an answer.", ["service"]
         )
@@ -150,6 +154,10 @@
         """Count a prompt part that was suspected, refused or cleared."""
         self._parts.labels(state).inc()
 
+    def count_limit(self, change: str) -> None:
+        """Count a rate limit that a target has named or lifted."""
+        self._limits.labels(change).inc()
+
     def observe_wait(self, service: str, waited_ms: float) -> None:
         """Observe the time that a call waited for a target."""
         self._waits.labels(service).observe(waited_ms)
--- a/carobroute/gateway/_context.py
+++ b/carobroute/gateway/_context.py
@@ -9,6 +9,7 @@
 from carobroute.gateway._parameters import GatewayParameters
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rank_groups import PassTimeEstimators
+from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
@@ -44,6 +45,8 @@
         Requests that were in flight when targets crashed.
     quarantine : PromptQuarantine
         Prompt parts that crash targets.
+    limits : RateLimits
+        Rate limits that targets name.
     crash_detector : CrashDetector
         Tells crashes of targets from answers that broke off.
     pass_time_estimators : PassTimeEstimators
@@ -59,6 +62,7 @@
         "directory",
         "dispatcher",
         "is_stopping",
+        "limits",
         "parameters",
         "pass_time_estimators",
         "pool",
@@ -84,6 +88,7 @@
         stuck_calls: StuckCallDetector,
         suspects: SuspectRequests,
         quarantine: PromptQuarantine,
+        limits: RateLimits,
         crash_detector: CrashDetector,
         pass_time_estimators: PassTimeEstimators,
         recorder: CallRecorder,
@@ -99,6 +104,7 @@
         self.stuck_calls = stuck_calls
         self.suspects = suspects
         self.quarantine = quarantine
+        self.limits = limits
         self.crash_detector = crash_detector
         self.pass_time_estimators = pass_time_estimators
         self.recorder = recorder
--- a/carobroute/gateway/_crash_detector.py
+++ b/carobroute/gateway/_crash_detector.py
@@ -60,4 +60,4 @@
 
 def crash_name(target: Target) -> str:
     """Return the name of a target's crash, on which all gateways agree."""
-    return f"{target.incarnation}@{target.entry.started_ms}"
+    return target.run_id
--- a/carobroute/gateway/_digests.py
+++ b/carobroute/gateway/_digests.py
@@ -3,6 +3,7 @@
 import msgspec
 
 from carobroute.gateway._part_evidence import EvidenceReport
+from carobroute.gateway._rate_limits import LimitReport
 from carobroute.gateway._shared_reads import StoreKnowledge
 from carobroute.utils import Clock
 
@@ -41,6 +42,8 @@
         Prompt parts whose trial the gateway claims, and whether it runs.
     is_evidence_complete : bool
         Whether `part_evidence` is all that the gateway knows.
+    limits : dict of str to LimitReport
+        Rate limits that targets have named, by the run of the target.
     """
 
     incarnation: str
@@ -57,6 +60,7 @@
     part_evidence: dict[str, EvidenceReport] = {}
     trials: dict[str, bool] = {}
     is_evidence_complete: bool = False
+    limits: dict[str, LimitReport] = {}
 
 
 class PeerState:
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -393,6 +393,7 @@
         if defect:
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=defect)
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
+        self._note_limit(grant.target, head, response)
         if response.status == MISDIRECTED_STATUS or head.not_run:
             return self._handle_not_run(grant, response)
         if self._call.route.streaming and response.status < 300:
@@ -411,6 +412,21 @@
             return "the answer's content encoding was changed in transit"
         return ""
 
+    def _note_limit(
+        self, target: Target, head: AnswerHeaders, response: WatchedResponse
+    ) -> None:
+        """Note the rate limit of a target; a run of another one says nothing of it.
+
+        An answer with the target's own status is needed to lift a limit, since a
+        rejection may carry fewer headers.
+        """
+        if response.status == MISDIRECTED_STATUS:
+            return
+        if head.has_invalid_limit:
+            self._record.note("limit_unreadable", target=target.incarnation)
+        elif head.limit_per_s is not None or head.has_seal:
+            self._context.limits.note(target.run_id, head.limit_per_s)
+
     def _handle_not_run(self, grant: Grant, response: WatchedResponse) -> Attempt:
         target = grant.target
         if response.status == MISDIRECTED_STATUS:
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -10,6 +10,7 @@
 
 from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
+from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._targets import SLOW_TARGET_SLOWDOWN, TargetDirectory
@@ -19,6 +20,8 @@
 
 GATEWAY_TABLE = "gateways"
 MAX_DIGEST_BYTES = 32 * 1024
+# Delay in which several urgent changes are sent together.
+URGENT_DELAY_MS = 10.0
 
 
 class PeerParameters(msgspec.Struct, frozen=True, kw_only=True):
@@ -79,6 +82,8 @@
         Requests that were in flight when targets crashed.
     quarantine : PromptQuarantine
         Prompt parts that crash targets.
+    limits : RateLimits
+        Rate limits that targets name.
     calls_per_s : callable
         Returns this gateway's recent rate of calls to rank groups.
     shared : SharedReads
@@ -114,6 +119,7 @@
         directory: TargetDirectory,
         suspects: SuspectRequests,
         quarantine: PromptQuarantine,
+        limits: RateLimits,
         calls_per_s: Callable[[], float],
         shared: SharedReads,
         duties: Callable[[], list[str]],
@@ -134,6 +140,7 @@
         self._directory = directory
         self._suspects = suspects
         self._quarantine = quarantine
+        self._limits = limits
         self._calls_per_s = calls_per_s
         self._shared = shared
         self._duties = duties
@@ -185,6 +192,15 @@
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(wait_ms / 1_000, self._send)
 
+    def note_urgent_change(self) -> None:
+        """Schedule a digest for the next few milliseconds."""
+        if self._transport is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(URGENT_DELAY_MS / 1_000, self._send)
+
     def share_change(self) -> None:
         """Send a digest at once if peers rely on what this gateway has read."""
         if self._shared.is_reader:
@@ -227,6 +243,7 @@
         self._quarantine.merge(
             digest.part_evidence, is_complete=digest.is_evidence_complete
         )
+        self._limits.merge(digest.limits)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a peer is unreachable; its silence is detected separately."""
@@ -267,6 +284,7 @@
             part_evidence=part_evidence,
             trials=self._quarantine.trials,
             is_evidence_complete=is_evidence_complete,
+            limits=self._limits.report(),
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -26,6 +26,7 @@
 from carobroute.gateway._peers import PeerParameters, PeerProtocol
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rank_groups import PassTimeEstimators, RebalancingLoop
+from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._slot_shares import SlotShares
@@ -83,6 +84,7 @@
         "_events",
         "_groups",
         "_incarnation",
+        "_limits",
         "_line_buffer",
         "_metrics",
         "_parameters",
@@ -185,6 +187,7 @@
         self._suspects = SuspectRequests(
             clock=clock, crash_limit=self._parameters.crash_limit
         )
+        self._limits = RateLimits(clock=clock, on_change=self._note_limit)
         self._quarantine = PromptQuarantine(
             clock=clock,
             name=self._incarnation,
@@ -213,6 +216,7 @@
             ),
             suspects=self._suspects,
             quarantine=self._quarantine,
+            limits=self._limits,
             crash_detector=CrashDetector(
                 pool=self._pool,
                 client=self._rank_client,
@@ -249,6 +253,7 @@
             directory=self._directory,
             suspects=self._suspects,
             quarantine=self._quarantine,
+            limits=self._limits,
             calls_per_s=lambda: self._dispatcher.engine_calls_per_s,
             shared=self._shared_reads,
             duties=lambda: self._groups.held_duties,
@@ -371,6 +376,19 @@
         self._context.recorder.count_part(state.value)
         self._events.event("prompt_part_" + state.value, part=part, **fields)
 
+    def _note_limit(
+        self, target: str, per_s: float | None, age_ms: float, source: str
+    ) -> None:
+        """Log a target's new rate limit, and tell peers if they cannot know it yet."""
+        event = "target_limit_lifted" if per_s is None else "target_limit_named"
+        fields: dict[str, Any] = {} if per_s is None else {"per_s": per_s}
+        self._context.recorder.count_limit(event.removeprefix("target_limit_"))
+        self._events.event(
+            event, target=target, age_ms=round(age_ms), source=source, **fields
+        )
+        if source == "answer":
+            self._peers.note_urgent_change()
+
     async def _listen(self) -> WebSite:
         callers = web.Application(client_max_size=MAX_BODY_BYTES)
         callers.router.add_route("*", "/{path:.*}", self._serve)
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -84,6 +84,11 @@
         """Identifier of this incarnation of the target."""
         return self.entry.incarnation
 
+    @property
+    def run_id(self) -> str:
+        """Identifier of one run of the target, which may restart as it was named."""
+        return f"{self.entry.incarnation}@{self.entry.started_ms}"
+
     @property
     def group(self) -> str:
         """Rank group of the target, or its incarnation where it has none."""
--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -23,6 +23,7 @@
 from carobroute.gateway._crash_detector import CrashDetector
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rank_groups import PassTimeEstimators
+from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._target_pool import TargetPool
 from carobroute.platform import RankClient
@@ -216,6 +217,7 @@
                 peer_trials=lambda part: {},
                 on_change=lambda: None,
             ),
+            limits=RateLimits(clock=self.clock),
             crash_detector=CrashDetector(
                 pool=self.pool,
                 client=RankClient(),
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -12,6 +12,7 @@
 from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._peers import PeerProtocol
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
+from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
 from carobroute.gateway._stored_duty import StoredDuty
 from carobroute.gateway._suspect_requests import SuspectRequests
@@ -52,6 +53,7 @@
             peer_trials=self.peer_state.trials_of,
             on_change=lambda: self.protocol.send_now(),
         )
+        self.limits = RateLimits(clock=clock)
         self.tasks = TaskSet(on_failure=lambda task, error: None)
         self.protocol = PeerProtocol(
             incarnation=f"{name}~1",
@@ -62,6 +64,7 @@
             directory=self.directory,
             suspects=self.suspects,
             quarantine=self.quarantine,
+            limits=self.limits,
             calls_per_s=lambda: 0.0,
             shared=SharedReads(
                 clock=clock,
--- a/carobroute/platform/_call_headers.py
+++ b/carobroute/platform/_call_headers.py
@@ -16,11 +16,15 @@
 NOT_RUN_HEADER = "Not-Run"
 RETRY_AFTER_HEADER = "Retry-After"
 LOAD_HEADER = "Server-Load"
+LIMIT_HEADER = "Server-Limit"
 TOKEN_COUNTS_HEADER = "Token-Counts"
 PROMPT_PREFIX_HEADER = "Prompt-Prefix"
 LENGTH_HINT_HEADER = "Length-Hint"
 CONTENT_ENCODING_HEADER = "Content-Encoding"
 READY_PATH = "/api/ready"
+MAX_TIME_LEFT_LENGTH = 12
+# Longest text of a rate limit; more digits than that are no decimal number of use.
+MAX_LIMIT_LENGTH = 12
 # Identifiers of prompt parts are kept in memory and sent to peers.
 MAX_PART_NAME_LENGTH = 32
 
@@ -100,6 +104,11 @@
         Whether the body has a content encoding, which a proxy must have added.
     load : ReportedLoad or None
         Load of the target; None if the header is missing or invalid.
+    limit_per_s : float or None
+        Calls a second that the target takes from all gateways together; None if it
+        names no limit, or an invalid one.
+    has_invalid_limit : bool
+        Whether it names a limit that is not a decimal number.
     """
 
     request_id: str
@@ -107,6 +116,8 @@
     not_run: bool
     is_encoded: bool
     load: ReportedLoad | None
+    limit_per_s: float | None = None
+    has_invalid_limit: bool = False
 
 
 def decode_call_headers(headers: Mapping[str, str]) -> CallHeaders:
@@ -143,7 +154,12 @@
     --------
     >>> decode_answer_headers({"Server-Load": "3,0,8"}).load
     ReportedLoad(running=3, waiting=0, slots=8)
+    >>> [decode_answer_headers({"Server-Limit": text}).limit_per_s
+    ...  for text in ("2.5", "0", "-1", "nan", "1e9")]
+    [2.5, 0.0, None, None, None]
     """
+    limit = headers.get(LIMIT_HEADER)
+    limit_per_s = None if limit is None else _decode_decimal(limit, MAX_LIMIT_LENGTH)
     encoding = headers.get(CONTENT_ENCODING_HEADER, "identity").strip().lower()
     return AnswerHeaders(
         request_id=headers.get(REQUEST_ID_HEADER, ""),
@@ -151,6 +167,8 @@
         not_run=NOT_RUN_HEADER in headers,
         is_encoded=encoding not in ("", "identity"),
         load=_decode_load(headers.get(LOAD_HEADER, "")),
+        limit_per_s=limit_per_s,
+        has_invalid_limit=limit is not None and limit_per_s is None,
     )
 
 
@@ -208,9 +226,14 @@
 
 
 def _decode_time_left(text: str) -> float | None:
+    return _decode_decimal(text, MAX_TIME_LEFT_LENGTH)
+
+
+def _decode_decimal(text: str, max_length: int) -> float | None:
+    """Return a decimal number without sign or exponent, or None."""
     text = text.strip()
     digits = text.replace(".", "", 1)
-    if not (digits.isascii() and digits.isdigit()) or len(text) > 12:
+    if not (digits.isascii() and digits.isdigit()) or len(text) > max_length:
         return None
     return float(text)
 
