Send calls to targets that name a rate limit only with tokens of one issuer

Cause: no gateway acted on the limit. Ruled out as sufficient: a share of the limit for each gateway. With a burst of one call each, 35 gateways exceed a limit of 1 a second at once, and without a burst most of them never send anything.

One gateway, found by a hash of the target among the live ones, issues all tokens of a target by the leaky bucket rule; the others ask it in a datagram, ahead of need or while a call waits. Where all targets of a service are limited, a call waits for a token within half of its time, or is refused at once with the time at which the limit has room for it.

--- a/carobroute/gateway/_digests.py
+++ b/carobroute/gateway/_digests.py
@@ -121,6 +121,16 @@
         """Addresses on which these peers receive digests."""
         return {digest.address for digest in self._latest.values()}
 
+    @property
+    def live_peers(self) -> list[str]:
+        """Incarnations of the peers that are not gone."""
+        return [name for name in self._latest if not self.is_gone(name)]
+
+    def host_of(self, incarnation: str) -> str:
+        """Return the host of a peer; empty if it is not known."""
+        digest = self._latest.get(incarnation)
+        return digest.address.rpartition(":")[0] if digest else ""
+
     def sum_ages_ms(self) -> float:
         """Return the sum of the ages of all peers' digests."""
         now_ms = self._clock.now_ms()
--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -12,6 +12,7 @@
 from carobroute.domain import ServiceProfile
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.gateway._circuit_breaker import GroupCircuitBreaker
+from carobroute.gateway._rate_tokens import TOKEN_LIFE_MS, RateTokens
 from carobroute.gateway._targets import Target, TargetDirectory
 from carobroute.utils import Clock
 
@@ -19,6 +20,9 @@
 # The lower loaded of two random targets is far better than one random target.
 MIN_SAMPLE_SIZE = 2
 
+# Calls that are refused for the rate limits of all targets come back at different
+# times, up to this factor.
+MAX_RETURN_SPREAD = 1.3
 # Slow ranks are left out only while at least this part of the targets is not slow.
 MIN_FAST_SHARE = 0.7
 
@@ -43,6 +47,9 @@
         gateways see each other's calls with a delay.
     queue_check_interval_ms : float
         Interval at which queues are checked while no call of this gateway ends.
+    limited_wait_ratio : float
+        Part of its remaining time that a call may wait for a token of a target, where
+        all targets limit their rate. The rest is for running it.
     default_wait_ms : float
         Wait that is assumed if none can be estimated: retry delay while a service has
         no usable target, and expected wait while no completion rate is known.
@@ -54,6 +61,7 @@
     max_wait_ratio: float = 0.5
     min_wait_limit_ms: float = 60.0
     queue_check_interval_ms: float = 25.0
+    limited_wait_ratio: float = 0.5
     default_wait_ms: float = 1_000.0
 
 
@@ -103,6 +111,8 @@
         Time in the queue, in milliseconds.
     list_age_ms : float
         Age of the list of targets, in milliseconds.
+    limit_per_s : float or None
+        Rate limit of the target, in calls a second; None if it names none.
     """
 
     target: Target
@@ -111,6 +121,7 @@
     listed_count: int
     waited_ms: float
     list_age_ms: float
+    limit_per_s: float | None = None
 
 
 class _Waiter:
@@ -122,7 +133,8 @@
         self.request = request
         self.sequence = sequence
         self.queued_ms = queued_ms
-        self.future: asyncio.Future[Grant] = asyncio.get_running_loop().create_future()
+        loop = asyncio.get_running_loop()
+        self.future: asyncio.Future[Result[Grant, Fault]] = loop.create_future()
 
     def __lt__(self, other: "_Waiter") -> bool:
         own_key = (self.request.priority, self.sequence)
@@ -138,6 +150,9 @@
     of the free targets. The more calls other gateways may have placed unseen, the
     smaller the sample is, down to two.
 
+    A call goes to a target that limits its rate only with a token for it. Tokens are
+    asked for when such a target would be the best choice, and while calls are queued.
+
     The queue is kept here and not at the targets, so that a call goes to the target
     that has the next free slot. A call whose expected wait exceeds its limit is
     refused at once.
@@ -162,6 +177,8 @@
     own_slots : callable, default=None
         Returns how many slots of each target of a service this gateway uses first;
         None if the slots are not divided.
+    tokens : RateTokens, default=None
+        Tokens for targets that limit their rate; None if none does.
     """
 
     __slots__ = (
@@ -178,6 +195,7 @@
         "_queues",
         "_random",
         "_request_times_ms",
+        "_tokens",
         "_unseen_ms",
     )
 
@@ -192,7 +210,9 @@
         on_change: Callable[[], None] | None = None,
         unseen_ms: Callable[[], float] | None = None,
         own_slots: Callable[[str], Mapping[str, int]] | None = None,
+        tokens: RateTokens | None = None,
     ):
+        self._tokens = tokens
         self._on_change = on_change or (lambda: None)
         self._unseen_ms = unseen_ms or (lambda: 0.0)
         self._own_slots = own_slots or (lambda service: {})
@@ -245,7 +265,9 @@
             target = self._select_target(request)
             if target is not None:
                 return Success(self._grant(target, waited_ms=0.0))
-        fault = self._admission_fault(request)
+        ahead = self.queue_length(service)
+        fault = self._limit_fault(request, ahead=ahead)
+        fault = fault or self._admission_fault(request)
         if fault is not None:
             return Failure(fault)
         return await self._wait_in_queue(request)
@@ -301,11 +323,20 @@
                 heapq.heappop(queue)
                 continue
             target = self._select_target(waiter.request)
-            if target is None:
+            if target is not None:
+                heapq.heappop(queue)
+                waited_ms = self._clock.now_ms() - waiter.queued_ms
+                grant = self._grant(target, waited_ms=waited_ms)
+                waiter.future.set_result(Success(grant))
+                continue
+            last = max(queue)
+            fault = self._limit_fault(last.request, ahead=len(queue) - 1)
+            if fault is None:
                 return
-            heapq.heappop(queue)
-            waited_ms = self._clock.now_ms() - waiter.queued_ms
-            waiter.future.set_result(self._grant(target, waited_ms=waited_ms))
+            queue.remove(last)
+            heapq.heapify(queue)
+            if not last.future.done():
+                last.future.set_result(Failure(fault))
 
     def dispatch_all_queued(self) -> None:
         """Assign queued calls of all services to targets with a free slot."""
@@ -337,14 +368,16 @@
     def _admission_fault(self, request: DispatchRequest) -> Fault | None:
         """Return the reason that a call must not be queued, or None if it may."""
         service = request.service.name
-        if not self._candidates(request):
+        candidates = self._candidates(request)
+        if not candidates:
             return Fault(
                 kind=ErrorKind.NO_TARGET,
                 detail=f"service {service!r} has no target that takes calls",
                 retry_after_ms=self._expected_recovery_ms(service),
             )
-        if not self._completion_rate_per_ms(service):
-            # Without recent completions, the wait cannot be estimated.
+        if not self._completion_rate_per_ms(service) or self._are_limited(candidates):
+            # Without recent completions, the wait cannot be estimated. That for a token
+            # is known to its issuer.
             return None
         expected_ms = self.expected_wait_ms(service)
         if expected_ms <= self._max_wait_ms(request):
@@ -355,6 +388,40 @@
             retry_after_ms=expected_ms,
         )
 
+    def _limit_fault(self, request: DispatchRequest, *, ahead: int) -> Fault | None:
+        """Return why the targets' rate limits exclude a call, or None if they may not.
+
+        They do if all targets limit their rate, the tokens that are held or awaited
+        are for the `ahead` calls before it, and all others were denied.
+        """
+        tokens = self._tokens
+        candidates = self._candidates(request)
+        if tokens is None or not self._are_limited(candidates):
+            return None
+        others = [target for target in candidates if not tokens.is_expected(target)]
+        if request.may_have_run or ahead < len(candidates) - len(others):
+            return None
+        if not all(tokens.denied_ms(target) for target in others):
+            return None
+        return_ms = min(
+            (tokens.return_ms(target) for target in others),
+            default=self._parameters.default_wait_ms,
+        )
+        return Fault(
+            kind=ErrorKind.OVERLOADED,
+            detail=f"all targets of {request.service.name!r} limit their rate",
+            retry_after_ms=return_ms * self._random.uniform(1.0, MAX_RETURN_SPREAD),
+        )
+
+    def _are_limited(self, targets: list[Target]) -> bool:
+        """Return whether there are targets, and all of them limit their rate."""
+        return bool(targets) and all(
+            self._limit(target) is not None for target in targets
+        )
+
+    def _limit(self, target: Target) -> float | None:
+        return None if self._tokens is None else self._tokens.limit(target)
+
     def _expected_recovery_ms(self, service: str) -> float:
         """Return the expected time until a service has a usable target again.
 
@@ -374,6 +441,9 @@
             return request.remaining_ms
         share_ms = request.latency_target_ms * self._parameters.max_wait_ratio
         wait_ms = max(self._parameters.min_wait_limit_ms, share_ms)
+        if self._are_limited(self._candidates(request)):
+            token_wait_ms = request.remaining_ms * self._parameters.limited_wait_ratio
+            wait_ms = max(wait_ms, token_wait_ms)
         return min(wait_ms, request.remaining_ms)
 
     async def _wait_in_queue(self, request: DispatchRequest) -> Result[Grant, Fault]:
@@ -389,7 +459,7 @@
         max_wait_ms = self._max_wait_ms(request)
         try:
             async with asyncio.timeout(max_wait_ms / 1_000):
-                return Success(await waiter.future)
+                return await waiter.future
         except TimeoutError:
             return fail(
                 ErrorKind.OVERLOADED,
@@ -398,7 +468,9 @@
             )
         except asyncio.CancelledError:
             if waiter.future.done() and not waiter.future.cancelled():
-                self.release(waiter.future.result())
+                granted = waiter.future.result()
+                if isinstance(granted, Success):
+                    self.release(granted.unwrap())
             raise
         finally:
             waiter.future.cancel()
@@ -415,8 +487,11 @@
             listed_count=len(listed),
             waited_ms=waited_ms,
             list_age_ms=self._directory.age_ms,
+            limit_per_s=self._limit(target),
         )
         target.in_flight += 1
+        if self._tokens is not None:
+            self._tokens.use(target)
         self._grant_times_ms.setdefault(target.entry.service, deque()).append(
             self._clock.now_ms()
         )
@@ -432,6 +507,7 @@
             for target in self._without_slow(healthy or targets)
             if target.load + 1 <= self._max_calls(target, request.service)
         ]
+        free = self._with_tokens(request, free)
         if not free:
             return None
         if request.service.engine is not None:
@@ -446,6 +522,43 @@
         size = self._sample_size(request.service.name, len(free))
         return min(self._random.sample(free, size), key=self._relative_load)
 
+    def _with_tokens(
+        self, request: DispatchRequest, free: list[Target]
+    ) -> list[Target]:
+        """Return the targets that calls may be sent to, and ask for tokens of others.
+
+        Those are asked for that would be the best choice with a token, as many as this
+        gateway probably uses while they are valid. Where there is no other target, one
+        is asked for at a time for each queued call.
+        """
+        tokens = self._tokens
+        if tokens is None:
+            return free
+        ready = [target for target in free if tokens.is_ready(target)]
+        if len(ready) == len(free):
+            return free
+        service = request.service.name
+        others = [target for target in free if not tokens.is_expected(target)]
+        expected_count = sum(map(tokens.is_expected, self._candidates(request)))
+        if ready:
+            rate_per_ms = self._rate_per_ms(self._grant_times_ms.get(service))
+            useful_count = rate_per_ms * TOKEN_LIFE_MS
+            least = min(self._relative_load(target) for target in ready)
+            for target in self._random.sample(others, len(others)):
+                is_best = self._relative_load(target) <= least
+                if is_best and self._random.random() < useful_count - expected_count:
+                    tokens.request(target, max_wait_ms=0.0, is_for_call=False)
+                    expected_count += tokens.is_expected(target)
+            return ready
+        if not others or expected_count > self.queue_length(service):
+            return []
+        soonest = min(self._random.sample(others, len(others)), key=tokens.denied_ms)
+        # The queue is to be checked once more before the call stops waiting.
+        check_ms = 2 * self._parameters.queue_check_interval_ms
+        max_wait_ms = max(0.0, self._max_wait_ms(request) - check_ms)
+        tokens.request(soonest, max_wait_ms=max_wait_ms, is_for_call=True)
+        return [soonest] if tokens.is_ready(soonest) else []
+
     def _without_slow(self, targets: list[Target]) -> list[Target]:
         """Return the targets without slow ranks, if most of them are not slow."""
         fast = [target for target in targets if not target.is_slow]
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -188,6 +188,7 @@
                 load=round(grant.load, 1),
                 usable=grant.usable_count,
                 listed=grant.listed_count,
+                limit_per_s=grant.limit_per_s,
                 waited_ms=round(grant.waited_ms, 1),
                 list_age_ms=round(grant.list_age_ms),
                 configuration=self._call.configuration_version,
@@ -417,14 +418,14 @@
     ) -> None:
         """Note the rate limit of a target; a run of another one says nothing of it.
 
-        An answer with the target's own status is needed to lift a limit, since a
-        rejection may carry fewer headers.
+        Only an answer to a call that ran lifts a limit, since a rejection may carry
+        fewer headers.
         """
         if response.status == MISDIRECTED_STATUS:
             return
         if head.has_invalid_limit:
             self._record.note("limit_unreadable", target=target.incarnation)
-        elif head.limit_per_s is not None or head.has_seal:
+        elif head.limit_per_s is not None or (head.has_seal and not head.not_run):
             self._context.limits.note(target.run_id, head.limit_per_s)
 
     def _handle_not_run(self, grant: Grant, response: WatchedResponse) -> Attempt:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -27,6 +27,7 @@
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rank_groups import PassTimeEstimators, RebalancingLoop
 from carobroute.gateway._rate_limits import RateLimits
+from carobroute.gateway._rate_tokens import RateTokens
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._slot_shares import SlotShares
@@ -39,6 +40,7 @@
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._target_pool import TargetPool
 from carobroute.gateway._targets import DirectoryChange, TargetDirectory
+from carobroute.gateway._token_exchange import TokenExchange
 from carobroute.platform import (
     READY_PATH,
     ProcessSettings,
@@ -103,6 +105,8 @@
         "_store",
         "_suspects",
         "_tasks",
+        "_token_exchange",
+        "_tokens",
     )
 
     def __init__(
@@ -173,6 +177,22 @@
                 own_key: self._dispatcher.engine_calls_per_s,
             },
         )
+        self._limits = RateLimits(clock=clock, on_change=self._note_limit)
+        self._tokens = RateTokens(
+            clock=clock,
+            random=self._random,
+            name=self._incarnation,
+            limits=self._limits,
+            peers=lambda: self._peer_state.live_peers,
+            send=lambda peer, message: self._token_exchange.send(peer, message),
+            on_reply=lambda: self._dispatcher.dispatch_all_queued(),
+        )
+        self._token_exchange = TokenExchange(
+            bind=f"{self._settings.ip}:{self._settings.peer_ports[0] + 1}",
+            find_host=self._peer_state.host_of,
+            on_message=self._tokens.handle,
+            events=self._events,
+        )
         self._dispatcher = Dispatcher(
             clock=clock,
             random=self._random,
@@ -181,13 +201,13 @@
             on_change=lambda: self._peers.note_change(),
             unseen_ms=self._peer_state.sum_ages_ms,
             own_slots=self._slot_shares.own_slots,
+            tokens=self._tokens,
         )
         self._pool = TargetPool(parameters=self._parameters, tasks=self._tasks)
         self._rank_client = RankClient()
         self._suspects = SuspectRequests(
             clock=clock, crash_limit=self._parameters.crash_limit
         )
-        self._limits = RateLimits(clock=clock, on_change=self._note_limit)
         self._quarantine = PromptQuarantine(
             clock=clock,
             name=self._incarnation,
@@ -298,6 +318,7 @@
         )
         self._spawn_background_tasks()
         await self._peers.start()
+        await self._token_exchange.start()
         callers = await self._listen()
         await self._stop.wait()
         await self._shut_down(callers)
@@ -455,6 +476,7 @@
         await callers.stop()
         await self._tasks.close()
         await self._peers.stop()
+        self._token_exchange.stop()
         for site in self._sites:
             await site.stop()
         await self._pool.close()
--- /dev/null
+++ b/carobroute/gateway/tests/test_rate_limit_messages.py
@@ -0,0 +1,156 @@
+"""Rate limits in the answers of real connections, and tokens over real datagrams."""
+
+import asyncio
+import io
+import random
+import socket
+
+import pytest
+import uvloop
+
+from carobroute.gateway._rate_limits import LimitReport, RateLimits
+from carobroute.gateway._rate_tokens import RateTokens, TokenRequest
+from carobroute.gateway._targets import Target
+from carobroute.gateway._token_exchange import TokenExchange
+from carobroute.gateway.tests.gateway_harness import GatewayHarness
+from carobroute.health import HealthParameters
+from carobroute.telemetry import EventLog
+from carobroute.testing import wait_until
+from carobroute.testing.gateway_data import make_target_entry
+from carobroute.utils import Clock, ManualClock
+
+
+@pytest.fixture
+async def gateway():
+    harness = GatewayHarness()
+    yield harness
+    await harness.stop()
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, {"Server_Limit": "2.5"}, 2.5),
+        (503, {"Server_Limit": "2.5", "Not_Run": "1"}, 2.5),
+        (500, {"Server_Limit": "0"}, 0.0),
+        (200, {}, None),
+        # A rejection without the header, or an answer of another run, says nothing.
+        (503, {"Not_Run": "1"}, 9.0),
+        (421, {"Server_Limit": "2.5"}, 9.0),
+        # So do headers that are no decimal number, and answers of another call.
+        (200, {"Server_Limit": "many"}, 9.0),
+        (200, {"Server_Limit": "-1"}, 9.0),
+        (200, {"Server_Limit": "inf"}, 9.0),
+        (200, {"Server_Limit": "."}, 9.0),
+        (200, {"Server_Limit": "1" * 4_000}, 9.0),
+        (200, {"Server_Limit": "2.5", "Request_Id": "r-other"}, 9.0),
+    ],
+)
+async def test_the_latest_word_of_a_target_on_its_limit_counts(
+    gateway, status, headers, expected
+):
+    async def answer(call):
+        await call.answer(status, **headers)
+
+    await gateway.start(answer)
+    (target,) = gateway.directory.all_targets()
+    limits = gateway.context.limits
+    limits.note(target.run_id, 9.0)
+    await gateway.call()
+    assert limits.limit(target.run_id) == expected
+
+
+def test_a_limit_of_a_peer_is_not_taken_for_younger_than_it_is():
+    clock = ManualClock()
+    limits = RateLimits(clock=clock)
+    limits.note("i-1@1", 3.0)
+    clock.advance_ms(500.0)
+    limits.merge({"i-1@1": LimitReport(None, 600.0)})
+    assert limits.limit("i-1@1") == 3.0
+    limits.merge({"i-1@1": LimitReport(None, 100.0)})
+    assert limits.limit("i-1@1") is None
+    clock.advance_ms(10_000.0)
+    assert not limits.report()
+
+
+def test_a_limit_that_nobody_has_confirmed_for_long_ends():
+    clock = ManualClock()
+    limits = RateLimits(clock=clock)
+    limits.note("i-1@1", 3.0)
+    clock.advance_ms(61_000.0)
+    assert limits.limit("i-1@1") is None
+    assert not limits.report()
+
+
+class Peer:
+    """Tokens of one gateway, over a socket of its own."""
+
+    def __init__(self, *, name, host, port, names, log):
+        clock = Clock()
+        self.limits = RateLimits(clock=clock)
+        self.replies = 0
+        self.tokens = RateTokens(
+            clock=clock,
+            random=random.Random(1),
+            name=name,
+            limits=self.limits,
+            peers=lambda: [peer for peer in names if peer != name],
+            send=lambda peer, message: self.exchange.send(peer, message),
+            on_reply=self._count_reply,
+        )
+        self.exchange = TokenExchange(
+            bind=f"{host}:{port}",
+            find_host=lambda peer: names.get(peer, ""),
+            on_message=self.tokens.handle,
+            events=EventLog(name=name, stream=log, clock=clock),
+        )
+
+    def _count_reply(self):
+        self.replies += 1
+
+
+async def check_tokens_between_two_gateways():
+    log = io.StringIO()
+    names = {"a": "127.0.0.1", "b": "127.0.0.2"}
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    peers = [
+        Peer(name=name, host=host, port=port, names=names, log=log)
+        for name, host in names.items()
+    ]
+    target = Target(
+        entry=make_target_entry(),
+        clock=Clock(),
+        health=HealthParameters(),
+        peer_calls=lambda incarnation: 0,
+    )
+    for peer in peers:
+        await peer.exchange.start()
+        peer.limits.note(target.run_id, 1.0)
+    try:
+        for peer in peers:
+            peer.tokens.request(target, max_wait_ms=0.0, is_for_call=True)
+            await wait_until(
+                lambda peer=peer: (
+                    not peer.tokens.is_expected(target) or peer.tokens.is_ready(target)
+                )
+            )
+        assert sum(peer.tokens.is_ready(target) for peer in peers) == 1
+        assert sum(peer.replies for peer in peers) == 1
+        # A datagram that is no message is reported, and the next one is handled.
+        first, second = peers
+        first.exchange._transport.sendto(b"\xc1", (names["b"], port))
+        await wait_until(lambda: "token_message_unreadable" in log.getvalue())
+        before = first.replies
+        first.exchange.send("b", TokenRequest("a", target.run_id, 1.0, 0.0, False))
+        await wait_until(lambda: first.replies == before + 1)
+        first.exchange.send("unknown", TokenRequest("a", "i-1@1", 1.0, 0.0, False))
+    finally:
+        for peer in peers:
+            peer.exchange.stop()
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_one_gateway_of_two_gets_the_only_token(run):
+    run(check_tokens_between_two_gateways())
