Tell peers the changes of rate limits at once, and all of them every two seconds

With 90 limited ranks each digest would have carried some 3.5 KB more: at 35 gateways and 83 digests a second each, 10 MB a second, for what had not changed. A limit that is no longer named is dropped 5 s after that, also while answers go on to confirm it. docs/design/rate-limits.md has the ways that were weighed.

--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -235,6 +235,7 @@
             return
         if is_new:
             self._quarantine.request_complete_report()
+            self._limits.request_complete_report()
             self.note_change()
         self._shared.apply_knowledge(digest.knowledge)
         for fingerprint, incarnations in digest.crashes_by_request.items():
--- a/carobroute/gateway/_rate_limits.py
+++ b/carobroute/gateway/_rate_limits.py
@@ -6,9 +6,11 @@
 
 from carobroute.utils import Clock
 
-# Age up to which a limit that is no longer named is passed on to peers: several
-# digests.
+# Time for which peers are told that a target no longer names a limit.
 LIFTED_REPORT_MS = 5_000.0
+# Age up to which a change is in each digest; the rest is in complete reports only.
+NEWS_MS = 1_000.0
+COMPLETE_REPORT_INTERVAL_MS = 2_000.0
 # Age from which a limit no longer counts. A target that is still there has answered
 # some calls meanwhile.
 LIMIT_RETENTION_MS = 60_000.0
@@ -32,13 +34,17 @@
 
 
 class _NamedLimit:
-    """Limit of one target, and the boot time of the answer that named it."""
+    """Limit of one target, and the boot times of its latest answer and of its change.
 
-    __slots__ = ("at_ms", "per_s")
+    The change is dated by when this gateway heard of it.
+    """
+
+    __slots__ = ("at_ms", "changed_ms", "per_s")
 
-    def __init__(self, *, per_s: float | None, at_ms: float):
+    def __init__(self, *, per_s: float | None, at_ms: float, changed_ms: float):
         self.per_s = per_s
         self.at_ms = at_ms
+        self.changed_ms = changed_ms
 
 
 LimitCallback = Callable[[str, float | None, float, str], None]
@@ -73,7 +79,7 @@
     (True, None)
     """
 
-    __slots__ = ("_clock", "_named", "_on_change")
+    __slots__ = ("_clock", "_last_complete_ms", "_named", "_on_change")
 
     def __init__(
         self,
@@ -84,6 +90,7 @@
         self._clock = clock
         self._on_change = on_change
         self._named: dict[str, _NamedLimit] = {}
+        self._last_complete_ms = float("-inf")
 
     def limit(self, target: str) -> float | None:
         """Return the calls a second that a target takes; None for no limit."""
@@ -107,16 +114,27 @@
             if named is None or at_ms > named.at_ms + SAME_REPORT_MS:
                 self._apply(target, report.per_s, at_ms, "peer")
 
+    def request_complete_report(self) -> None:
+        """Make the next report a complete one, not only one with news."""
+        self._last_complete_ms = float("-inf")
+
     def report(self) -> dict[str, LimitReport]:
-        """Return what peers should know."""
+        """Return what peers should know: changes, and from time to time all limits."""
+        now_ms = self._clock.boot_time_ms()
+        oldest_ms = now_ms - NEWS_MS
+        if now_ms - self._last_complete_ms >= COMPLETE_REPORT_INTERVAL_MS:
+            self._last_complete_ms = now_ms
+            oldest_ms = float("-inf")
         reports = {}
         for target, named in list(self._named.items()):
             age_ms = self._age_ms(named)
-            is_lifted = named.per_s is None
-            if age_ms > (LIFTED_REPORT_MS if is_lifted else LIMIT_RETENTION_MS):
+            unchanged_ms = now_ms - named.changed_ms
+            is_lifted = named.per_s is None and unchanged_ms > LIFTED_REPORT_MS
+            if is_lifted or age_ms > LIMIT_RETENTION_MS:
                 del self._named[target]
                 continue
-            reports[target] = LimitReport(named.per_s, round(age_ms, 1))
+            if named.changed_ms >= oldest_ms:
+                reports[target] = LimitReport(named.per_s, round(age_ms, 1))
         return reports
 
     def _age_ms(self, named: _NamedLimit) -> float:
@@ -127,7 +145,12 @@
     ) -> bool:
         named = self._named.get(target)
         is_change = per_s != (None if named is None else named.per_s)
-        self._named[target] = _NamedLimit(per_s=per_s, at_ms=at_ms)
+        if named is not None and not is_change:
+            named.at_ms = at_ms
+            return False
+        self._named[target] = _NamedLimit(
+            per_s=per_s, at_ms=at_ms, changed_ms=self._clock.boot_time_ms()
+        )
         if is_change:
             self._on_change(target, per_s, self._age_ms(self._named[target]), source)
         return is_change
--- a/carobroute/testing/limited_fleet_data.py
+++ b/carobroute/testing/limited_fleet_data.py
@@ -283,5 +283,8 @@
                 self._deliver(sender, receiver, handle)
 
     def _apply(self, digest: Digest, receiver: LimitedGateway) -> None:
+        is_new = not receiver.peer_state.is_known(digest.incarnation)
         if receiver.peer_state.update(digest):
+            if is_new:
+                receiver.limits.request_complete_report()
             receiver.limits.merge(digest.limits)
