Plan the map of a group that forms anew for the demand before, without a count

Cause: a group that forms anew has the initial map, and the coordinator waited for a check for holds, a retry interval, slow passes and a count, although it knew the demand.

The coordinator plans at once for the demand that it counted before; a count after that corrects it. Other processes do not know the demand and do as before. test_a_group_that_forms_anew_gets_a_map_without_a_new_count failed before.

What binds is who asks while the group is down.

--- a/carobroute/experts/_rebalancer.py
+++ b/carobroute/experts/_rebalancer.py
@@ -241,8 +241,11 @@
         reports = await self._read_reports(group)
         if reports is None:
             return
+        is_formed_anew = self._checked_epoch not in (-1, group.epoch)
         self._checked_epoch = group.epoch
         if not any(report.held_step is not None for report in reports):
+            if is_formed_anew:
+                await self._restore_layout(group, reports)
             return
         # The group stays unchecked until it is found without a hold.
         self._checked_epoch = -1
@@ -250,6 +253,25 @@
         if await self._duty.acquire():
             await self._recover(group, reports)
 
+    async def _restore_layout(
+        self, group: RankGroup, reports: list[RankReport]
+    ) -> None:
+        """Plan for the demand before the loss of a rank, without counting it again.
+
+        A group that forms anew has the initial map. Only the process that coordinated
+        the group knows the demand. If that has changed, the next count corrects it.
+        """
+        demand = self._sampler.demand
+        is_initial = all(
+            report.version == 0 and report.armed is None for report in reports
+        )
+        if not demand or not is_initial or not await self._duty.acquire():
+            return
+        layout = await self._read_layout(group, reports)
+        if layout is not None:
+            self._slowdowns = [report.slowdown for report in reports]
+            await self._rebalance(group, reports, layout, demand)
+
     async def _handle_slow_passes(self, group: RankGroup) -> float:
         """Free or rebalance a slow group; return the time to the next check, in ms."""
         if not await self._duty.acquire():
--- a/carobroute/experts/_sampling.py
+++ b/carobroute/experts/_sampling.py
@@ -67,6 +67,11 @@
         self._sample_count = 0
         self._last_distance = 0.0
 
+    @property
+    def demand(self) -> list[list[float]]:
+        """Latest estimate of each expert's share, by layer set; empty for none."""
+        return self._demand
+
     @property
     def sample_count(self) -> int:
         """Number of samples in the estimate, a measure of how sure it is."""
--- a/carobroute/experts/tests/test_rebalancer.py
+++ b/carobroute/experts/tests/test_rebalancer.py
@@ -15,7 +15,7 @@
 )
 from carobroute.platform import ExpertCounts
 from carobroute.telemetry import EventLog
-from carobroute.testing.rank_group_data import SimulatedRankGroup
+from carobroute.testing.rank_group_data import SimulatedRank, SimulatedRankGroup
 from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
 
 
@@ -106,6 +106,30 @@
     assert not group.mixed_passes
 
 
+def test_a_group_that_forms_anew_gets_a_map_without_a_new_count(monkeypatch):
+    """Guards against slow passes with the initial map until demand is counted again."""
+    counts = []
+
+    async def count_no_choices(rank):
+        counts.append(rank)
+
+    async def scenario(group):
+        pass_time_estimator = make_busy_pace(group, gap_ms=100.0)
+        rebalancer = make_rebalancer(group, pass_time_estimator)
+        for _ in range(20):
+            pass_time_estimator.note_event_gap(100.0)
+            await step_for(rebalancer, group, 100)
+        await group.crash(2_000)
+        assert {rank.version for rank in group.ranks} == {0}
+        monkeypatch.setattr(SimulatedRank, "read_counts", count_no_choices)
+        await step_for(rebalancer, group, 500)
+
+    group = run_scenario(scenario)
+    assert group.versions_by_pass[-1][0] > 0
+    assert not counts
+    assert not group.mixed_passes
+
+
 @pytest.mark.parametrize("pass_ms", [70.0, 140.0])
 def test_no_new_plan_before_last_map_is_in_use(pass_ms):
     """Until reports show the new map, a plan would start from the previous one."""
