--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -38,6 +38,7 @@
 )
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
+from carobroute.gateway._suspect_store import SuspectStore
 from carobroute.gateway._target_pool import TargetPool
 from carobroute.gateway._targets import DirectoryChange, TargetDirectory
 from carobroute.gateway._token_exchange import TokenExchange
@@ -354,18 +355,31 @@
             count_stronger=self._count_stronger,
             events=self._events,
             clock=self._clock,
-            backoff=Backoff(
-                random=self._random,
-                min_ms=self._parameters.store_retry_min_ms,
-                max_ms=self._parameters.store_retry_max_ms,
-            ),
+            backoff=self._make_backoff(),
+        )
+        suspects = SuspectStore(
+            store=self._store,
+            suspects=self._suspects,
+            count_stronger=self._count_stronger,
+            events=self._events,
+            clock=self._clock,
+            backoff=self._make_backoff(),
         )
         self._tasks.spawn(evidence.run(), name="store prompt parts")
+        self._tasks.spawn(suspects.run(), name="store crashing requests")
         self._tasks.spawn(self._groups.run(), name="rebalance groups")
         self._tasks.spawn(configuration.run(), name="watch configuration")
         self._tasks.spawn(targets.run(), name="watch targets")
         self._tasks.spawn(self._dispatch_periodically(), name="dispatch queued calls")
 
+    def _make_backoff(self) -> Backoff:
+        """Return the delays after failed calls to the store."""
+        return Backoff(
+            random=self._random,
+            min_ms=self._parameters.store_retry_min_ms,
+            max_ms=self._parameters.store_retry_max_ms,
+        )
+
     async def _dispatch_periodically(self) -> None:
         """Check the queues periodically, for slots that other gateways released."""
         while True:
--- a/carobroute/gateway/_suspect_requests.py
+++ b/carobroute/gateway/_suspect_requests.py
@@ -89,9 +89,12 @@
             self.add_crash(fingerprint, incarnation)
         return suspects
 
-    def add_crash(self, fingerprint: str, incarnation: str) -> None:
-        """Note that a request was in flight when a target crashed."""
-        self._crashes.setdefault(fingerprint, {})[incarnation] = self._clock.now_ms()
+    def add_crash(
+        self, fingerprint: str, incarnation: str, *, age_ms: float = 0.0
+    ) -> None:
+        """Note that a request was in flight when a target crashed some time ago."""
+        at_ms = self._clock.now_ms() - age_ms
+        self._crashes.setdefault(fingerprint, {})[incarnation] = at_ms
         self._crashes.move_to_end(fingerprint)
         while len(self._crashes) > MAX_ENTRIES:
             self._crashes.popitem(last=False)
@@ -108,6 +111,10 @@
         oldest_ms = self._clock.now_ms() - CRASH_RETENTION_MS
         return sum(at_ms > oldest_ms for at_ms in crashes.values()) >= self._crash_limit
 
+    def refused_requests(self) -> list[str]:
+        """Return the fingerprints of the requests that are refused."""
+        return [name for name in self._crashes if self.is_refused(name)]
+
     def crashes_by_request(self) -> dict[str, list[str]]:
         """Return the incarnations that crashed with each suspect request in flight."""
         return {
--- /dev/null
+++ b/carobroute/gateway/_suspect_store.py
@@ -0,0 +1,177 @@
+"""Requests that crash targets in the store, for when all gateways restart."""
+
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure
+
+from carobroute.gateway._evidence_store import CHECK_INTERVAL_MS, KEEPER_COUNT
+from carobroute.gateway._store_watch import Backoff, DependencyMonitor
+from carobroute.gateway._suspect_requests import CRASH_RETENTION_MS, SuspectRequests
+from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
+from carobroute.telemetry import EventLog
+from carobroute.utils import Clock
+
+SUSPECT_TABLE = "crashing_requests"
+# Rows that one transaction writes or removes at most.
+MAX_CHANGED_ROWS = 40
+
+
+class StoredSuspect(msgspec.Struct, frozen=True, kw_only=True):
+    """Row of a refused request, whose key is the request's fingerprint.
+
+    Parameters
+    ----------
+    store_ms : float
+        Time by the store's clock at which the row was written.
+    crashes : list of str
+        Target incarnations that crashed with the request in flight.
+    """
+
+    store_ms: float
+    crashes: list[str]
+
+
+class SuspectStore:
+    """Keeps the requests that are refused for crashes in the store.
+
+    A few gateways write what all of them know from their digests. A row is removed
+    when its request is no longer refused.
+
+    Parameters
+    ----------
+    store : RowStore
+        The platform's store.
+    suspects : SuspectRequests
+        Requests that were in flight at crashes.
+    count_stronger : callable
+        Returns the number of live gateways that should write rather than this one.
+    events : EventLog
+        Log of what was read and written.
+    clock : Clock
+        Source of time.
+    backoff : Backoff
+        Delays after failed calls to the store.
+    """
+
+    __slots__ = (
+        "_backoff",
+        "_clock",
+        "_count_stronger",
+        "_dependency",
+        "_events",
+        "_store",
+        "_stored",
+        "_suspects",
+    )
+
+    def __init__(
+        self,
+        *,
+        store: RowStore,
+        suspects: SuspectRequests,
+        count_stronger: Callable[[], int],
+        events: EventLog,
+        clock: Clock,
+        backoff: Backoff,
+    ):
+        self._store = store
+        self._suspects = suspects
+        self._count_stronger = count_stronger
+        self._events = events
+        self._clock = clock
+        self._backoff = backoff
+        self._dependency = DependencyMonitor(
+            name="crashing requests", events=events, clock=clock
+        )
+        # Fingerprints that are known to have a row.
+        self._stored: set[str] = set()
+
+    async def run(self) -> None:
+        """Read all rows, then store what is new."""
+        while not await self._load():
+            await self._clock.sleep_ms(self._backoff.next_ms())
+        while True:
+            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+            is_keeper = self._count_stronger() < KEEPER_COUNT
+            if is_keeper and not await self._save():
+                await self._clock.sleep_ms(self._backoff.next_ms())
+
+    async def _load(self) -> bool:
+        read = await self._store.read_all(SUSPECT_TABLE)
+        if isinstance(read, Failure):
+            self._dependency.note_failure(read.failure())
+            return False
+        self._note_success()
+        for row in read.unwrap().rows:
+            self._apply(row, read.unwrap().store_ms)
+        if self._stored:
+            self._events.event("crashing_requests_read", requests=len(self._stored))
+        return True
+
+    async def _save(self) -> bool:
+        """Write and remove rows; return False if the store did not answer."""
+        refused = set(self._suspects.refused_requests())
+        if refused == self._stored:
+            return True
+        # Its answer tells the store's time.
+        read = await self._store.read(SUSPECT_TABLE, limit=1)
+        if isinstance(read, Failure):
+            self._dependency.note_failure(read.failure())
+            return False
+        crashes = self._suspects.crashes_by_request()
+        added = sorted(refused - self._stored)[:MAX_CHANGED_ROWS]
+        removed = sorted(self._stored - refused)[:MAX_CHANGED_ROWS]
+        written = await self._store.transact(
+            conditions=[],
+            writes=[
+                RowWrite(
+                    table=SUSPECT_TABLE,
+                    key=fingerprint,
+                    value=msgspec.json.encode(
+                        StoredSuspect(
+                            store_ms=read.unwrap().store_ms,
+                            crashes=crashes[fingerprint],
+                        )
+                    ),
+                )
+                for fingerprint in added
+            ],
+            removals=[
+                RowAddress(table=SUSPECT_TABLE, key=fingerprint)
+                for fingerprint in removed
+            ],
+        )
+        if isinstance(written, Failure):
+            self._dependency.note_failure(written.failure())
+            return False
+        self._note_success()
+        self._stored = self._stored.union(added).difference(removed)
+        self._events.event(
+            "crashing_requests_stored", added=len(added), removed=len(removed)
+        )
+        return True
+
+    def _note_success(self) -> None:
+        self._dependency.note_success()
+        self._backoff.reset()
+
+    def _apply(self, row: StoredRow, store_ms: float) -> None:
+        """Add the crashes of a row, which counts as stored."""
+        self._stored.add(row.key)
+        try:
+            suspect = msgspec.json.decode(row.value, type=StoredSuspect)
+        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+            # The next write removes it.
+            self._events.event(
+                "crashing_request_unreadable",
+                level="warning",
+                request=row.key,
+                version=row.version,
+                why=str(error),
+            )
+            return
+        age_ms = max(0.0, store_ms - suspect.store_ms)
+        if age_ms < CRASH_RETENTION_MS:
+            for incarnation in suspect.crashes:
+                self._suspects.add_crash(row.key, incarnation, age_ms=age_ms)
