--- a/carobroute/gateway/__init__.py
+++ b/carobroute/gateway/__init__.py
@@ -6,8 +6,8 @@
     RoutingTable,
     choose_service,
 )
-from carobroute.gateway._dispatch import (
-    Dispatcher,
+from carobroute.gateway._dispatch import Dispatcher
+from carobroute.gateway._dispatch_types import (
     DispatchParameters,
     DispatchRequest,
     Grant,
--- a/carobroute/gateway/_evidence_store.py
+++ b/carobroute/gateway/_evidence_store.py
@@ -7,17 +7,13 @@
 
 from carobroute.gateway._part_evidence import EvidenceReport
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
-from carobroute.gateway._store_watch import Backoff, DependencyMonitor
+from carobroute.gateway._store_keeper import StoreKeeper
+from carobroute.gateway._store_watch import Backoff
 from carobroute.platform import RowCondition, RowsAnswer, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
 from carobroute.utils import Clock
 
 EVIDENCE_TABLE = "prompt_parts"
-# Interval at which evidence is compared with what was stored. The crashes of a wave
-# mostly fall into one or two of them.
-CHECK_INTERVAL_MS = 250.0
-# Gateways that store what any gateway has seen.
-KEEPER_COUNT = 2
 # Answers clear the parts of a crash one after the other, so that is stored together.
 CLEARING_DELAY_MS = 2_000.0
 
@@ -37,7 +33,7 @@
     report: EvidenceReport
 
 
-class EvidenceStore:
+class EvidenceStore(StoreKeeper):
     """Keeps the evidence of all gateways in the store, one row for each service.
 
     Evidence only grows, so a row is read, merged, and written if it lacks something
@@ -60,17 +56,7 @@
         Delays after failed calls to the store.
     """
 
-    __slots__ = (
-        "_backoff",
-        "_clock",
-        "_count_stronger",
-        "_dependency",
-        "_events",
-        "_quarantine",
-        "_store",
-        "_stored",
-        "_stored_ms",
-    )
+    __slots__ = ("_quarantine", "_stored", "_stored_ms")
 
     def __init__(
         self,
@@ -82,58 +68,49 @@
         clock: Clock,
         backoff: Backoff,
     ):
-        self._store = store
-        self._quarantine = quarantine
-        self._count_stronger = count_stronger
-        self._events = events
-        self._clock = clock
-        self._backoff = backoff
-        self._dependency = DependencyMonitor(
-            name="prompt parts", events=events, clock=clock
+        super().__init__(
+            name="prompt parts",
+            store=store,
+            count_stronger=count_stronger,
+            events=events,
+            clock=clock,
+            backoff=backoff,
         )
+        self._quarantine = quarantine
         # What the row of each service is known to hold, and since when.
         self._stored: dict[str, frozenset[tuple[str, str]]] = {}
         self._stored_ms: dict[str, float] = {}
 
-    async def run(self) -> None:
-        """Read all rows, then store what is new."""
-        while not await self._load():
-            await self._clock.sleep_ms(self._backoff.next_ms())
-        while True:
-            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
-            for service in self._quarantine.services:
-                if self._is_due(service) and not await self._save(service):
-                    await self._clock.sleep_ms(self._backoff.next_ms())
-
     async def _load(self) -> bool:
         read = await self._store.read(EVIDENCE_TABLE)
         if isinstance(read, Failure):
-            self._dependency.note_failure(read.failure())
-            return False
+            return self._note_failure(read.failure())
         self._note_success()
         answer = read.unwrap()
         for row in answer.rows:
             self._apply(row, answer)
         return True
 
+    async def _save(self) -> bool:
+        due = [name for name in self._quarantine.services if self._is_due(name)]
+        return all([await self._merge_row(service) for service in due])
+
     def _is_due(self, service: str) -> bool:
         """Return whether this gateway should store its evidence on a service now."""
         suspicions = self._quarantine.open_suspicions(service)
         stored = self._stored.get(service, frozenset())
         if suspicions == stored:
             return False
-        is_keeper = self._count_stronger() < KEEPER_COUNT
         if suspicions - stored:
-            return is_keeper or self._quarantine.has_reported(service)
+            return self.is_keeper or self._quarantine.has_reported(service)
         age_ms = self._clock.now_ms() - self._stored_ms[service]
-        return is_keeper and age_ms >= CLEARING_DELAY_MS
+        return self.is_keeper and age_ms >= CLEARING_DELAY_MS
 
-    async def _save(self, service: str) -> bool:
+    async def _merge_row(self, service: str) -> bool:
         """Merge the row of a service; return False if the store did not answer."""
         read = await self._store.read(EVIDENCE_TABLE, first=service, end=service + "\0")
         if isinstance(read, Failure):
-            self._dependency.note_failure(read.failure())
-            return False
+            return self._note_failure(read.failure())
         answer = read.unwrap()
         version = 0
         for row in answer.rows:
@@ -159,8 +136,7 @@
             removals=[],
         )
         if isinstance(written, Failure):
-            self._dependency.note_failure(written.failure())
-            return False
+            return self._note_failure(written.failure())
         self._note_success()
         if written.unwrap().committed:
             self._note_stored(service, suspicions)
@@ -172,10 +148,6 @@
             )
         return True
 
-    def _note_success(self) -> None:
-        self._dependency.note_success()
-        self._backoff.reset()
-
     def _note_stored(
         self, service: str, suspicions: frozenset[tuple[str, str]]
     ) -> None:
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -22,7 +22,7 @@
 from carobroute.gateway._call_parts import CallParts
 from carobroute.gateway._call_records import CallRecord
 from carobroute.gateway._context import GatewayContext
-from carobroute.gateway._dispatch import DispatchRequest, Grant
+from carobroute.gateway._dispatch_types import DispatchRequest, Grant
 from carobroute.gateway._error_responses import error_response
 from carobroute.gateway._relay import (
     STUCK_CHECK_INTERVAL_MS,
--- a/carobroute/gateway/_suspect_store.py
+++ b/carobroute/gateway/_suspect_store.py
@@ -5,8 +5,8 @@
 import msgspec
 from returns.result import Failure
 
-from carobroute.gateway._evidence_store import CHECK_INTERVAL_MS, KEEPER_COUNT
-from carobroute.gateway._store_watch import Backoff, DependencyMonitor
+from carobroute.gateway._store_keeper import StoreKeeper
+from carobroute.gateway._store_watch import Backoff
 from carobroute.gateway._suspect_requests import CRASH_RETENTION_MS, SuspectRequests
 from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
@@ -32,7 +32,7 @@
     crashes: list[str]
 
 
-class SuspectStore:
+class SuspectStore(StoreKeeper):
     """Keeps the requests that are refused for crashes in the store.
 
     A few gateways write what all of them know from their digests. A row is removed
@@ -54,16 +54,7 @@
         Delays after failed calls to the store.
     """
 
-    __slots__ = (
-        "_backoff",
-        "_clock",
-        "_count_stronger",
-        "_dependency",
-        "_events",
-        "_store",
-        "_stored",
-        "_suspects",
-    )
+    __slots__ = ("_stored", "_suspects")
 
     def __init__(
         self,
@@ -75,33 +66,22 @@
         clock: Clock,
         backoff: Backoff,
     ):
-        self._store = store
-        self._suspects = suspects
-        self._count_stronger = count_stronger
-        self._events = events
-        self._clock = clock
-        self._backoff = backoff
-        self._dependency = DependencyMonitor(
-            name="crashing requests", events=events, clock=clock
+        super().__init__(
+            name="crashing requests",
+            store=store,
+            count_stronger=count_stronger,
+            events=events,
+            clock=clock,
+            backoff=backoff,
         )
+        self._suspects = suspects
         # Fingerprints that are known to have a row.
         self._stored: set[str] = set()
 
-    async def run(self) -> None:
-        """Read all rows, then store what is new."""
-        while not await self._load():
-            await self._clock.sleep_ms(self._backoff.next_ms())
-        while True:
-            await self._clock.sleep_ms(CHECK_INTERVAL_MS)
-            is_keeper = self._count_stronger() < KEEPER_COUNT
-            if is_keeper and not await self._save():
-                await self._clock.sleep_ms(self._backoff.next_ms())
-
     async def _load(self) -> bool:
         read = await self._store.read_all(SUSPECT_TABLE)
         if isinstance(read, Failure):
-            self._dependency.note_failure(read.failure())
-            return False
+            return self._note_failure(read.failure())
         self._note_success()
         for row in read.unwrap().rows:
             self._apply(row, read.unwrap().store_ms)
@@ -110,15 +90,13 @@
         return True
 
     async def _save(self) -> bool:
-        """Write and remove rows; return False if the store did not answer."""
         refused = set(self._suspects.refused_requests())
-        if refused == self._stored:
+        if refused == self._stored or not self.is_keeper:
             return True
         # Its answer tells the store's time.
         read = await self._store.read(SUSPECT_TABLE, limit=1)
         if isinstance(read, Failure):
-            self._dependency.note_failure(read.failure())
-            return False
+            return self._note_failure(read.failure())
         crashes = self._suspects.crashes_by_request()
         added = sorted(refused - self._stored)[:MAX_CHANGED_ROWS]
         removed = sorted(self._stored - refused)[:MAX_CHANGED_ROWS]
@@ -143,8 +121,7 @@
             ],
         )
         if isinstance(written, Failure):
-            self._dependency.note_failure(written.failure())
-            return False
+            return self._note_failure(written.failure())
         self._note_success()
         self._stored = self._stored.union(added).difference(removed)
         self._events.event(
@@ -152,10 +129,6 @@
         )
         return True
 
-    def _note_success(self) -> None:
-        self._dependency.note_success()
-        self._backoff.reset()
-
     def _apply(self, row: StoredRow, store_ms: float) -> None:
         """Add the crashes of a row, which counts as stored."""
         self._stored.add(row.key)
