--- a/carobroute/gateway/_call_parts.py
+++ b/carobroute/gateway/_call_parts.py
@@ -80,6 +80,8 @@
         self._trial = admitted.unwrap()
         if self._trial.parts:
             self._record.note("parts_tried", parts=",".join(self._trial.parts))
+        if self._trial.excused:
+            self._record.note("parts_excused", parts=",".join(self._trial.excused))
         return None
 
     def find_obstacle(self) -> Fault | None:
--- a/carobroute/gateway/_prompt_quarantine.py
+++ b/carobroute/gateway/_prompt_quarantine.py
@@ -92,6 +92,11 @@
         """Parts on trial."""
         return self._parts
 
+    @property
+    def excused(self) -> tuple[str, ...]:
+        """Suspected parts with which the call is sent without a trial."""
+        return self._excused
+
     def allows(self, part: str) -> bool:
         """Return whether the call may be sent with a suspected part."""
         return part in self._parts or part in self._excused
