Keep a slot that comes at the very end of a call's wait

A slot that was granted in the same turn of the loop in which the wait of its call ended stayed taken for good: the call was refused, and nobody released the slot. The new test failed before: one call in flight at a target without any. The call now takes the slot.

--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -368,6 +368,8 @@
             async with asyncio.timeout(max_wait_ms / 1_000):
                 return await waiter.future
         except TimeoutError:
+            if waiter.future.done() and not waiter.future.cancelled():
+                return waiter.future.result()
             return fail(
                 ErrorKind.OVERLOADED,
                 f"no free slot for service {service!r} within {max_wait_ms:.0f} ms",
--- a/carobroute/gateway/tests/test_dispatch.py
+++ b/carobroute/gateway/tests/test_dispatch.py
@@ -13,6 +13,7 @@
     make_service,
     make_target_entry,
 )
+from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
 from carobroute.utils import ManualClock
 
 MODEL = make_service(name="model", engine=make_engine())
@@ -159,3 +160,35 @@
     assert grant.target.incarnation not in {
         other.target.incarnation for other in others
     }
+
+
+def test_a_slot_that_comes_at_the_end_of_the_wait_is_not_lost():
+    """Guards against a slot that stays taken when the wait ends at the same moment."""
+    loop = VirtualLoop()
+    clock = VirtualClock(loop=loop)
+    dispatcher = _dispatcher(clock, targets=1, slots=1)
+
+    async def scenario():
+        grant = (await dispatcher.acquire(_request())).unwrap()
+        # The wait ends after half of the latency target.
+        loop.call_later(0.2, dispatcher.release, grant)
+        waited = await dispatcher.acquire(_request(latency_target_ms=400.0))
+        if isinstance(waited, Success):
+            dispatcher.release(waited.unwrap())
+        assert grant.target.in_flight == 0
+
+    run_virtual(scenario(), loop)
+
+
+def test_a_wait_without_a_slot_ends_with_a_refusal():
+    loop = VirtualLoop()
+    clock = VirtualClock(loop=loop)
+    dispatcher = _dispatcher(clock, targets=1, slots=1)
+
+    async def scenario():
+        await dispatcher.acquire(_request())
+        waited = await dispatcher.acquire(_request(latency_target_ms=400.0))
+        assert waited.failure().kind is ErrorKind.OVERLOADED
+        assert clock.now_ms() == pytest.approx(200.0, abs=5.0)
+
+    run_virtual(scenario(), loop)
