Spend nothing on rate limits while no target names one

Each call and each check of a queue asked the limit of every target, by a name that was put together each time: at 129 ranks some hundred look-ups a call, on machines of which the processor time is known to bind. While no target has named a limit lately, nothing is asked; the name of a target's run is kept.

--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -302,8 +302,10 @@
         are for the `ahead` calls before it, and all others were denied.
         """
         tokens = self._tokens
+        if tokens is None or not tokens.has_limits:
+            return None
         candidates = self._candidates(request)
-        if tokens is None or not self._are_limited(candidates):
+        if not self._are_limited(candidates):
             return None
         others = [target for target in candidates if not tokens.is_expected(target)]
         if request.may_have_run or ahead < len(candidates) - len(others):
@@ -322,6 +324,8 @@
 
     def _are_limited(self, targets: list[Target]) -> bool:
         """Return whether there are targets, and all of them limit their rate."""
+        if self._tokens is None or not self._tokens.has_limits:
+            return False
         return bool(targets) and all(
             self._limit(target) is not None for target in targets
         )
@@ -441,7 +445,7 @@
         is asked for at a time for each queued call.
         """
         tokens = self._tokens
-        if tokens is None:
+        if tokens is None or not tokens.has_limits:
             return free
         ready = [target for target in free if tokens.is_ready(target)]
         if len(ready) == len(free):
--- a/carobroute/gateway/_rate_limits.py
+++ b/carobroute/gateway/_rate_limits.py
@@ -92,6 +92,11 @@
         self._named: dict[str, _NamedLimit] = {}
         self._last_complete_ms = float("-inf")
 
+    @property
+    def is_empty(self) -> bool:
+        """Whether no target has named a limit lately."""
+        return not self._named
+
     def limit(self, target: str) -> float | None:
         """Return the calls a second that a target takes; None for no limit."""
         named = self._named.get(target)
--- a/carobroute/gateway/_rate_tokens.py
+++ b/carobroute/gateway/_rate_tokens.py
@@ -240,6 +240,11 @@
         self._issuer_names: dict[str, tuple[float, str]] = {}
         self._states: dict[str, _TokenState] = {}
 
+    @property
+    def has_limits(self) -> bool:
+        """Whether a target has named a limit lately."""
+        return not self._limits.is_empty
+
     def limit(self, target: Target) -> float | None:
         """Return the calls a second that a target takes; None for no limit."""
         return self._limits.limit(target.run_id)
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -48,6 +48,7 @@
         "_peer_calls",
         "_peer_slowdown",
         "_reported_other_calls",
+        "_run_id",
         "_slowdown_reported_ms",
         "entry",
         "health",
@@ -72,6 +73,7 @@
         self._slowdown_reported_ms = -SLOWDOWN_MAX_AGE_MS
         self._reported_other_calls = 0.0
         self._load_reported_ms = -REPORTED_LOAD_MAX_AGE_MS
+        self._run_id = f"{entry.incarnation}@{entry.started_ms}"
         self.entry = entry
         self.health = TargetHealth(clock=clock, parameters=health)
         self.in_flight = 0
@@ -87,7 +89,7 @@
     @property
     def run_id(self) -> str:
         """Identifier of one run of the target, which may restart as it was named."""
-        return f"{self.entry.incarnation}@{self.entry.started_ms}"
+        return self._run_id
 
     @property
     def group(self) -> str:
