--- a/carobroute/gateway/_rate_limits.py
+++ b/carobroute/gateway/_rate_limits.py
@@ -19,7 +19,7 @@
 
 
 class LimitReport(msgspec.Struct, frozen=True, array_like=True):
-    """Latest word of a target on its rate limit, as told to peers.
+    """Latest statement of a target on its rate limit, as told to peers.
 
     Parameters
     ----------
@@ -61,7 +61,7 @@
     clock : Clock
         Source of time.
     on_change : callable, optional
-        Called with a target, its new limit, the age of that word in milliseconds, and
+        Called with a target, its new limit, the age of the answer in milliseconds, and
         where it comes from.
 
     Examples
--- a/carobroute/gateway/tests/test_rate_limit_messages.py
+++ b/carobroute/gateway/tests/test_rate_limit_messages.py
@@ -46,7 +46,7 @@
         (200, {"Server_Limit": "2.5", "Request_Id": "r-other"}, 9.0),
     ],
 )
-async def test_the_latest_word_of_a_target_on_its_limit_counts(
+async def test_the_latest_statement_of_a_target_on_its_limit_counts(
     gateway, status, headers, expected
 ):
     async def answer(call):
