Log how each answer of a target ended, and by what framing

The hypotheses on the stream that looked complete differ in the framing of the answer, in how its connection ended and in what was left of an event; the log told none of them, only that the attempt was answered. Each answer now has an event answer_ended with these, and the counter target_answers. No decision changes.

--- a/carobroute/engines/__init__.py
+++ b/carobroute/engines/__init__.py
@@ -23,7 +23,7 @@
     count_tokens,
     prompt_text,
 )
-from carobroute.engines._watched import WatchedResponse
+from carobroute.engines._watched import Framing, WatchedResponse
 
 __all__ = [
     "BLOCK_CHARS",
@@ -36,6 +36,7 @@
     "EngineLoad",
     "EngineOrder",
     "EngineParameters",
+    "Framing",
     "HttpTransport",
     "KvHandle",
     "OpenAiEngine",
--- a/carobroute/engines/_watched.py
+++ b/carobroute/engines/_watched.py
@@ -1,6 +1,7 @@
 """Answers whose end can be told from a connection that broke off."""
 
 import asyncio
+import enum
 
 import aiohttp
 from aiohttp.client_reqrep import ClientResponse
@@ -8,6 +9,24 @@
 NO_BODY_STATUSES = frozenset({204, 304})
 
 
+class Framing(enum.StrEnum):
+    """What shows where an answer's body ends.
+
+    Attributes
+    ----------
+    LENGTH
+        A length, or a status that has no body.
+    CHUNKS
+        The last chunk.
+    CONNECTION
+        The end of the connection.
+    """
+
+    LENGTH = "length"
+    CHUNKS = "chunks"
+    CONNECTION = "connection"
+
+
 class WatchedResponse(ClientResponse):
     """Response that knows how its connection ended.
 
@@ -17,6 +36,24 @@
 
     _connection_end: asyncio.Future[None] | None = None
 
+    @property
+    def framing(self) -> Framing:
+        """What shows where the body ends."""
+        if "chunked" in self.headers.get("Transfer-Encoding", "").lower():
+            return Framing.CHUNKS
+        is_empty = self.status in NO_BODY_STATUSES or self.method == "HEAD"
+        if is_empty or "Content-Length" in self.headers:
+            return Framing.LENGTH
+        return Framing.CONNECTION
+
+    @property
+    def has_closed_in_order(self) -> bool:
+        """Whether the target has ended the connection, and not by a reset."""
+        end = self._connection_end
+        if end is None or not end.done() or end.cancelled():
+            return False
+        return end.exception() is None
+
     async def start(self, connection) -> "WatchedResponse":
         """Read the headers, and watch the connection from before them on."""
         if connection.protocol is not None:
@@ -34,18 +71,9 @@
         aiohttp.ClientPayloadError
             If only a broken connection ended it.
         """
-        if self._is_framed:
-            return
-        end = self._connection_end
-        if end is None or not end.done() or end.exception() is not None:
+        if self.framing is Framing.CONNECTION and not self.has_closed_in_order:
             raise aiohttp.ClientPayloadError("the connection broke off")
 
-    @property
-    def _is_framed(self) -> bool:
-        chunked = "chunked" in self.headers.get("Transfer-Encoding", "").lower()
-        empty = self.status in NO_BODY_STATUSES or self.method == "HEAD"
-        return chunked or empty or "Content-Length" in self.headers
-
 
 def _retrieve(end: asyncio.Future[None]) -> None:
     """Take note of an error that nobody may ask for."""
--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -114,6 +114,7 @@
     """
 
     __slots__ = (
+        "_answers",
         "_attempts",
         "_calls",
         "_ended_count",
@@ -133,6 +134,11 @@
         self._attempts = metrics.counter(
             "attempts", "Calls sent to targets.", ["service", "outcome"]
         )
+        self._answers = metrics.counter(
+            "target_answers",
+            "Answers of targets, by their framing and how they were read.",
+            ["service", "framing", "end"],
+        )
         self._parts = metrics.counter(
             "prompt_parts", "Changes of the state of prompt parts.", ["state"]
         )
@@ -150,6 +156,10 @@
         """Count an attempt to send a call to a target."""
         self._attempts.labels(service, outcome).inc()
 
+    def count_answer(self, service: str, framing: str, end: str) -> None:
+        """Count an answer of a target that was read to its end, or broke off."""
+        self._answers.labels(service, framing, end).inc()
+
     def count_part(self, state: str) -> None:
         """Count a prompt part that was suspected, refused or cleared."""
         self._parts.labels(state).inc()
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -285,17 +285,36 @@
             outcome = AttemptOutcome.NOT_SENT if is_unsent else AttemptOutcome.UNKNOWN
             return Attempt(outcome=outcome, fault=fault)
         response = sent.unwrap()
+        end = "broken"
         try:
-            return await self._handle_response(grant, response)
+            attempt = await self._handle_response(grant, response)
+            end = attempt.outcome.value
+            return attempt
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             detail = f"the answer of {target.incarnation} broke off: {error!r}"
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
         finally:
+            self._note_answer_end(target, response, end)
             # If the answer is incomplete, this closes the connection, which cancels
             # the target's work. Otherwise the connection is back in its pool already.
             response.close()
 
+    def _note_answer_end(
+        self, target: Target, response: WatchedResponse, end: str
+    ) -> None:
+        framing = response.framing.value
+        self._context.recorder.count_answer(self._call.service.name, framing, end)
+        self._record.note(
+            "answer_ended",
+            target=target.incarnation,
+            status=response.status,
+            framing=framing,
+            end=end,
+            closed_in_order=response.has_closed_in_order,
+            partial_bytes=self._relay.partial_event_bytes,
+        )
+
     def _headers(self, incarnation: str) -> CIMultiDict[str]:
         headers = end_to_end(self._request.headers)
         for name in list(headers):
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -77,6 +77,11 @@
         """Identifier of the last relayed event; empty for none."""
         return self._framer.last_event_id
 
+    @property
+    def partial_event_bytes(self) -> int:
+        """Size of the event that the current target has begun and not completed."""
+        return len(self._framer.partial_event)
+
     async def relay(
         self,
         target: Target,
