--- a/carobroute/gateway/tests/answer_scripts.py
+++ b/carobroute/gateway/tests/answer_scripts.py
@@ -1,13 +1,30 @@
 """Scripts of targets whose answers end in many ways, and a caller that judges them."""
 
 import asyncio
+import re
 import socket
 import struct
 
+import msgspec
+
 from carobroute.gateway.tests.gateway_harness import GatewayHarness
-from carobroute.testing.gateway_data import make_configuration
+from carobroute.testing.gateway_data import make_configuration, make_route
 
 DEADLINE_MS = 4_000
+EVENT_COUNT = 4
+EVENTS = b"".join(b"id: %d\ndata: some tokens\n\n" % n for n in range(1, 5))
+EVENT_BYTES = len(EVENTS) // EVENT_COUNT
+# Bytes that come before the end, out of all events.
+PLACES = {
+    "after the head": b"",
+    "after a comment": b": wait\n\n",
+    "after blank lines": b"\n\n\n",
+    "after two events": EVENTS[: 2 * EVENT_BYTES],
+    "inside the third event": EVENTS[: 2 * EVENT_BYTES + 9],
+    "inside a line ending": EVENTS[: 3 * EVENT_BYTES - 1],
+    "after all events": EVENTS,
+}
+STREAM_DEADLINE_MS = 1_200
 
 
 def reset(call):
@@ -53,7 +70,7 @@
     return answer
 
 
-async def call_raw(url, version):
+async def call_raw(url, version, *, last_event_id=""):
     """Send a request; return the status, the body and whether the answer is whole.
 
     It is judged as a strict caller does: by the length, by the last chunk, or by a
@@ -61,10 +78,11 @@
     """
     host, port = url.removeprefix("http://").split(":")
     reader, writer = await asyncio.open_connection(host, int(port))
+    resumption = f"Last-Event-Id: {last_event_id}\r\n" if last_event_id else ""
     writer.write(
         f"GET /orders/1 HTTP/{version}\r\nHost: shop.example\r\nRequest-Id: r-1\r\n"
         f"Deadline-Ms: {DEADLINE_MS}\r\nX-Api-Key: key-1\r\n"
-        "Connection: close\r\n\r\n".encode()
+        f"{resumption}Connection: close\r\n\r\n".encode()
     )
     data, is_reset = b"", False
     try:
@@ -108,3 +126,133 @@
             return await call_raw(harness.url, version)
     finally:
         await harness.stop()
+
+
+class Ending(msgspec.Struct, frozen=True, kw_only=True):
+    """How a target's stream is framed, and how it ends.
+
+    Parameters
+    ----------
+    framing : str
+        "length", "chunks", or "none" for a body that ends with its connection.
+    place : str
+        One of `PLACES`.
+    way : str
+        "close" of the connection in order, "reset" of it, "silence", "garbage" in place
+        of the next chunk, or "exit": the whole target ends, and its connections close.
+    """
+
+    framing: str
+    place: str
+    way: str
+
+    @property
+    def is_whole(self) -> bool:
+        """Whether the stream is complete."""
+        if self.place != "after all events" or self.way == "garbage":
+            return False
+        return self.framing == "length" or self.way == "close"
+
+
+def make_stream_script(ending, *, resumed=None):
+    """Return the script of a target whose streams end as named.
+
+    A stream that is resumed is whole, or ends as `resumed` does.
+    """
+    whole = Ending(framing="chunks", place="after all events", way="close")
+
+    async def answer(call):
+        last = call.headers.get("last-event-id")
+        if last is None:
+            await _end_stream(call, ending, EVENTS, PLACES[ending.place])
+            return
+        offset = int(last) * EVENT_BYTES
+        after = resumed or whole
+        sent = PLACES[after.place]
+        if sent.startswith(EVENTS[:EVENT_BYTES]):
+            sent = sent[offset:]
+        await _end_stream(call, after, EVENTS[offset:], sent)
+
+    return answer
+
+
+async def _end_stream(call, ending, whole, sent):
+    fields = {
+        "Request-Id": call.headers.get("request-id", ""),
+        "Server-Seal": "seal",
+        "Content-Type": "text/event-stream",
+    }
+    if ending.framing == "length":
+        fields["Content-Length"] = str(len(whole))
+    elif ending.framing == "chunks":
+        fields["Transfer-Encoding"] = "chunked"
+    await call.begin(200, fields)
+    if ending.framing == "chunks":
+        if sent:
+            await call.send(sent)
+        if ending.is_whole:
+            await call.end_stream()
+            return
+    else:
+        call.writer.write(sent)
+        await call.writer.drain()
+        if ending.is_whole and ending.framing == "length":
+            return
+    if ending.way == "silence":
+        # The gateway closes the connection.
+        await call.reader.read()
+    elif ending.way == "garbage":
+        call.writer.write(b"no length of a chunk\r\n")
+        await call.writer.drain()
+    elif ending.way == "reset":
+        # The bytes before it arrive first.
+        await asyncio.sleep(0.05)
+        reset(call)
+    else:
+        if ending.way == "exit":
+            await call.target.stop()
+        call.disconnect()
+
+
+def _without_comments(body):
+    """Return the events alone, without comments and further blank lines."""
+    events = body.replace(PLACES["after a comment"], b"")
+    return re.sub(rb"\n{3,}", b"\n\n", events).removeprefix(b"\n\n")
+
+
+def _in_order(scripts):
+    """Return scripts of which the first to be called does what the first one names."""
+    left = list(scripts)
+
+    async def answer(call):
+        await left.pop(0)(call)
+
+    return [answer] * len(scripts)
+
+
+async def play_stream(
+    scripts, version, *, is_resumable=True, last_event_id="", in_order=False
+):
+    """Send a call for a stream; return the status, the events, and whether it is whole.
+
+    The gateway chooses the target; with `in_order`, the first one plays the first
+    script.
+    """
+    if in_order:
+        scripts = _in_order(scripts)
+    route = make_route(
+        streaming=True,
+        resumable=is_resumable,
+        max_attempts=2 if is_resumable else 1,
+        timeout_ms=STREAM_DEADLINE_MS,
+    )
+    harness = GatewayHarness(configuration=make_configuration(routes=[route]))
+    await harness.start(*scripts)
+    try:
+        async with asyncio.timeout(2 * STREAM_DEADLINE_MS / 1_000):
+            status, body, is_whole = await call_raw(
+                harness.url, version, last_event_id=last_event_id
+            )
+            return status, _without_comments(body), is_whole
+    finally:
+        await harness.stop()
--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -48,6 +48,8 @@
         Connection to the gateway, to write the answer.
     reader : asyncio.StreamReader
         The same connection, to detect that the gateway closes it.
+    target : ScriptedTarget
+        Target that received it.
     """
 
     def __init__(
@@ -57,7 +59,9 @@
         body: bytes,
         writer: asyncio.StreamWriter,
         reader: asyncio.StreamReader,
+        target: "ScriptedTarget",
     ):
+        self.target = target
         self.head = head
         self.body = body
         self.writer = writer
@@ -149,7 +153,9 @@
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                call = TargetCall(head=head, body=b"", writer=writer, reader=reader)
+                call = TargetCall(
+                    head=head, body=b"", writer=writer, reader=reader, target=self
+                )
                 length = int(call.headers.get("content-length", "0"))
                 call.body = await reader.readexactly(length)
                 self.calls.append(call)
