Take the end of a connection for no proof that a stream is complete

Cause: a stream without a length or chunks ends with its connection, and a connection that was closed in order was taken for the stream's end. The kernel closes the connections of a process that ends in order, too, and so does a server that gives up a run.

Why it works: such an end is judged. Before the first event it is broken off. Between events the same target is asked, in the place that the call still holds, for the rest after the last event, from the retry budget: an answer with a length or chunks proves the end, or brings what is missing; otherwise another target is asked, as after each stream that broke off, and at last the caller's answer is broken off. A stream that must not run again is believed unless its target refuses connections. At a service of which 16 streams in a row had no framing, a resumption would prove nothing, so its connections are believed on the same condition.

--- a/carobroute/gateway/_attempt.py
+++ b/carobroute/gateway/_attempt.py
@@ -23,6 +23,9 @@
         The target answered that it did not run the call.
     UNKNOWN
         The call was sent, and the target may have run it.
+    UNPROVEN
+        The target's stream ended without an error, and nothing proves that it is
+        complete.
     """
 
     ANSWERED = "answered"
@@ -30,6 +33,7 @@
     NOT_SENT = "not_sent"
     NOT_RUN = "not_run"
     UNKNOWN = "unknown"
+    UNPROVEN = "unproven"
 
 
 class Attempt(msgspec.Struct, frozen=True, kw_only=True):
--- a/carobroute/gateway/_context.py
+++ b/carobroute/gateway/_context.py
@@ -11,6 +11,7 @@
 from carobroute.gateway._rank_groups import PassTimeEstimators
 from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._retry_budget import RetryBudget
+from carobroute.gateway._stream_ends import StreamEndJudge
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._target_pool import TargetPool
@@ -39,6 +40,8 @@
         Connections to targets.
     retry_budget : RetryBudget
         Limit on retries.
+    stream_ends : StreamEndJudge
+        Judges whether streams are complete.
     stuck_calls : StuckCallDetector
         Finds calls that a rank has lost.
     suspects : SuspectRequests
@@ -70,6 +73,7 @@
         "random",
         "recorder",
         "retry_budget",
+        "stream_ends",
         "stuck_calls",
         "suspects",
     )
@@ -85,6 +89,7 @@
         dispatcher: Dispatcher,
         pool: TargetPool,
         retry_budget: RetryBudget,
+        stream_ends: StreamEndJudge,
         stuck_calls: StuckCallDetector,
         suspects: SuspectRequests,
         quarantine: PromptQuarantine,
@@ -101,6 +106,7 @@
         self.dispatcher = dispatcher
         self.pool = pool
         self.retry_budget = retry_budget
+        self.stream_ends = stream_ends
         self.stuck_calls = stuck_calls
         self.suspects = suspects
         self.quarantine = quarantine
--- a/carobroute/gateway/_crash_detector.py
+++ b/carobroute/gateway/_crash_detector.py
@@ -1,6 +1,7 @@
 """Detection of target crashes behind answers that broke off."""
 
 import asyncio
+import enum
 
 from returns.result import Success
 
@@ -12,6 +13,14 @@
 MS_PER_S = 1_000
 
 
+class Connection(enum.Enum):
+    """Outcome of an attempt to connect to a target."""
+
+    ACCEPTED = enum.auto()
+    REFUSED = enum.auto()
+    UNANSWERED = enum.auto()
+
+
 class CrashDetector:
     """Tells the crash of a target from an answer that alone broke off.
 
@@ -40,22 +49,32 @@
 
         It is not known of a target that does not answer at all: it may be cut off.
         """
+        connection = await self._connect(target)
+        if connection is not Connection.ACCEPTED:
+            return connection is Connection.REFUSED
+        transport = await self._pool.transport(target)
+        answered = await self._client.read_report(transport)
+        if not isinstance(answered, Success):
+            return False
+        started_ms = answered.unwrap().started_ms
+        return started_ms is not None and started_ms != target.entry.started_ms
+
+    async def refuses_connections(self, target: Target) -> bool:
+        """Return whether no process listens at a target's address any more."""
+        return await self._connect(target) is Connection.REFUSED
+
+    async def _connect(self, target: Target) -> Connection:
         try:
             async with asyncio.timeout(self._timeout_ms / MS_PER_S):
                 _, writer = await asyncio.open_connection(
                     *split_host_port(target.entry.address)
                 )
         except ConnectionRefusedError:
-            return True
+            return Connection.REFUSED
         except (OSError, TimeoutError):
-            return False
+            return Connection.UNANSWERED
         writer.close()
-        transport = await self._pool.transport(target)
-        answered = await self._client.read_report(transport)
-        if not isinstance(answered, Success):
-            return False
-        started_ms = answered.unwrap().started_ms
-        return started_ms is not None and started_ms != target.entry.started_ms
+        return Connection.ACCEPTED
 
 
 def crash_name(target: Target) -> str:
--- a/carobroute/gateway/_event_framing.py
+++ b/carobroute/gateway/_event_framing.py
@@ -5,6 +5,7 @@
 # A line ends with CRLF, LF or CR. A CR at the end of the data after a CRLF is part of
 # another CRLF, the rest of which has not arrived.
 _EVENT_END = re.compile(rb"\r?\n\r?\n|\r\r")
+_EVENT_DATA = re.compile(rb"(?:^|[\r\n])data")
 _EVENT_ID = re.compile(rb"(?:^|[\r\n])id: ?([^\r\n]*)")
 
 
@@ -16,18 +17,19 @@
     >>> framer = EventFramer()
     >>> framer.feed(b"id: 7\\ndata: a\\n\\nid: 8\\nda")
     b'id: 7\\ndata: a\\n\\n'
-    >>> framer.last_event_id, framer.partial_event
-    ('7', b'id: 8\\nda')
+    >>> framer.last_event_id, framer.partial_event, framer.has_event
+    ('7', b'id: 8\\nda', True)
     >>> framer.feed(b"ta: b\\r\\n\\r")
     b''
     >>> framer.feed(b"\\nid: 9\\rdata: c\\r\\r")
     b'id: 8\\ndata: b\\r\\n\\r\\nid: 9\\rdata: c\\r\\r'
     """
 
-    __slots__ = ("_buffer", "last_event_id")
+    __slots__ = ("_buffer", "_has_event", "last_event_id")
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._has_event = False
         self.last_event_id = ""
 
     @property
@@ -35,6 +37,11 @@
         """Bytes of the last event, if it is not complete."""
         return self._buffer
 
+    @property
+    def has_event(self) -> bool:
+        """Whether the current stream has had an event, and not comments alone."""
+        return self._has_event
+
     def feed(self, data: bytes) -> bytes:
         """Add `data`, and return the bytes of all events that it completes."""
         buffer = self._buffer + data if self._buffer else data
@@ -45,11 +52,14 @@
             for match in _EVENT_END.finditer(buffer):
                 end = match.end()
         events, self._buffer = buffer[:end], buffer[end:]
+        if not self._has_event and _EVENT_DATA.search(events):
+            self._has_event = True
         ids = _EVENT_ID.findall(events)
         if ids:
             self.last_event_id = ids[-1].decode("latin-1")
         return events
 
-    def discard_partial_event(self) -> None:
-        """Discard the bytes of an incomplete event."""
+    def begin_stream(self) -> None:
+        """Begin with another stream, and discard the bytes of an incomplete event."""
         self._buffer = b""
+        self._has_event = False
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -29,6 +29,7 @@
     CallerLostError,
     StreamRelay,
 )
+from carobroute.gateway._stream_ends import EndVerdict
 from carobroute.gateway._targets import Target
 from carobroute.platform import (
     AnswerHeaders,
@@ -49,6 +50,7 @@
 
 # Faults of an attempt that do not count against the target's health.
 HEALTH_NEUTRAL_FAULTS = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.LEAVING})
+HEALTH_NEUTRAL_OUTCOMES = frozenset({AttemptOutcome.NOT_RUN, AttemptOutcome.UNPROVEN})
 
 
 class Exchange:
@@ -71,6 +73,7 @@
         "_record",
         "_relay",
         "_request",
+        "_resumed_event_id",
         "_sent_count",
     )
 
@@ -87,6 +90,8 @@
         self._sent_count = 0
         self._excluded_targets: set[str] = set()
         self._may_have_run = False
+        # Event after which the caller resumes a stream of an earlier call.
+        self._resumed_event_id = ""
 
     async def answer(self) -> web.StreamResponse:
         """Serve the request, and return the response, which may be sent already."""
@@ -106,6 +111,7 @@
     async def _serve(self) -> tuple[web.StreamResponse, str]:
         head = decode_call_headers(self._request.headers)
         self._record.request_id = head.request_id
+        self._resumed_event_id = head.last_event_id
         reader = CallReader(
             context=self._context,
             request=self._request,
@@ -203,6 +209,8 @@
         pass_time_estimator.note_call_begin()
         try:
             attempt = await self._send(grant)
+            if attempt.outcome is AttemptOutcome.UNPROVEN:
+                attempt = await self._confirm_end(grant, attempt)
         finally:
             pass_time_estimator.note_call_end()
             self._context.dispatcher.release(grant)
@@ -214,6 +222,17 @@
             self._may_have_run = may_have_run_before
         return attempt
 
+    async def _confirm_end(self, grant: Grant, unproven: Attempt) -> Attempt:
+        """Ask the target of a stream whose end is not proven for the rest.
+
+        It has just freed the place of the call, and is no further target of it.
+        """
+        if not self._can_repeat(unproven):
+            return unproven
+        attempt = await self._send(grant)
+        is_answered = attempt.outcome is AttemptOutcome.ANSWERED
+        return attempt if is_answered else unproven
+
     async def _check_crash(self, target: Target, attempt: Attempt) -> None:
         """Find out whether a target crashed, before the call is retried.
 
@@ -257,7 +276,7 @@
             self._context.suspects.note_interrupted(
                 self._call.fingerprint, target.incarnation
             )
-        is_health_neutral = attempt.outcome is AttemptOutcome.NOT_RUN or (
+        is_health_neutral = attempt.outcome in HEALTH_NEUTRAL_OUTCOMES or (
             fault is not None and fault.kind in HEALTH_NEUTRAL_FAULTS
         )
         if not is_health_neutral and target.health.note_failure():
@@ -496,13 +515,26 @@
         return bytes(body)
 
     async def _relay_stream(self, grant: Grant, response: WatchedResponse) -> Attempt:
-        caller_response = await self._relay.relay(
-            grant.target,
+        target = grant.target
+        self._context.stream_ends.note_framing(target.entry.service, response.framing)
+        await self._relay.relay(
+            target,
             response,
             can_fail_over=self._can_fail_over,
+            is_resumption=bool(self._relay.last_event_id or self._resumed_event_id),
             on_events=self._parts.note_events,
         )
+        verdict = await self._context.stream_ends.judge(
+            target, response.framing, is_resumable=self._call.route.resumable
+        )
+        if verdict is EndVerdict.BROKEN:
+            raise aiohttp.ClientPayloadError("the target has crashed")
+        if verdict is EndVerdict.UNPROVEN:
+            detail = f"nothing proves that the stream of {target.incarnation} is whole"
+            fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
+            return Attempt(outcome=AttemptOutcome.UNPROVEN, fault=fault)
         self._parts.note_answered()
+        caller_response = await self._relay.finish(response)
         return Attempt(outcome=AttemptOutcome.ANSWERED, response=caller_response)
 
     # Retries and final responses.
@@ -520,6 +552,11 @@
             return self._note_retry_decision(False, "stream_begun")
         if self._sent_count >= self._call.route.max_attempts:
             return self._note_retry_decision(False, "attempts")
+        return self._can_repeat(attempt)
+
+    def _can_repeat(self, attempt: Attempt) -> bool:
+        """Whether time and the retry budget allow that the call is sent again."""
+        is_unsent = attempt.outcome is AttemptOutcome.NOT_SENT
         if self._remaining_ms < self._context.parameters.min_remaining_ms:
             return self._note_retry_decision(False, "deadline")
         if attempt.fault and attempt.fault.kind is ErrorKind.STORE_UNAVAILABLE:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -36,6 +36,7 @@
     ConfigurationWatcher,
     TargetListPoller,
 )
+from carobroute.gateway._stream_ends import StreamEndJudge
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._suspect_store import SuspectStore
@@ -216,6 +217,11 @@
             on_change=lambda: self._peers.send_now(),
             on_state=self._note_part_state,
         )
+        crash_detector = CrashDetector(
+            pool=self._pool,
+            client=self._rank_client,
+            timeout_ms=self._parameters.connect_timeout_ms,
+        )
         self._context = GatewayContext(
             clock=clock,
             random=self._random,
@@ -230,6 +236,7 @@
                 share=bounds.retry_share,
                 slack=bounds.retry_slack,
             ),
+            stream_ends=StreamEndJudge(detector=crash_detector),
             stuck_calls=StuckCallDetector(
                 pool=self._pool,
                 client=self._rank_client,
@@ -238,11 +245,7 @@
             suspects=self._suspects,
             quarantine=self._quarantine,
             limits=self._limits,
-            crash_detector=CrashDetector(
-                pool=self._pool,
-                client=self._rank_client,
-                timeout_ms=self._parameters.connect_timeout_ms,
-            ),
+            crash_detector=crash_detector,
             pass_time_estimators=PassTimeEstimators(clock=clock),
             recorder=CallRecorder(events=self._events, metrics=self._metrics),
         )
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -8,7 +8,7 @@
 import aiohttp
 from aiohttp import HttpVersion11, web
 
-from carobroute.engines import WatchedResponse, end_to_end
+from carobroute.engines import Framing, WatchedResponse, end_to_end
 from carobroute.gateway._call_records import CallRecord
 from carobroute.gateway._context import GatewayContext
 from carobroute.gateway._event_framing import EventFramer
@@ -88,10 +88,13 @@
         response: WatchedResponse,
         *,
         can_fail_over: bool,
+        is_resumption: bool,
         on_events: Callable[[], None] = lambda: None,
-    ) -> web.StreamResponse:
+    ) -> None:
         """Relay a target's answer to its end.
 
+        It is up to the caller to call `finish`, if the answer is complete.
+
         Parameters
         ----------
         target : Target
@@ -100,6 +103,8 @@
             The target's answer.
         can_fail_over : bool
             Whether the stream may be resumed at another target.
+        is_resumption : bool
+            Whether the target was asked for the rest of a stream, which may be empty.
         on_events : callable, optional
             Called each time that events have arrived.
 
@@ -109,9 +114,10 @@
             If the caller no longer reads the answer.
         aiohttp.ClientError, OSError
             If the answer broke off, which a stream also has that ends inside an event,
-            or has an event that is longer than this gateway buffers.
+            or before its first one without a length or chunks, or has an event that is
+            longer than this gateway buffers.
         """
-        self._framer.discard_partial_event()
+        self._framer.begin_stream()
         self._last_event_ms = 0.0
         self._service = target.entry.service
         stuck_watch = None
@@ -123,10 +129,37 @@
             if stuck_watch is not None:
                 stuck_watch.cancel()
         response.check_end()
-        if self._framer.partial_event and _is_event_stream(response):
+        if not _is_event_stream(response):
+            await self._write(self._framer.partial_event, response)
+        elif self._framer.partial_event:
             raise aiohttp.ClientPayloadError("the stream ended inside an event")
-        await self._write(self._framer.partial_event, response)
-        return await self._finish_response()
+        elif not (
+            is_resumption
+            or self._framer.has_event
+            or response.framing is not Framing.CONNECTION
+        ):
+            raise aiohttp.ClientPayloadError("the stream ended before its first event")
+
+    async def finish(self, response: WatchedResponse) -> web.StreamResponse:
+        """End the caller's response as complete, and return it.
+
+        Parameters
+        ----------
+        response : WatchedResponse
+            The last target's answer.
+
+        Raises
+        ------
+        CallerLostError
+            If the caller no longer reads the answer.
+        """
+        await self._write(b"", response)
+        assert self._caller_response is not None
+        try:
+            await self._caller_response.write_eof()
+        except ConnectionError as error:
+            raise CallerLostError(f"cannot end the response: {error!r}") from error
+        return self._caller_response
 
     def abort(self) -> None:
         """Close the caller's connection, so that the answer is seen as incomplete.
@@ -225,14 +258,6 @@
         except (ConnectionError, TimeoutError) as error:
             raise CallerLostError(f"cannot write to the caller: {error!r}") from error
 
-    async def _finish_response(self) -> web.StreamResponse:
-        assert self._caller_response is not None
-        try:
-            await self._caller_response.write_eof()
-        except ConnectionError as error:
-            raise CallerLostError(f"cannot end the response: {error!r}") from error
-        return self._caller_response
-
 
 def _is_event_stream(response: WatchedResponse) -> bool:
     content_type = response.headers.get("Content-Type", EVENT_STREAM_TYPE)
--- /dev/null
+++ b/carobroute/gateway/_stream_ends.py
@@ -0,0 +1,102 @@
+"""Verdicts on streams that have ended without an error, by their framing."""
+
+import enum
+from collections import deque
+
+from carobroute.engines import Framing
+from carobroute.gateway._crash_detector import CrashDetector
+from carobroute.gateway._targets import Target
+
+# Streams in a row without a length or chunks after which this counts as the usual
+# framing of a service.
+UNFRAMED_STREAK = 16
+
+
+class EndVerdict(enum.StrEnum):
+    """Whether a stream that has ended without an error is complete.
+
+    Attributes
+    ----------
+    COMPLETE
+        It is taken for complete.
+    UNPROVEN
+        It may lack events; a target has to be asked for the rest.
+    BROKEN
+        It lacks events, since its target has crashed.
+    """
+
+    COMPLETE = "complete"
+    UNPROVEN = "unproven"
+    BROKEN = "broken"
+
+
+class StreamEndJudge:
+    """Judges whether streams are complete that have ended without an error.
+
+    The connections of a process that crashes are closed in order, so the end of a
+    connection does not prove that a stream without a length or chunks is complete. A
+    resumption after its last event does, if its answer has a framing of its own.
+
+    Parameters
+    ----------
+    detector : CrashDetector
+        Tells whether a target has crashed.
+
+    Examples
+    --------
+    >>> judge = StreamEndJudge(detector=None)
+    >>> for _ in range(UNFRAMED_STREAK):
+    ...     judge.note_framing("model", Framing.CONNECTION)
+    >>> judge.is_usually_unframed("model")
+    True
+    >>> judge.note_framing("model", Framing.CHUNKS)
+    >>> judge.is_usually_unframed("model")
+    False
+    """
+
+    __slots__ = ("_detector", "_framings")
+
+    def __init__(self, *, detector: CrashDetector):
+        self._detector = detector
+        # Framings of the last streams, by service.
+        self._framings: dict[str, deque[Framing]] = {}
+
+    def note_framing(self, service: str, framing: Framing) -> None:
+        """Note the framing of a service's stream."""
+        framings = self._framings.setdefault(service, deque(maxlen=UNFRAMED_STREAK))
+        framings.append(framing)
+
+    def is_usually_unframed(self, service: str) -> bool:
+        """Return whether all of the last streams had neither a length nor chunks.
+
+        Resumptions of such streams prove nothing either.
+        """
+        framings = self._framings.get(service, ())
+        return len(framings) == UNFRAMED_STREAK and set(framings) == {
+            Framing.CONNECTION
+        }
+
+    async def judge(
+        self,
+        target: Target,
+        framing: Framing,
+        *,
+        is_resumable: bool,
+    ) -> EndVerdict:
+        """Return the verdict on a stream of `target` that has ended without an error.
+
+        Parameters
+        ----------
+        target : Target
+            Target that sent the stream.
+        framing : Framing
+            What showed the end.
+        is_resumable : bool
+            Whether a target may be asked for the rest.
+        """
+        if framing is not Framing.CONNECTION:
+            return EndVerdict.COMPLETE
+        if is_resumable and not self.is_usually_unframed(target.entry.service):
+            return EndVerdict.UNPROVEN
+        has_crashed = await self._detector.refuses_connections(target)
+        return EndVerdict.BROKEN if has_crashed else EndVerdict.COMPLETE
--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -24,6 +24,7 @@
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rank_groups import PassTimeEstimators
 from carobroute.gateway._rate_limits import RateLimits
+from carobroute.gateway._stream_ends import StreamEndJudge
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._target_pool import TargetPool
 from carobroute.platform import RankClient
@@ -195,6 +196,11 @@
         self.tasks = TaskSet(on_failure=lambda name, error: None)
         self.pool = TargetPool(parameters=self.parameters, tasks=self.tasks)
         rng = random.Random(1)
+        crash_detector = CrashDetector(
+            pool=self.pool,
+            client=RankClient(),
+            timeout_ms=self.parameters.connect_timeout_ms,
+        )
         self.context = GatewayContext(
             clock=self.clock,
             random=rng,
@@ -211,6 +217,7 @@
             retry_budget=RetryBudget(
                 clock=self.clock, window_ms=10_000.0, share=0.2, slack=20.0
             ),
+            stream_ends=StreamEndJudge(detector=crash_detector),
             stuck_calls=StuckCallDetector(
                 pool=self.pool,
                 client=RankClient(),
@@ -224,11 +231,7 @@
                 on_change=lambda: None,
             ),
             limits=RateLimits(clock=self.clock),
-            crash_detector=CrashDetector(
-                pool=self.pool,
-                client=RankClient(),
-                timeout_ms=self.parameters.connect_timeout_ms,
-            ),
+            crash_detector=crash_detector,
             pass_time_estimators=PassTimeEstimators(clock=self.clock),
             recorder=CallRecorder(
                 events=EventLog(name="test", stream=self.log, most_per_s=1e6),
