Deliver no plain answer of a crashed target whose connection ended in order

The same cause as at streams, elsewhere: a plain answer without a length or chunks was taken for whole when its connection was closed in order, also with no byte of a body, and also when the target had crashed meanwhile; a caller of an order got 200 with an empty or half body. Such an answer is now broken off without a body, and the target must still accept connections; the caller gets 502, or an idempotent call is sent again. What a live target cuts inside a body without a length cannot be told.

--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -10,7 +10,7 @@
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
-from carobroute.engines import WatchedResponse, end_to_end
+from carobroute.engines import Framing, WatchedResponse, end_to_end
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.gateway._attempt import Attempt, AttemptOutcome
 from carobroute.gateway._call import (
@@ -484,6 +484,12 @@
     ) -> Attempt:
         body = await self._read_body(response)
         response.check_end()
+        if response.status < 300 and response.framing is Framing.CONNECTION:
+            # A process that crashes has its connections closed in order, too.
+            if not body:
+                raise aiohttp.ClientPayloadError("the connection ended before the body")
+            if await self._context.crash_detector.refuses_connections(grant.target):
+                raise aiohttp.ClientPayloadError("the target has crashed")
         self._context.recorder.observe_first_byte(self._record)
         self._context.dispatcher.circuit_breaker(grant.target).note_event()
         answer = web.Response(
--- a/carobroute/gateway/tests/test_unproven_ends.py
+++ b/carobroute/gateway/tests/test_unproven_ends.py
@@ -9,16 +9,20 @@
 
 import pytest
 
+from carobroute.domain import CallClass
 from carobroute.gateway._stream_ends import UNFRAMED_STREAK
 from carobroute.gateway.tests.answer_scripts import (
     EVENTS,
     PLACES,
     Ending,
     make_stream_script,
+    play,
     play_stream,
     play_streams,
 )
+from carobroute.testing.gateway_data import make_route
 
+ORDER = make_route(call_class=CallClass.NON_IDEMPOTENT, max_attempts=1)
 VERSIONS = pytest.mark.parametrize("version", ["1.0", "1.1"])
 FRAMINGS = ["length", "chunks", "none"]
 WAYS = ["close", "reset", "silence", "garbage", "exit"]
@@ -147,3 +151,33 @@
         *(play_stream([script, script], "1.1") for _ in range(8))
     )
     assert results == [(200, EVENTS, True)] * 8
+
+
+# Plain answers that end with their connection.
+
+
+def make_plain_script(body, *, crashes=False):
+    async def answer(call):
+        fields = {"Request-Id": call.headers["request-id"], "Server-Seal": "seal"}
+        await call.begin(200, fields)
+        call.writer.write(body)
+        await call.writer.drain()
+        if crashes:
+            await call.target.stop()
+        call.disconnect()
+
+    return answer
+
+
+@VERSIONS
+@pytest.mark.parametrize("body", [b"", b"the first half"], ids=["head", "half"])
+async def test_an_answer_of_a_target_that_crashed_is_not_delivered(body, version):
+    script = make_plain_script(body, crashes=True)
+    status, _, _ = await play(ORDER, [script], version)
+    assert status == 502
+
+
+@VERSIONS
+async def test_an_answer_that_ends_before_its_body_is_not_delivered(version):
+    status, _, _ = await play(ORDER, [make_plain_script(b"")], version)
+    assert status == 502
