Take no answer behind a local process for whole after a reset

The pieces of an answer now end with a fault; the new test did not raise one before. Streams behind the local process end with their own last event and were not affected.

--- a/carobroute/engines/_openai.py
+++ b/carobroute/engines/_openai.py
@@ -2,7 +2,6 @@
 
 from typing import TypeVar
 
-import aiohttp
 import msgspec
 from returns.result import Failure, Result, Success
 
@@ -21,6 +20,7 @@
 )
 from carobroute.engines._plain import FENCE_HEADER, read_pieces
 from carobroute.engines._stream import ResumingStream
+from carobroute.engines._watched import WatchedResponse
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.utils import Clock
 
@@ -126,7 +126,7 @@
         """Continue the answer to `call` after the first `chunks_sent` chunks."""
         return await self.open(msgspec.structs.replace(call, resume_from=chunks_sent))
 
-    async def connect(self, call: EngineCall) -> Result[aiohttp.ClientResponse, Fault]:
+    async def connect(self, call: EngineCall) -> Result[WatchedResponse, Fault]:
         """Send `call` on a new connection and check that a resumption is one."""
         headers = dict(end_to_end(call.headers))
         headers[PRIORITY_HEADER] = str(call.priority)
@@ -202,7 +202,7 @@
         return answer.map(lambda _: None)
 
 
-def _is_stream(response: aiohttp.ClientResponse) -> bool:
+def _is_stream(response: WatchedResponse) -> bool:
     return response.status == 200 and response.content_type == EVENT_STREAM
 
 
--- a/carobroute/engines/_plain.py
+++ b/carobroute/engines/_plain.py
@@ -15,6 +15,7 @@
     default_clock,
     engine_adapters,
 )
+from carobroute.engines._watched import WatchedResponse
 from carobroute.errors import ErrorKind, Fault, FaultError
 from carobroute.utils import Clock
 
@@ -108,7 +109,7 @@
         return Success(None)
 
 
-async def read_pieces(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+async def read_pieces(response: WatchedResponse) -> AsyncIterator[bytes]:
     """Yield the body of `response` in bounded pieces.
 
     Raises
@@ -119,6 +120,7 @@
     try:
         async for piece in response.content.iter_chunked(PIECE_BYTES):
             yield piece
+        response.check_end()
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise FaultError(
             Fault(
--- a/carobroute/engines/_stream.py
+++ b/carobroute/engines/_stream.py
@@ -10,6 +10,7 @@
 
 from carobroute.engines._events import EventSplitter, is_done
 from carobroute.engines._interface import EngineCall, EngineParameters
+from carobroute.engines._watched import WatchedResponse
 from carobroute.errors import ErrorKind, Fault, FaultError
 
 MS_PER_S = 1_000
@@ -22,7 +23,7 @@
     def silence_ms(self) -> float:
         """Time without a byte after which a connection counts as silent."""
 
-    async def connect(self, call: EngineCall) -> Result[aiohttp.ClientResponse, Fault]:
+    async def connect(self, call: EngineCall) -> Result[WatchedResponse, Fault]:
         """Open a connection on which the call is answered."""
 
 
@@ -35,7 +36,7 @@
         Opens further connections.
     call : EngineCall
         The call that is answered.
-    response : aiohttp.ClientResponse
+    response : WatchedResponse
         The first connection's response.
     parameters : EngineParameters
         Times and bounds.
@@ -48,7 +49,7 @@
         *,
         engine: ReconnectingEngine,
         call: EngineCall,
-        response: aiohttp.ClientResponse,
+        response: WatchedResponse,
         parameters: EngineParameters,
     ):
         self._engine = engine
--- a/carobroute/engines/tests/test_http.py
+++ b/carobroute/engines/tests/test_http.py
@@ -7,7 +7,14 @@
 import aiohttp
 import pytest
 
-from carobroute.engines import EngineParameters, HttpTransport
+from carobroute.domain import CallClass
+from carobroute.engines import (
+    EngineCall,
+    EngineParameters,
+    HttpTransport,
+    PlainEngine,
+)
+from carobroute.errors import FaultError
 
 HEAD = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n"
 
@@ -67,6 +74,23 @@
             await _fetch(port)
 
 
+# Guards the local process against answers that broke off and look complete.
+async def test_pieces_of_an_answer_end_with_a_fault_after_a_reset():
+    server, port = await _serve(_reset)
+    engine = PlainEngine(
+        address=f"http://127.0.0.1:{port}", parameters=EngineParameters()
+    )
+    await engine.start()
+    call = EngineCall(
+        request_id="r-1", method="GET", path="/", call_class=CallClass.IDEMPOTENT
+    )
+    async with server:
+        answer = (await engine.open(call)).unwrap()
+        with pytest.raises(FaultError):
+            assert [piece async for piece in answer.chunks]
+    await engine.stop()
+
+
 async def test_the_path_is_sent_as_it_came():
     seen = []
 
