Read the era of the store, and log when it comes back from an older copy

Each answer of the store now carries its era; store_restored and configuration_older are logged; the stand-ins and the store in memory can come back from a copy. No decision changes.

--- a/carobroute/gateway/_configuration.py
+++ b/carobroute/gateway/_configuration.py
@@ -150,6 +150,11 @@
         """Active configuration; None before the first one."""
         return self._table
 
+    @property
+    def version(self) -> int:
+        """Version of the active configuration; -1 before the first one."""
+        return -1 if self._table is None else self._table.version
+
     @property
     def proof_age_ms(self) -> float:
         """Time since the store provably held no newer configuration."""
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -141,7 +141,10 @@
 
     def _assemble(self) -> None:
         bounds, clock = self._settings.bounds, self._clock
-        self._store = RowStore(base_url=f"http://{self._settings.store_address}")
+        self._store = RowStore(
+            base_url=f"http://{self._settings.store_address}",
+            on_restored=self._note_store_restored,
+        )
         self._configuration = ActiveConfiguration(
             clock=clock,
             revoke_ms=bounds.revoke_ms,
@@ -408,6 +411,10 @@
             self._peers.share_change()
         self._pool.drop_gone()
 
+    def _note_store_restored(self, before: int, era: int) -> None:
+        """Log that the store has come back without its last writes."""
+        self._events.event("store_restored", level="warning", before=before, era=era)
+
     def _note_part_state(
         self, part: str, state: PartState, fields: dict[str, Any]
     ) -> None:
--- a/carobroute/gateway/_shared_reads.py
+++ b/carobroute/gateway/_shared_reads.py
@@ -238,10 +238,9 @@
 
     def current_knowledge(self) -> StoreKnowledge:
         """Return what this gateway knows, for its next digest."""
-        table = self._configuration.table
         return StoreKnowledge(
             reaches_store=self.reaches_store,
-            configuration_version=-1 if table is None else table.version,
+            configuration_version=self._configuration.version,
             configuration_ms=self._configuration.proof_store_ms,
             targets_hash=self._directory.list_hash,
             targets_ms=self._directory.list_store_ms,
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -265,6 +265,15 @@
                 teams=len(configuration.teams),
             )
             self._on_change()
+        elif configuration.version < self._configuration.version:
+            self._events.event(
+                "configuration_older",
+                level="warning",
+                number=configuration.version,
+                active=self._configuration.version,
+                store_version=row.version,
+                era=self._store.era,
+            )
         return True
 
 
--- a/carobroute/platform/__init__.py
+++ b/carobroute/platform/__init__.py
@@ -16,6 +16,7 @@
     decode_configuration,
     decode_target_entry,
 )
+from carobroute.platform._http_channel import ERA_HEADER
 from carobroute.platform._process_settings import (
     SETTINGS_VARIABLE,
     PlatformDeadlines,
@@ -59,6 +60,7 @@
     "CONFIGURATION_KEY",
     "CONFIGURATION_TABLE",
     "CallHeaders",
+    "ERA_HEADER",
     "ExpertCounts",
     "HeldExperts",
     "MAX_NAME_BYTES",
--- a/carobroute/platform/_http_channel.py
+++ b/carobroute/platform/_http_channel.py
@@ -10,15 +10,22 @@
 from carobroute.errors import ErrorKind, Fault, fail
 
 JSON_CONTENT_TYPE = "application/json"
+ERA_HEADER = "Store-Era"
+MAX_ERA_LENGTH = 9
 MAX_POOL_CONNECTIONS = 32
 KEEP_ALIVE_TIMEOUT_S = 15.0
 
 
 class ChannelAnswer(msgspec.Struct, frozen=True, kw_only=True):
-    """Status and complete body of an answer."""
+    """Status and complete body of an answer, and the era of the store.
+
+    The era rises by one each time that the store comes back from an older copy; it is 0
+    if the answer does not name it.
+    """
 
     status: int
     data: bytes
+    era: int = 0
 
 
 class _ConnectionPool:
@@ -117,7 +124,11 @@
         async with pool.session.request(
             method, url, data=body or None, headers=headers
         ) as response:
-            return ChannelAnswer(status=response.status, data=await response.read())
+            return ChannelAnswer(
+                status=response.status,
+                data=await response.read(),
+                era=_decode_era(response.headers.get(ERA_HEADER, "")),
+            )
 
     def _acquire(self) -> _ConnectionPool:
         if self._pool is None:
@@ -142,3 +153,8 @@
         pool.calls_in_flight -= 1
         if pool.is_retired and pool.calls_in_flight == 0:
             await pool.session.close()
+
+
+def _decode_era(text: str) -> int:
+    is_number = text.isascii() and text.isdigit() and len(text) <= MAX_ERA_LENGTH
+    return int(text) if is_number else 0
--- a/carobroute/platform/_row_store.py
+++ b/carobroute/platform/_row_store.py
@@ -1,5 +1,6 @@
 """Client of the platform's store of table rows and objects."""
 
+from collections.abc import Callable
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -69,12 +70,15 @@
         Rows in key order, or changes in the order of their versions.
     has_more : bool
         Whether the answer was truncated at the page limit.
+    era : int
+        Era of the store, from a header; versions of different eras can't be compared.
     """
 
     version: int = msgspec.field(default=0, name="ver")
     store_ms: float = msgspec.field(default=0.0, name="nowMs")
     rows: list[StoredRow] = []
     has_more: bool = msgspec.field(default=False, name="hasMore")
+    era: int = 0
 
 
 class WriteAnswer(msgspec.Struct, frozen=True, kw_only=True):
@@ -91,12 +95,15 @@
     rows : list of StoredRow
         Current rows of the conditions, if the transaction did not commit. A row that
         does not exist has version 0 or is missing.
+    era : int
+        Era of the store; versions of different eras can't be compared.
     """
 
     committed: bool
     version: int = 0
     store_ms: float = 0.0
     rows: list[StoredRow] = []
+    era: int = 0
 
 
 class RowCondition(msgspec.Struct, frozen=True, kw_only=True):
@@ -165,9 +172,12 @@
         Timeout of a call, in milliseconds; a watch adds a margin to its `wait_ms`.
     token : str, default=""
         Bearer token that each call carries; empty for none.
+    on_restored : callable, default=None
+        Called with the era before and the new one when an answer shows that the store
+        has come back from an older copy.
     """
 
-    __slots__ = ("_channel", "_timeout_ms")
+    __slots__ = ("_channel", "_era", "_on_restored", "_timeout_ms")
 
     def __init__(
         self,
@@ -175,10 +185,18 @@
         base_url: str,
         timeout_ms: float = CALL_TIMEOUT_MS,
         token: str = "",
+        on_restored: Callable[[int, int], None] | None = None,
     ):
         self._timeout_ms = timeout_ms
+        self._era = 0
+        self._on_restored = on_restored or (lambda before, era: None)
         self._channel = HttpChannel(base_url=base_url, token=token)
 
+    @property
+    def era(self) -> int:
+        """Newest era of the store that an answer has named; 0 before the first one."""
+        return self._era
+
     async def read(
         self,
         table: str,
@@ -345,7 +363,14 @@
         answered = await self._call(
             "GET", f"{path}?{urlencode(query)}", timeout_ms=timeout_ms
         )
-        return answered.bind(lambda answer: _decode_answer(answer, _rows_decoder))
+        return answered.bind(_decode_rows_answer)
+
+    def _note_era(self, era: int) -> None:
+        if era <= self._era:
+            return
+        before, self._era = self._era, era
+        if before:
+            self._on_restored(before, era)
 
     async def _call(
         self,
@@ -355,13 +380,16 @@
         timeout_ms: float = 0.0,
         headers: dict[str, str] | None = None,
     ) -> Result[ChannelAnswer, Fault]:
-        return await self._channel.exchange(
+        answered = await self._channel.exchange(
             method,
             path,
             body,
             timeout_ms=timeout_ms or self._timeout_ms,
             headers=headers,
         )
+        if isinstance(answered, Success):
+            self._note_era(answered.unwrap().era)
+        return answered
 
 
 def _check_status(answer: ChannelAnswer) -> Result[bytes, Fault]:
@@ -392,8 +420,13 @@
         )
 
 
+def _decode_rows_answer(answer: ChannelAnswer) -> Result[RowsAnswer, Fault]:
+    decoded: Result[RowsAnswer, Fault] = _decode_answer(answer, _rows_decoder)
+    return decoded.map(lambda rows: msgspec.structs.replace(rows, era=answer.era))
+
+
 def _decode_write_answer(answer: ChannelAnswer) -> Result[WriteAnswer, Fault]:
-    committed = answer.status != PRECONDITION_FAILED_STATUS
+    committed, era = answer.status != PRECONDITION_FAILED_STATUS, answer.era
     if not committed:
         # The answer has the current rows of the conditions, in the usual format.
         answer = ChannelAnswer(status=OK_STATUS, data=answer.data)
@@ -404,5 +437,6 @@
             version=rows.version,
             store_ms=rows.store_ms,
             rows=rows.rows,
+            era=era,
         )
     )
--- a/carobroute/standins/_platform.py
+++ b/carobroute/standins/_platform.py
@@ -10,6 +10,7 @@
 from aiohttp import web
 
 from carobroute.platform import (
+    ERA_HEADER,
     MAX_NAME_BYTES,
     MAX_TRANSACTION_ENTRIES,
     ObjectNames,
@@ -22,7 +23,7 @@
 )
 from carobroute.standins._command import MAX_BODY_BYTES, serve, stand_ins
 from carobroute.standins._faults import FaultControl, json_response
-from carobroute.standins._state import ObjectsState, RowsState
+from carobroute.standins._state import ObjectsState, RowsCopy, RowsState
 from carobroute.tables import INSTANCE_TABLE
 from carobroute.utils import Clock
 
@@ -113,6 +114,7 @@
         """Return the HTTP application."""
         application = web.Application(client_max_size=MAX_BODY_BYTES)
         self.faults.install(application)
+        application.on_response_prepare.append(self._name_era)
         application.add_routes(
             [
                 web.post("/api/rows-tx", self._transact),
@@ -135,6 +137,14 @@
         self.rows.write(table, key, value)
         self._wake_watches()
 
+    def restore(self, copy: RowsCopy) -> None:
+        """Come back from an older copy of the rows."""
+        self.rows.restore(copy)
+        self._wake_watches()
+
+    async def _name_era(self, request: web.Request, response) -> None:
+        response.headers[ERA_HEADER] = str(self.rows.era)
+
     def _wake_watches(self) -> None:
         self._changed.set()
         self._changed = asyncio.Event()
--- a/carobroute/standins/_state.py
+++ b/carobroute/standins/_state.py
@@ -35,6 +35,14 @@
     row: StoredRow | None
 
 
+class RowsCopy(msgspec.Struct, frozen=True):
+    """The rows at a moment, and the changes until then."""
+
+    version: int
+    rows: list[tuple[tuple[str, str, str], StoredRow]]
+    changes: list[StoredRow]
+
+
 class RowsState:
     """Rows with versions from one counter, and what has changed.
 
@@ -53,6 +61,7 @@
         self._past: dict[tuple[str, str, str], deque[_Past]] = {}
         self._changes: deque[StoredRow] = deque(maxlen=MAX_CHANGES)
         self.version = 0
+        self.era = 1
         self.record: deque[WriteRecord] = deque(maxlen=MAX_RECORD)
 
     def read(
@@ -74,7 +83,7 @@
         """Return the changes after a version; None if they are not known any more."""
         # Without any change known, only the present version has no gap behind it.
         oldest = self._changes[0].version if self._changes else self.version + 1
-        if after < oldest - 1:
+        if after < oldest - 1 or after > self.version:
             return None
         rows = [
             row for row in self._changes if row.table == table and row.version > after
@@ -126,6 +135,16 @@
         self._changes.clear()
         self.version += 1
 
+    def copy(self) -> "RowsCopy":
+        """Return a copy of all rows, from which `restore` can bring them back."""
+        return RowsCopy(self.version, list(self._rows.items()), list(self._changes))
+
+    def restore(self, copy: "RowsCopy") -> None:
+        """Come back from a copy; versions after it are given out again."""
+        self.version, self.era = copy.version, self.era + 1
+        self._rows = SortedDict(copy.rows)
+        self._changes = deque(copy.changes, maxlen=MAX_CHANGES)
+
     def _apply(self, transaction: RowTransaction) -> None:
         self.version += 1
         for write in transaction.writes:
--- a/carobroute/testing/row_store_data.py
+++ b/carobroute/testing/row_store_data.py
@@ -45,6 +45,7 @@
         self.is_unavailable = False
         # Watches from before this version are told that their history is gone.
         self.history_from = 0
+        self._era = 1
 
     async def read(
         self,
@@ -73,7 +74,7 @@
         self.calls += 1
         if self.is_unavailable:
             return fail(ErrorKind.STORE_UNAVAILABLE, "the store is away")
-        if after < self.history_from:
+        if after < self.history_from or after > self._version:
             return fail(ErrorKind.CONFLICT, "that history is gone")
         end_ms = self._clock.now_ms() + wait_ms
         while True:
@@ -102,7 +103,7 @@
         for condition in conditions:
             row = self._kept.get((condition.table, condition.key))
             if (row.version if row else 0) != condition.version:
-                return Success(WriteAnswer(committed=False))
+                return Success(WriteAnswer(committed=False, era=self._era))
         self._version += 1
         for write in writes:
             self._kept[write.table, write.key] = StoredRow(
@@ -112,7 +113,10 @@
             self._kept.pop((removal.table, removal.key), None)
         return Success(
             WriteAnswer(
-                committed=True, version=self._version, store_ms=self._clock.now_ms()
+                committed=True,
+                version=self._version,
+                store_ms=self._clock.now_ms(),
+                era=self._era,
             )
         )
 
@@ -126,10 +130,20 @@
         self._version += 1
         self._kept.pop((table, key), None)
 
+    def copy(self) -> tuple[int, dict[tuple[str, str], StoredRow]]:
+        """Return a copy of the store, from which `restore` can bring it back."""
+        return self._version, dict(self._kept)
+
+    def restore(self, copy: tuple[int, dict[tuple[str, str], StoredRow]]) -> None:
+        """Come back from a copy; versions after it are given out again."""
+        self._version, kept = copy
+        self._kept = dict(kept)
+        self._note_era(self._era + 1)
+
     @property
     def version(self) -> int:
         """Version of the last write."""
         return self._version
 
     def _answer(self, rows: list[StoredRow]) -> RowsAnswer:
-        return RowsAnswer(self._version, self._clock.now_ms(), rows)
+        return RowsAnswer(self._version, self._clock.now_ms(), rows, era=self._era)
--- a/carobroute/testing/shared_reads_data.py
+++ b/carobroute/testing/shared_reads_data.py
@@ -64,6 +64,11 @@
         self._store = store
         self.is_cut = False
 
+    @property
+    def era(self) -> int:
+        """Era of the store."""
+        return self._store.era
+
     async def read(self, table: str, **options: object) -> Result[RowsAnswer, Fault]:
         """Return rows, or a fault while the way is cut."""
         if self.is_cut:
