Read the configuration again after a watch across two eras of the store

A watch went on at a version of the era before. Where the store had passed that version again, changes below it were missed without an error, and the configuration was confirmed as current. An answer of another era than the version's is followed by a whole read.

--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -130,13 +130,15 @@
     A watch that ends without a change proves that there was none when it was sent.
     Each watch starts from the version of the last read or change, and not from the
     version that an answer without changes carries, so a change that the store withheld
-    from one watch is found by the next.
+    from one watch is found by the next. The store may come back from an older copy and
+    give out versions again, so a watch across two eras proves nothing.
     """
 
     __slots__ = (
         "_backoff",
         "_clock",
         "_configuration",
+        "_era",
         "_events",
         "_last_call_ms",
         "_monitor",
@@ -168,6 +170,8 @@
         self._events = events
         self._clock = clock
         self._version: int | None = None
+        # Era of the store that the version belongs to.
+        self._era = 0
         self._last_call_ms = float("-inf")
         self._monitor = DependencyMonitor(
             name="configuration store", events=events, clock=clock
@@ -200,6 +204,11 @@
         self._monitor.note_success()
         self._backoff.reset()
         answer = answered.unwrap()
+        if self._version is not None and answer.era != self._era:
+            # A watch that began at a version of another era may miss changes.
+            self._version = None
+            return 0.0
+        self._era = answer.era
         # The store's time when the call was sent, or somewhat before.
         store_ms = answer.store_ms - (self._clock.boot_time_ms() - sent_ms)
         if self._shared:
--- a/carobroute/gateway/tests/test_store_watch.py
+++ b/carobroute/gateway/tests/test_store_watch.py
@@ -1,52 +1,15 @@
 """Configuration and targets of a gateway while the store changes or is unavailable."""
 
-import io
-import random
-
 import pytest
 
 from carobroute.gateway import (
-    ActiveConfiguration,
     GatewayParameters,
-    TargetDirectory,
 )
-from carobroute.gateway._store_watch import ConfigurationWatcher, TargetListPoller
-from carobroute.telemetry import EventLog
-from carobroute.testing.row_store_data import MemoryRowStore
-from carobroute.testing.shared_reads_data import encode_configuration, encode_entry
-from carobroute.utils import ManualClock
-
-
-class StoreScenario:
-    """A store, with the watcher and the poller that read it."""
-
-    def __init__(self):
-        self.clock = ManualClock(start_ms=100_000)
-        self.store = MemoryRowStore(clock=self.clock)
-        self.log = io.StringIO()
-        self.active = ActiveConfiguration(
-            clock=self.clock, revoke_ms=5_000.0, margin_ms=400.0
-        )
-        self.directory = TargetDirectory(
-            clock=self.clock, store_outage_ms=1_500.0, lapsed_grace_ms=2_200.0
-        )
-        self.changes = []
-        shared = {
-            "store": self.store,
-            "parameters": GatewayParameters(),
-            "events": EventLog(name="t", stream=self.log, clock=self.clock),
-            "clock": self.clock,
-            "random": random.Random(1),
-        }
-        self.watcher = ConfigurationWatcher(
-            configuration=self.active, wait_ms=1_800.0, **shared
-        )
-        self.poller = TargetListPoller(
-            directory=self.directory,
-            on_change=self.changes.append,
-            interval_ms=800.0,
-            **shared,
-        )
+from carobroute.testing.shared_reads_data import (
+    StoreScenario,
+    encode_configuration,
+    encode_entry,
+)
 
 
 @pytest.fixture
--- a/carobroute/testing/shared_reads_data.py
+++ b/carobroute/testing/shared_reads_data.py
@@ -4,6 +4,7 @@
 import io
 import json
 import random
+from typing import Any
 
 from returns.result import Result
 
@@ -15,10 +16,11 @@
 )
 from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
 from carobroute.gateway._store_watch import ConfigurationWatcher, TargetListPoller
+from carobroute.gateway._targets import DirectoryChange
 from carobroute.platform import RowsAnswer, RowStore
 from carobroute.telemetry import EventLog
 from carobroute.testing.row_store_data import MemoryRowStore
-from carobroute.utils import Clock
+from carobroute.utils import Clock, ManualClock
 
 REVOKE_MS = 5_000.0
 DIGEST_INTERVAL_MS = 408.0
@@ -201,3 +203,35 @@
         finally:
             for task in tasks:
                 task.cancel()
+
+
+class StoreScenario:
+    """A store, with the watcher and the poller that read it."""
+
+    def __init__(self) -> None:
+        self.clock = ManualClock(start_ms=100_000)
+        self.store = MemoryRowStore(clock=self.clock)
+        self.log = io.StringIO()
+        self.active = ActiveConfiguration(
+            clock=self.clock, revoke_ms=5_000.0, margin_ms=400.0
+        )
+        self.directory = TargetDirectory(
+            clock=self.clock, store_outage_ms=1_500.0, lapsed_grace_ms=2_200.0
+        )
+        self.changes: list[DirectoryChange] = []
+        shared: dict[str, Any] = {
+            "store": self.store,
+            "parameters": GatewayParameters(),
+            "events": EventLog(name="t", stream=self.log, clock=self.clock),
+            "clock": self.clock,
+            "random": random.Random(1),
+        }
+        self.watcher = ConfigurationWatcher(
+            configuration=self.active, wait_ms=1_800.0, **shared
+        )
+        self.poller = TargetListPoller(
+            directory=self.directory,
+            on_change=self.changes.append,
+            interval_ms=800.0,
+            **shared,
+        )
