Take a configuration that the store has gone back to for no proof

What could happen: a key is taken away, the store comes back from a copy, and a gateway reads the older configuration there. It never replaced the active one, but it was taken for proof that nothing newer exists, so the proof stayed young and keys that a lost configuration had taken away were accepted until the operator had written again. A gateway that started just then took the older configuration itself, with keys and routes that its peers knew to be gone.

An answer is now a proof only if the store holds the newest configuration that this gateway or a live peer knows; in a new era also only if the row was written again, or two seconds are over. A gateway that starts on a store that has come back waits for its peers' digests before it takes a configuration, and takes none that is older than theirs; one that runs an older one accepts no keys.

--- a/carobroute/gateway/_configuration.py
+++ b/carobroute/gateway/_configuration.py
@@ -197,3 +197,7 @@
         """
         self._proof_ms = max(self._proof_ms, confirmed_ms)
         self._proof_store_ms = max(self._proof_store_ms, store_ms)
+
+    def withdraw_proof(self) -> None:
+        """Accept no keys until the configuration is confirmed again."""
+        self._proof_ms = self._proof_store_ms = 0.0
--- a/carobroute/gateway/_shared_reads.py
+++ b/carobroute/gateway/_shared_reads.py
@@ -189,6 +189,12 @@
         """Whether there are more gateways than readers."""
         return len(self._peers()) >= READER_COUNT
 
+    @property
+    def newest_peer_version(self) -> int:
+        """Newest version of the configuration that a live peer knows; -1 for none."""
+        known = (peer.configuration_version for peer in self._peers().values())
+        return max(known, default=-1)
+
     @property
     def is_reader(self) -> bool:
         """Whether this gateway reads the store all the time."""
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -3,6 +3,7 @@
 import math
 import random
 from collections.abc import Callable
+from typing import NamedTuple
 
 from returns.result import Failure, Result, Success
 
@@ -25,6 +26,13 @@
 from carobroute.telemetry import EventLog
 from carobroute.utils import Clock
 
+# Time in which the operator writes again what a store that came back from an older copy
+# has lost; targets take as long to write their entries.
+REWRITE_MS = 2_000.0
+# Time in which a gateway that starts hears of its peers; it is not awaited while the
+# store has never come back from an older copy.
+FIRST_DIGESTS_MS = 700.0
+FIRST_ERA = 1
 # Interval at which a gateway that follows its peers checks whether it must read.
 FOLLOW_CHECK_INTERVAL_MS = 40.0
 # Longest watch of a gateway whose proofs others use. It exceeds the second for which
@@ -101,6 +109,13 @@
             )
 
 
+class StoredConfiguration(NamedTuple):
+    """Number of a configuration, and the store's version at which it was written."""
+
+    number: int = -1
+    row_version: int = 0
+
+
 class ConfigurationWatcher:
     """Keeps the active configuration up to date.
 
@@ -143,10 +158,14 @@
         "_last_call_ms",
         "_monitor",
         "_on_change",
+        "_restored_ms",
+        "_row",
         "_shared",
+        "_started_ms",
         "_store",
         "_version",
         "_wait_ms",
+        "_was_rewritten",
     )
 
     def __init__(
@@ -172,6 +191,12 @@
         self._version: int | None = None
         # Era of the store that the version belongs to.
         self._era = 0
+        # Configuration that the store was last seen to hold.
+        self._row = StoredConfiguration()
+        # Whether the operator has written in this era, and when the era was noticed.
+        self._was_rewritten = True
+        self._restored_ms = 0.0
+        self._started_ms = clock.boot_time_ms()
         self._last_call_ms = float("-inf")
         self._monitor = DependencyMonitor(
             name="configuration store", events=events, clock=clock
@@ -198,17 +223,20 @@
     async def poll_once(self) -> float:
         """Call the store once, and return the delay before the next call."""
         sent_ms = self._last_call_ms = self._clock.boot_time_ms()
+        newest = max(self._configuration.version, self._newest_peer_version)
         answered = await self._read_or_watch()
         if isinstance(answered, Failure):
             return self._note_failure(answered.failure())
         self._monitor.note_success()
         self._backoff.reset()
         answer = answered.unwrap()
-        if self._version is not None and answer.era != self._era:
+        is_read = self._version is None
+        if not is_read and answer.era != self._era:
             # A watch that began at a version of another era may miss changes.
             self._version = None
             return 0.0
-        self._era = answer.era
+        if self._must_await_digests(answer):
+            return self._backoff.next_ms()
         # The store's time when the call was sent, or somewhat before.
         store_ms = answer.store_ms - (self._clock.boot_time_ms() - sent_ms)
         if self._shared:
@@ -218,15 +246,62 @@
                 sent_ms=sent_ms, store_ms=answer.store_ms
             )
         rows = [row for row in answer.rows if row.key == CONFIGURATION_KEY]
-        is_readable = all([self._apply_row(row) for row in rows])
-        if self._version is None or rows:
+        if is_read:
+            self._note_read(answer, rows)
+        is_readable = all([self._apply_row(row, newest) for row in rows])
+        if is_read or rows:
             self._version = answer.version
-        if is_readable and self._configuration.table is not None:
-            self._configuration.confirm_current(sent_ms, store_ms)
+        if is_readable and self._row.number < newest:
+            self._note_older_store(is_read)
+        elif is_readable:
+            self._note_proof(sent_ms, store_ms)
         # One that is not readable is read again like after a failure; the first one
         # is watched for.
         return 0.0 if is_readable else self._backoff.next_ms()
 
+    @property
+    def _newest_peer_version(self) -> int:
+        return self._shared.newest_peer_version if self._shared else -1
+
+    def _must_await_digests(self, answer: RowsAnswer) -> bool:
+        """Whether peers may know a newer configuration than a store that came back."""
+        waited_ms = self._clock.boot_time_ms() - self._started_ms
+        return (
+            self._shared is not None
+            and self._configuration.table is None
+            and answer.era > FIRST_ERA
+            and waited_ms < FIRST_DIGESTS_MS
+        )
+
+    def _note_read(self, answer: RowsAnswer, rows: list[StoredRow]) -> None:
+        """Note that the whole row was read, which shows a new era of the store."""
+        if not rows:
+            self._row = StoredConfiguration()
+        if answer.era == self._era:
+            return
+        if self._era:
+            self._was_rewritten = False
+            self._restored_ms = self._clock.boot_time_ms()
+        self._era = answer.era
+
+    def _note_older_store(self, is_read: bool) -> None:
+        """Note that the store holds an older configuration than a gateway knows."""
+        if not is_read:
+            # The store may have withheld the change from the watch.
+            self._version = None
+        elif self._configuration.version < self._newest_peer_version:
+            self._configuration.withdraw_proof()
+
+    def _note_proof(self, sent_ms: float, store_ms: float) -> None:
+        """Confirm the active configuration, unless the store has just come back.
+
+        The operator may have replaced the configuration of the copy, and not have
+        written again yet.
+        """
+        is_settled = self._was_rewritten or sent_ms >= self._restored_ms + REWRITE_MS
+        if self._configuration.table is not None and is_settled:
+            self._configuration.confirm_current(sent_ms, store_ms)
+
     async def _read_or_watch(self) -> Result[RowsAnswer, Fault]:
         if self._version is None:
             return await self._store.read(
@@ -251,9 +326,13 @@
         self._monitor.note_failure(fault)
         return self._backoff.next_ms()
 
-    def _apply_row(self, row: StoredRow) -> bool:
-        """Make a row's configuration active; return False if it is not readable."""
+    def _apply_row(self, row: StoredRow, newest: int) -> bool:
+        """Make a row's configuration active unless a peer knows a newer one.
+
+        Return False if it is not readable.
+        """
         if row.removed:
+            self._row = StoredConfiguration()
             return True
         decoded = decode_configuration(row.value)
         if isinstance(decoded, Failure):
@@ -265,24 +344,28 @@
             )
             return False
         configuration = decoded.unwrap()
-        if self._configuration.apply(configuration):
+        stored = StoredConfiguration(configuration.version, row.version)
+        if stored != self._row:
+            self._was_rewritten = True
+        self._row = stored
+        if configuration.version < newest:
             self._events.event(
-                "configuration_in_force",
+                "configuration_older",
+                level="warning",
                 number=configuration.version,
+                newest=newest,
                 store_version=row.version,
-                routes=len(configuration.routes),
-                teams=len(configuration.teams),
+                era=self._era,
             )
-            self._on_change()
-        elif configuration.version < self._configuration.version:
+        elif self._configuration.apply(configuration):
             self._events.event(
-                "configuration_older",
-                level="warning",
+                "configuration_in_force",
                 number=configuration.version,
-                active=self._configuration.version,
                 store_version=row.version,
-                era=self._store.era,
+                routes=len(configuration.routes),
+                teams=len(configuration.teams),
             )
+            self._on_change()
         return True
 
 
--- a/carobroute/gateway/tests/test_restored_store.py
+++ b/carobroute/gateway/tests/test_restored_store.py
@@ -4,9 +4,19 @@
 copy is gone until it is written again.
 """
 
+import asyncio
+import random
+
 import pytest
 
-from carobroute.testing.shared_reads_data import StoreScenario, encode_configuration
+from carobroute.gateway._store_watch import FIRST_DIGESTS_MS, REWRITE_MS
+from carobroute.testing.shared_reads_data import (
+    REVOKE_MS,
+    ReadingFleet,
+    StoreScenario,
+    encode_configuration,
+)
+from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
 
 PROOF_MS = 4_600.0
 
@@ -41,3 +51,118 @@
     for _ in range(2):
         await scenario.watcher.poll_once()
     assert scenario.active.version == 9
+
+
+# Guards against keys that were taken away by a configuration that the store has lost.
+async def test_an_older_configuration_proves_nothing(scenario):
+    configure(scenario, 4)
+    copy = scenario.store.copy()
+    configure(scenario, 9)
+    await poll_for(scenario, 1_000)
+    scenario.store.restore(copy)
+    await poll_for(scenario, PROOF_MS + 200)
+    assert scenario.active.version == 9
+    assert not scenario.active.accepts_keys
+    configure(scenario, 9)
+    await poll_for(scenario, 100)
+    assert scenario.active.accepts_keys
+
+
+async def test_a_store_without_a_configuration_proves_nothing(scenario):
+    copy = scenario.store.copy()
+    configure(scenario, 9)
+    await poll_for(scenario, 1_000)
+    scenario.store.restore(copy)
+    await poll_for(scenario, PROOF_MS + 200)
+    assert not scenario.active.accepts_keys
+
+
+# A newer one may have been acknowledged after the last proof, and be lost as well.
+async def test_the_configuration_of_the_copy_proves_nothing_at_first(scenario):
+    configure(scenario, 4)
+    await poll_for(scenario, 2_000)
+    copy = scenario.store.copy()
+    scenario.store.is_unavailable = True
+    await poll_for(scenario, PROOF_MS + 1_000)
+    assert not scenario.active.accepts_keys
+    scenario.store.is_unavailable = False
+    scenario.store.restore(copy)
+    await poll_for(scenario, REWRITE_MS - 200)
+    assert not scenario.active.accepts_keys
+    # The watch that begins before the time is over is waited for.
+    await poll_for(scenario, 4_000)
+    assert scenario.active.accepts_keys
+
+
+async def test_a_configuration_that_was_written_again_is_a_proof_at_once(scenario):
+    configure(scenario, 4)
+    await poll_for(scenario, 2_000)
+    copy = scenario.store.copy()
+    scenario.store.is_unavailable = True
+    await poll_for(scenario, PROOF_MS + 1_000)
+    scenario.store.is_unavailable = False
+    scenario.store.restore(copy)
+    configure(scenario, 4)
+    await poll_for(scenario, 600)
+    assert scenario.active.accepts_keys
+
+
+def run_fleet(scenario, size=3):
+    loop = VirtualLoop()
+    clock = VirtualClock(loop=loop)
+    fleet = ReadingFleet(
+        clock=clock, random=random.Random(4), size=size, drain_ms=4_000.0
+    )
+
+    async def main():
+        running = asyncio.create_task(fleet.run())
+        await clock.sleep_ms(3_000)
+        await scenario(fleet)
+        running.cancel()
+
+    run_virtual(main(), loop)
+
+
+# Guards against a new gateway that serves what the store of its peers had replaced.
+@pytest.mark.parametrize("hears_peers", [True, False])
+def test_a_gateway_that_starts_takes_no_configuration_older_than_its_peers(hears_peers):
+    async def scenario(fleet):
+        copy = fleet.store.copy()
+        fleet.store.put("op", "config", encode_configuration(7))
+        await fleet.clock.sleep_ms(2_000)
+        fleet.store.restore(copy)
+        late = fleet.add_gateway("gateway-late", is_silent=not hears_peers)
+        await fleet.clock.sleep_ms(FIRST_DIGESTS_MS + 500)
+        for _ in range(20):
+            await fleet.clock.sleep_ms(100)
+            assert late.configuration.version == (-1 if hears_peers else 1)
+        if not hears_peers:
+            fleet.silent.clear()
+            await fleet.clock.sleep_ms(REVOKE_MS / 2)
+            assert not late.configuration.accepts_keys
+        fleet.store.put("op", "config", encode_configuration(7))
+        await fleet.clock.sleep_ms(2_000)
+        assert late.configuration.version == 7
+        assert late.configuration.accepts_keys
+
+    run_fleet(scenario)
+
+
+def test_a_gateway_that_starts_after_a_restore_is_ready_soon():
+    async def scenario(fleet):
+        fleet.store.restore(fleet.store.copy())
+        await fleet.clock.sleep_ms(1_000)
+        late = fleet.add_gateway("gateway-late")
+        await fleet.clock.sleep_ms(1_200)
+        assert late.configuration.version == 1
+
+    run_fleet(scenario)
+
+
+def test_a_gateway_that_starts_alone_after_a_restore_is_ready_soon():
+    async def scenario(fleet):
+        fleet.store.restore(fleet.store.copy())
+        await fleet.clock.sleep_ms(1_200)
+        assert fleet.gateways[0].configuration.version == 1
+
+    run_fleet(scenario, size=1)
--- a/carobroute/testing/shared_reads_data.py
+++ b/carobroute/testing/shared_reads_data.py
@@ -183,6 +183,16 @@
         ]
         # Gateways whose digests do not arrive.
         self.silent: set[str] = set()
+        self._tasks: list[asyncio.Task] = []
+
+    def add_gateway(self, name: str, *, is_silent: bool = False) -> ReadingGateway:
+        """Start one more gateway, which may hear no digests at first."""
+        if is_silent:
+            self.silent = {gateway.name for gateway in self.gateways}
+        gateway = ReadingGateway(fleet=self, name=name)
+        self.gateways.append(gateway)
+        self._tasks += gateway.start()
+        return gateway
 
     def spread(self, sender: ReadingGateway) -> None:
         """Deliver a digest of one gateway to the others."""
@@ -194,14 +204,15 @@
 
     async def run(self) -> None:
         """Read, and send digests, until cancelled."""
-        tasks = [task for gateway in self.gateways for task in gateway.start()]
+        for gateway in self.gateways:
+            self._tasks += gateway.start()
         try:
             while True:
                 for gateway in self.gateways:
                     await self.clock.sleep_ms(DIGEST_INTERVAL_MS / len(self.gateways))
                     self.spread(gateway)
         finally:
-            for task in tasks:
+            for task in self._tasks:
                 task.cancel()
 
 
