Take back no target for an entry of an older list

A store that came back from an older copy listed targets again that had left, were gone or had not been there yet. A target that had said that it leaves was ready again and got calls; one that was gone was taken for new, though its address may belong to another service by then; and targets younger than the copy were dropped at once, without time to write their entries again. Three tests failed before. That a run leaves is now final for that run; an entry of a run that is gone counts only if it has been renewed since, by the number that each heartbeat raises; and a new era of the store begins the grace period of lapsed entries.

--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -403,6 +403,7 @@
         "_backoff",
         "_clock",
         "_directory",
+        "_era",
         "_events",
         "_interval_ms",
         "_monitor",
@@ -433,6 +434,7 @@
         self._events = events
         self._clock = clock
         self._unreadable_keys: frozenset[str] = frozenset()
+        self._era = 0
         self._monitor = DependencyMonitor(
             name="target list", events=events, clock=clock
         )
@@ -476,6 +478,10 @@
             self._shared.store_clock.note_answer(
                 sent_ms=sent_ms, store_ms=answer.store_ms
             )
+        if self._era and answer.era != self._era:
+            # Targets that are younger than the copy write their entries again.
+            self._directory.begin_grace()
+        self._era = answer.era
         store_ms = answer.store_ms - (self._clock.boot_time_ms() - sent_ms)
         is_first = math.isinf(self._directory.age_ms)
         change = self._directory.update(self._decode(answer.rows), store_ms)
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -20,6 +20,8 @@
 # Slowdown from which on a rank gets no calls while others can take them: each pass of
 # its group lasts at least as long as its own part.
 SLOW_TARGET_SLOWDOWN = 2.0
+# Time for which entries of runs that are gone are recognized in an older list.
+GONE_RETENTION_MS = 60_000.0
 
 
 class Target:
@@ -185,6 +187,7 @@
 
     __slots__ = (
         "_clock",
+        "_gone",
         "_grace_until_ms",
         "_health",
         "_lapsed_grace_ms",
@@ -216,6 +219,8 @@
         self._peer_slowdown = peer_slowdown
         self._targets: dict[str, Target] = {}
         self._targets_by_service: dict[str, list[Target]] = {}
+        # Last entries of runs that are gone, and when they were removed.
+        self._gone: dict[str, tuple[TargetEntry, float]] = {}
         self._last_read_ms: float | None = None
         self._grace_until_ms = 0.0
         self._list_hash = 0
@@ -267,6 +272,10 @@
             self._last_read_ms = max(self._last_read_ms, read_ms)
             self._list_store_ms = max(self._list_store_ms, store_ms)
 
+    def begin_grace(self) -> None:
+        """Give targets that are not listed time to write their entries again."""
+        self._grace_until_ms = self._clock.boot_time_ms() + self._lapsed_grace_ms
+
     def update(
         self, entries: list[TargetEntry], store_ms: float = 0.0
     ) -> DirectoryChange:
@@ -286,8 +295,9 @@
             self._last_read_ms is not None
             and now_ms - self._last_read_ms > self._store_outage_ms
         ):
-            self._grace_until_ms = now_ms + self._lapsed_grace_ms
+            self.begin_grace()
         self._last_read_ms = now_ms
+        self._forget_gone(now_ms)
         change = DirectoryChange(joined=[], leaving=[], gone=[], lost=[])
         listed = {entry.incarnation: entry for entry in entries}
         for entry in entries:
@@ -302,14 +312,40 @@
 
     def _note_gone(self, target: Target, change: DirectoryChange) -> None:
         target.is_gone = True
+        self._gone[target.incarnation] = (target.entry, self._clock.boot_time_ms())
         change.gone.append(target.incarnation)
         if target.entry.condition is ListedTargetState.READY:
             change.lost.append(target)
 
+    def _forget_gone(self, now_ms: float) -> None:
+        for incarnation, (_, gone_ms) in list(self._gone.items()):
+            if now_ms - gone_ms > GONE_RETENTION_MS:
+                del self._gone[incarnation]
+
+    def _is_outdated(self, entry: TargetEntry) -> bool:
+        """Whether an entry is one of a run that is gone, from before it was removed.
+
+        A store that comes back from a copy lists runs again that are gone. A run that
+        had not ended after all renews its entry.
+        """
+        gone, _ = self._gone.get(entry.incarnation, (None, 0.0))
+        return (
+            gone is not None
+            and 0 < entry.renewals <= gone.renewals
+            and entry.started_ms == gone.started_ms
+        )
+
     def _apply_entry(self, entry: TargetEntry, change: DirectoryChange) -> None:
         known = self._targets.get(entry.incarnation)
+        if known is None and self._is_outdated(entry):
+            return
         if known is not None and known.entry.started_ms == entry.started_ms:
             was_usable = known.is_usable
+            if known.entry.condition is ListedTargetState.LEAVING:
+                # A run that leaves does so for good, whatever an older list says.
+                entry = msgspec.structs.replace(
+                    entry, condition=ListedTargetState.LEAVING
+                )
             known.entry = entry
             if was_usable and entry.condition is ListedTargetState.LEAVING:
                 change.leaving.append(entry.incarnation)
@@ -339,7 +375,9 @@
     False
     """
     stable = sorted(
-        msgspec.json.encode(msgspec.structs.replace(entry, slow_start_ms=0.0))
+        msgspec.json.encode(
+            msgspec.structs.replace(entry, slow_start_ms=0.0, renewals=0)
+        )
         for entry in entries
     )
     return xxhash.xxh64_intdigest(b"\n".join(stable))
--- a/carobroute/gateway/tests/test_restored_store.py
+++ b/carobroute/gateway/tests/test_restored_store.py
@@ -15,6 +15,7 @@
     ReadingFleet,
     StoreScenario,
     encode_configuration,
+    encode_entry,
 )
 from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
 
@@ -166,3 +167,70 @@
         assert fleet.gateways[0].configuration.version == 1
 
     run_fleet(scenario, size=1)
+
+
+# Targets.
+
+
+async def poll_targets(scenario, duration_ms=100):
+    end_ms = scenario.clock.now_ms() + duration_ms
+    while True:
+        wait_ms = await scenario.poller.poll_once()
+        scenario.clock.advance_ms(wait_ms)
+        if scenario.clock.now_ms() >= end_ms:
+            return
+
+
+def list_target(scenario, name, **changes):
+    scenario.store.put("servers", name, encode_entry(**changes))
+
+
+def find_usable(scenario):
+    targets = scenario.directory.targets("one")
+    return {target.incarnation for target in targets if target.is_usable}
+
+
+# Guards against calls to a target that said that it leaves.
+async def test_a_target_that_leaves_is_not_taken_back(scenario):
+    list_target(scenario, "i-1", born=5, seq=3)
+    copy = scenario.store.copy()
+    list_target(scenario, "i-1", born=5, seq=4, state="draining")
+    await poll_targets(scenario)
+    scenario.store.restore(copy)
+    await poll_targets(scenario, 4_000)
+    assert find_usable(scenario) == set()
+    list_target(scenario, "i-1", born=9, seq=1)
+    await poll_targets(scenario)
+    assert find_usable(scenario) == {"i-1"}
+
+
+# Guards against calls to a target that is gone, at whose address another one may be.
+async def test_a_target_that_is_gone_is_not_taken_back_unless_it_writes(scenario):
+    list_target(scenario, "i-1", born=5, seq=3)
+    list_target(scenario, "i-2", born=6, seq=8)
+    await poll_targets(scenario)
+    copy = scenario.store.copy()
+    scenario.store.remove("servers", "i-1")
+    scenario.store.remove("servers", "i-2")
+    await poll_targets(scenario)
+    scenario.store.restore(copy)
+    await poll_targets(scenario, 4_000)
+    assert find_usable(scenario) == set()
+    # One that had not ended after all renews its entry; an older number is no renewal.
+    list_target(scenario, "i-1", born=5, seq=4)
+    list_target(scenario, "i-2", born=6, seq=7)
+    await poll_targets(scenario)
+    assert find_usable(scenario) == {"i-1"}
+
+
+# Guards against the loss of all targets that are younger than the copy.
+async def test_a_target_that_the_copy_does_not_have_gets_time_to_write_again(scenario):
+    list_target(scenario, "i-1", born=5, seq=3)
+    copy = scenario.store.copy()
+    list_target(scenario, "i-2", born=6, seq=1)
+    await poll_targets(scenario)
+    scenario.store.restore(copy)
+    await poll_targets(scenario, REWRITE_MS / 2)
+    assert find_usable(scenario) == {"i-1", "i-2"}
+    await poll_targets(scenario, REWRITE_MS)
+    assert find_usable(scenario) == {"i-1"}
