Take back a target that was gone once the entries of ended ones have expired

The number is not read any more. After a new era of the store, a run that was gone before is ignored for four heartbeats; the store removes the entry of one that writes nothing within three, so a run that is still listed then lives. In the same era, an entry that is back counts at once, as before.

--- a/carobroute/domain/_routing.py
+++ b/carobroute/domain/_routing.py
@@ -259,8 +259,6 @@
         Whether the target takes new calls.
     slow_start_ms : float
         Remaining time for which the target is slow after its start, in milliseconds.
-    renewals : int
-        Number of times that this run has renewed the entry; 0 if the entry has none.
     group, rank : str, int
         Rank group of the target, and its rank there; empty and -1 for none.
     group_epoch : int
@@ -279,7 +277,6 @@
     slots: int
     condition: ListedTargetState
     slow_start_ms: float
-    renewals: int = 0
     group: str = ""
     rank: int = -1
     group_epoch: int = 0
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -62,6 +62,8 @@
 FIRST_HEADERS_TIMEOUT_MS = 10_000.0
 MAX_EVENTS_PER_S = 200.0
 MS_PER_S = 1_000
+# Heartbeats of a target after which the store has removed its entry, with one to spare.
+EXPIRED_HEARTBEATS = 4
 
 
 class GatewayProcess:
@@ -161,6 +163,7 @@
                 bounds.drain_ms, self._settings.heartbeat_ms
             ),
             lapsed_grace_ms=self._parameters.lapsed_grace_ms,
+            entry_expiry_ms=EXPIRED_HEARTBEATS * self._settings.heartbeat_ms,
             peer_calls=self._peer_state.calls_at,
             peer_slowdown=self._peer_state.slowdown_at,
         )
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -479,8 +479,7 @@
                 sent_ms=sent_ms, store_ms=answer.store_ms
             )
         if self._era and answer.era != self._era:
-            # Targets that are younger than the copy write their entries again.
-            self._directory.begin_grace()
+            self._directory.note_restored()
         self._era = answer.era
         store_ms = answer.store_ms - (self._clock.boot_time_ms() - sent_ms)
         is_first = math.isinf(self._directory.age_ms)
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -175,6 +175,8 @@
         than the interval of the readings.
     lapsed_grace_ms : float
         Grace period in which lapsed entries may be renewed.
+    entry_expiry_ms : float, default=5000.0
+        Time after which the store has removed the entry of a target that is gone.
     health : HealthParameters, default=None
         Limits of ejection and slow start.
     peer_calls : callable, default=None
@@ -187,6 +189,8 @@
 
     __slots__ = (
         "_clock",
+        "_entry_expiry_ms",
+        "_expiry_until_ms",
         "_gone",
         "_grace_until_ms",
         "_health",
@@ -207,6 +211,7 @@
         clock: Clock,
         store_outage_ms: float,
         lapsed_grace_ms: float,
+        entry_expiry_ms: float = 5_000.0,
         health: HealthParameters | None = None,
         peer_calls: Callable[[str], int] | None = None,
         peer_slowdown: Callable[[str], float] | None = None,
@@ -214,13 +219,15 @@
         self._clock = clock
         self._store_outage_ms = store_outage_ms
         self._lapsed_grace_ms = lapsed_grace_ms
+        self._entry_expiry_ms = entry_expiry_ms
         self._health = health or HealthParameters()
         self._peer_calls = peer_calls or (lambda incarnation: 0)
         self._peer_slowdown = peer_slowdown
         self._targets: dict[str, Target] = {}
         self._targets_by_service: dict[str, list[Target]] = {}
-        # Last entries of runs that are gone, and when they were removed.
-        self._gone: dict[str, tuple[TargetEntry, float]] = {}
+        # Start of each run that is gone, and when its entry was removed.
+        self._gone: dict[str, tuple[int, float]] = {}
+        self._expiry_until_ms = 0.0
         self._last_read_ms: float | None = None
         self._grace_until_ms = 0.0
         self._list_hash = 0
@@ -272,9 +279,16 @@
             self._last_read_ms = max(self._last_read_ms, read_ms)
             self._list_store_ms = max(self._list_store_ms, store_ms)
 
-    def begin_grace(self) -> None:
-        """Give targets that are not listed time to write their entries again."""
-        self._grace_until_ms = self._clock.boot_time_ms() + self._lapsed_grace_ms
+    def note_restored(self) -> None:
+        """Note that the list is an older one, which targets have to write again.
+
+        Runs that are younger than the list get a grace period. Runs that were gone
+        before are back if they are still listed once the entries of runs that write
+        nothing have expired.
+        """
+        now_ms = self._clock.boot_time_ms()
+        self._grace_until_ms = now_ms + self._lapsed_grace_ms
+        self._expiry_until_ms = now_ms + self._entry_expiry_ms
 
     def update(
         self, entries: list[TargetEntry], store_ms: float = 0.0
@@ -295,13 +309,17 @@
             self._last_read_ms is not None
             and now_ms - self._last_read_ms > self._store_outage_ms
         ):
-            self.begin_grace()
+            self._grace_until_ms = now_ms + self._lapsed_grace_ms
         self._last_read_ms = now_ms
         self._forget_gone(now_ms)
         change = DirectoryChange(joined=[], leaving=[], gone=[], lost=[])
         listed = {entry.incarnation: entry for entry in entries}
         for entry in entries:
-            self._apply_entry(entry, change)
+            if self._is_outdated(entry):
+                # No peer can confirm this list, so it is read again.
+                self._list_hash = 0
+            else:
+                self._apply_entry(entry, change)
         if now_ms >= self._grace_until_ms:
             for incarnation in [name for name in self._targets if name not in listed]:
                 self._note_gone(self._targets.pop(incarnation), change)
@@ -312,7 +330,8 @@
 
     def _note_gone(self, target: Target, change: DirectoryChange) -> None:
         target.is_gone = True
-        self._gone[target.incarnation] = (target.entry, self._clock.boot_time_ms())
+        started_ms = target.entry.started_ms
+        self._gone[target.incarnation] = (started_ms, self._clock.boot_time_ms())
         change.gone.append(target.incarnation)
         if target.entry.condition is ListedTargetState.READY:
             change.lost.append(target)
@@ -323,22 +342,18 @@
                 del self._gone[incarnation]
 
     def _is_outdated(self, entry: TargetEntry) -> bool:
-        """Whether an entry is one of a run that is gone, from before it was removed.
-
-        A store that comes back from a copy lists runs again that are gone. A run that
-        had not ended after all renews its entry.
-        """
-        gone, _ = self._gone.get(entry.incarnation, (None, 0.0))
+        """Whether an entry is of a run that was gone before the list went back."""
+        gone_run = self._gone.get(entry.incarnation)
+        is_expiring = self._clock.boot_time_ms() < self._expiry_until_ms
         return (
-            gone is not None
-            and 0 < entry.renewals <= gone.renewals
-            and entry.started_ms == gone.started_ms
+            is_expiring
+            and entry.incarnation not in self._targets
+            and gone_run is not None
+            and gone_run[0] == entry.started_ms
         )
 
     def _apply_entry(self, entry: TargetEntry, change: DirectoryChange) -> None:
         known = self._targets.get(entry.incarnation)
-        if known is None and self._is_outdated(entry):
-            return
         if known is not None and known.entry.started_ms == entry.started_ms:
             was_usable = known.is_usable
             if known.entry.condition is ListedTargetState.LEAVING:
@@ -375,9 +390,7 @@
     False
     """
     stable = sorted(
-        msgspec.json.encode(
-            msgspec.structs.replace(entry, slow_start_ms=0.0, renewals=0)
-        )
+        msgspec.json.encode(msgspec.structs.replace(entry, slow_start_ms=0.0))
         for entry in entries
     )
     return xxhash.xxh64_intdigest(b"\n".join(stable))
--- a/carobroute/platform/_configuration_decoding.py
+++ b/carobroute/platform/_configuration_decoding.py
@@ -127,8 +127,6 @@
     cold_remaining_ms: float = 0.0
     # Wall-clock time of the start.
     born: int = 0
-    # Rises with each heartbeat, and begins anew with each start.
-    seq: int = 0
     group: _WireGroup | None = None
     # Ranks of the group, not of the target.
     size: int = 0
@@ -205,7 +203,6 @@
             slots=max(1, wire.slots),
             condition=condition,
             slow_start_ms=wire.cold_remaining_ms,
-            renewals=wire.seq,
             group=group.name,
             rank=group.rank,
             group_epoch=group.epoch,
