Keep a duty with one holder when the store comes back from an older copy

What could happen: the copy lacks the row of a duty's holder, and another gateway that cannot hear it takes the duty while the first is in its term; or a holder of the era before renews or releases with a version that was given out again, for the row of another one. Two coordinators may give ranks of a group different maps.

A holder writes its row again as soon as it notices a new era; others wait until each term that may have begun in the era before has ended; a write that met another era than the read before it gives no duty; and a release reads the row first. A gateway that starts on a store that has come back once waits a term, too, since it cannot know when that was.

--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -16,6 +16,7 @@
 from carobroute.platform import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
+    FIRST_ERA,
     TARGET_TABLE,
     RowsAnswer,
     RowStore,
@@ -32,7 +33,6 @@
 # Time in which a gateway that starts hears of its peers; it is not awaited while the
 # store has never come back from an older copy.
 FIRST_DIGESTS_MS = 700.0
-FIRST_ERA = 1
 # Interval at which a gateway that follows its peers checks whether it must read.
 FOLLOW_CHECK_INTERVAL_MS = 40.0
 # Longest watch of a gateway whose proofs others use. It exceeds the second for which
--- a/carobroute/gateway/_stored_duty.py
+++ b/carobroute/gateway/_stored_duty.py
@@ -8,7 +8,9 @@
 from carobroute.errors import ErrorKind, Fault
 from carobroute.experts import CoordinatorDuty
 from carobroute.platform import (
+    FIRST_ERA,
     RowCondition,
+    RowsAnswer,
     RowStore,
     RowWrite,
     StoredRow,
@@ -67,6 +69,7 @@
     __slots__ = (
         "_clock",
         "_count_stronger",
+        "_era",
         "_events",
         "_find_holder",
         "_free_since_ms",
@@ -75,9 +78,11 @@
         "_name",
         "_next_attempt_ms",
         "_other_holder",
+        "_row_era",
         "_row_version",
         "_store",
         "_term_end_ms",
+        "_terms_end_ms",
     )
 
     def __init__(
@@ -104,7 +109,13 @@
         self._clock = clock
         # Version of the row that this process wrote, while it holds the duty.
         self._row_version: int | None = None
+        # Era of the store in which it wrote the row.
+        self._row_era = 0
         self._term_end_ms = 0.0
+        # Newest era that this process has noticed, and the time from which on all terms
+        # of the eras before have ended.
+        self._era = FIRST_ERA
+        self._terms_end_ms = 0.0
         self._next_attempt_ms = 0.0
         # Holder of the duty at the last attempt, if that was another process.
         self._other_holder = ""
@@ -135,11 +146,15 @@
     async def acquire(self) -> bool:
         """Acquire or renew the duty, and return whether this process holds it."""
         now_ms = self._clock.boot_time_ms()
+        self._note_era(now_ms)
         if (
             self._row_version is not None
+            and self._row_era == self._store.era
             and now_ms < self._term_end_ms - RENEWAL_MARGIN_MS
         ):
             return True
+        if self._row_version is None and now_ms < self._terms_end_ms:
+            return False
         is_waiting = self._row_version is None and now_ms < self._next_attempt_ms
         if is_waiting and not (
             self._other_holder and self._is_gone(self._other_holder)
@@ -150,6 +165,12 @@
         self._other_holder = ""
         return await self._acquire_or_renew(now_ms)
 
+    def _note_era(self, now_ms: float) -> None:
+        """Notice that the store came back from a copy, which may lack a row."""
+        if self._store.era > self._era:
+            self._era = self._store.era
+            self._terms_end_ms = now_ms + DUTY_TERM_MS
+
     def _is_own_turn(self, now_ms: float) -> bool:
         """Return whether this process should try to take the duty now.
 
@@ -166,25 +187,41 @@
 
     async def release(self) -> None:
         """Release the duty, so that a successor need not wait for the term to end."""
-        version, self._row_version = self._row_version, None
-        if version is None:
-            return
-        written = await self._write(version, DutyRow(holder="", until_ms=0.0))
-        outcome = "released"
-        if isinstance(written, Failure):
-            outcome = written.failure().detail
-        elif not written.unwrap().committed:
-            outcome = "taken by another gateway"
-        self._events.event("duty_released", duty=self._name, outcome=outcome)
+        was_held, self._row_version = self._row_version is not None, None
+        if was_held:
+            outcome = await self._clear_row()
+            self._events.event("duty_released", duty=self._name, outcome=outcome)
+
+    async def _clear_row(self) -> str:
+        """Remove this process as the holder from the row, and return the outcome.
+
+        The row is read first, since the version of a row that this process wrote may
+        have been given out again for another holder's.
+        """
+        read = await self._read()
+        if isinstance(read, Failure):
+            return read.failure().detail
+        for row in read.unwrap().rows:
+            stored = self._decode(row)
+            if stored is None or stored.holder != self._holder:
+                continue
+            written = await self._write(row.version, DutyRow(holder="", until_ms=0.0))
+            if isinstance(written, Failure):
+                return written.failure().detail
+            if written.unwrap().committed:
+                return "released"
+        return "taken by another gateway"
 
     async def _acquire_or_renew(self, sent_ms: float) -> bool:
         was_held = self._row_version is not None
-        read = await self._store.read(
-            DUTY_TABLE, first=self._name, end=self._name + "\0"
-        )
+        read = await self._read()
         if isinstance(read, Failure):
             return self._fail_acquire(read.failure())
         answer = read.unwrap()
+        self._note_era(sent_ms)
+        if not was_held and sent_ms < self._terms_end_ms:
+            detail = "a term of the store's last era may not have ended"
+            return self._fail_acquire(Fault(kind=ErrorKind.CONFLICT, detail=detail))
         version = 0
         for row in answer.rows:
             version = row.version
@@ -206,12 +243,22 @@
         if not written.unwrap().committed:
             detail = "another gateway wrote the duty's row at the same time"
             return self._fail_acquire(Fault(kind=ErrorKind.CONFLICT, detail=detail))
+        if written.unwrap().era != answer.era:
+            # The row's version may have been given out again for another holder's.
+            detail = "the store came back from an older copy during the write"
+            return self._fail_acquire(Fault(kind=ErrorKind.CONFLICT, detail=detail))
         self._row_version = written.unwrap().version
+        self._row_era = answer.era
         self._term_end_ms = sent_ms + DUTY_TERM_MS
         if not was_held:
             self._events.event("duty_taken", duty=self._name, version=self._row_version)
         return True
 
+    async def _read(self) -> Result[RowsAnswer, Fault]:
+        return await self._store.read(
+            DUTY_TABLE, first=self._name, end=self._name + "\0"
+        )
+
     async def _write(self, version: int, row: DutyRow) -> Result[WriteAnswer, Fault]:
         """Replace the duty's row if its version is still `version`."""
         value = msgspec.json.encode(row)
--- a/carobroute/gateway/tests/test_restored_store.py
+++ b/carobroute/gateway/tests/test_restored_store.py
@@ -5,11 +5,15 @@
 """
 
 import asyncio
+import io
 import random
 
 import pytest
 
 from carobroute.gateway._store_watch import FIRST_DIGESTS_MS, REWRITE_MS
+from carobroute.gateway._stored_duty import DUTY_TERM_MS, StoredDuty
+from carobroute.telemetry import EventLog
+from carobroute.testing.row_store_data import MemoryRowStore
 from carobroute.testing.shared_reads_data import (
     REVOKE_MS,
     ReadingFleet,
@@ -244,3 +248,93 @@
     assert find_usable(scenario) == {"i-1", "i-2"}
     await poll_targets(scenario, REWRITE_MS)
     assert find_usable(scenario) == {"i-1"}
+
+
+# Duties.
+
+
+def make_duty(holder, store, clock):
+    return StoredDuty(
+        name="experts/g",
+        holder=holder,
+        store=store,
+        events=EventLog(name=holder, stream=io.StringIO(), clock=clock),
+        clock=clock,
+        is_gone=lambda holder: False,
+    )
+
+
+@pytest.fixture
+def duties(scenario):
+    names = ("a", "b")
+    return [make_duty(name, scenario.store, scenario.clock) for name in names]
+
+
+# Guards against two coordinators of a group, whose maps then differ between ranks.
+async def test_nobody_takes_a_lost_duty_while_its_holder_is_in_its_term(
+    scenario, duties
+):
+    first, second = duties
+    copy = scenario.store.copy()
+    assert await first.acquire()
+    scenario.clock.advance_ms(500)
+    scenario.store.restore(copy)
+    for _ in range(5):
+        assert not await second.acquire()
+        scenario.clock.advance_ms(400)
+        assert first.is_held
+    # The row is written again as soon as the holder looks.
+    assert await first.acquire()
+    scenario.clock.advance_ms(1_400)
+    assert first.is_held
+    assert not await second.acquire()
+
+
+async def test_a_lost_duty_is_taken_once_its_holder_is_out_of_its_term(
+    scenario, duties
+):
+    first, second = duties
+    copy = scenario.store.copy()
+    assert await first.acquire()
+    scenario.store.restore(copy)
+    assert not await second.acquire()
+    scenario.clock.advance_ms(DUTY_TERM_MS)
+    assert not first.is_held
+    assert await second.acquire()
+
+
+async def test_a_release_leaves_the_row_of_another_holder_alone(scenario, duties):
+    first, second = duties
+    scenario.store.put("other", "row", b"")
+    copy = scenario.store.copy()
+    assert await first.acquire()
+    scenario.store.restore(copy)
+    assert not await second.acquire()
+    scenario.clock.advance_ms(DUTY_TERM_MS)
+    # The version of the first holder's row is given out again.
+    assert await second.acquire()
+    await first.release()
+    third = make_duty("c", scenario.store, scenario.clock)
+    scenario.clock.advance_ms(1_000)
+    assert not await third.acquire()
+    assert second.is_held
+
+
+class RestoringStore(MemoryRowStore):
+    """Store that comes back from a copy, with another holder's row, after a read."""
+
+    async def read(self, table, **options):
+        answer = await super().read(table, **options)
+        self.restore(self.copy_before)
+        self.put("duties", "experts/g", b'{"holder": "c", "until_ms": 1e9}')
+        return answer
+
+
+async def test_a_write_that_met_another_era_gives_no_duty(scenario):
+    store = RestoringStore(clock=scenario.clock)
+    store.put("other", "row", b"")
+    store.copy_before = store.copy()
+    store.put("duties", "experts/g", b'{"holder": "b", "until_ms": 0}')
+    duty = make_duty("a", store, scenario.clock)
+    assert not await duty.acquire()
+    assert not duty.is_held
--- a/carobroute/platform/__init__.py
+++ b/carobroute/platform/__init__.py
@@ -39,6 +39,7 @@
 from carobroute.platform._row_store import (
     CONFIGURATION_KEY,
     CONFIGURATION_TABLE,
+    FIRST_ERA,
     MAX_NAME_BYTES,
     MAX_TRANSACTION_ENTRIES,
     TARGET_TABLE,
@@ -61,6 +62,7 @@
     "CONFIGURATION_TABLE",
     "CallHeaders",
     "ERA_HEADER",
+    "FIRST_ERA",
     "ExpertCounts",
     "HeldExperts",
     "MAX_NAME_BYTES",
--- a/carobroute/platform/_row_store.py
+++ b/carobroute/platform/_row_store.py
@@ -13,6 +13,8 @@
 CONFIGURATION_KEY = "config"
 TARGET_TABLE = "servers"
 
+# Era of a store that has never come back from an older copy.
+FIRST_ERA = 1
 CALL_TIMEOUT_MS = 1_000.0
 # Added to the time that a watch asks the store to wait for a change.
 WATCH_TIMEOUT_MARGIN_MS = 500.0
