Write evidence again that a restored store has lost

Gateways keep requests and prompt parts that crash targets in the store, for a restart of all of them, and took what they had written for stored for good. After the store came back from an older copy it was gone, and the next restart of all gateways forgot it; a request that had been dropped was there again and stayed. Three tests failed before. After a new era, all rows are read again and those alone count as stored.

--- a/carobroute/gateway/_evidence_store.py
+++ b/carobroute/gateway/_evidence_store.py
@@ -87,6 +87,7 @@
             return self._note_failure(read.failure())
         self._note_success()
         answer = read.unwrap()
+        self._stored.clear()
         for row in answer.rows:
             self._apply(row, answer)
         return True
--- a/carobroute/gateway/_store_keeper.py
+++ b/carobroute/gateway/_store_keeper.py
@@ -41,6 +41,7 @@
         "_clock",
         "_count_stronger",
         "_dependency",
+        "_era",
         "_events",
         "_store",
     )
@@ -60,6 +61,8 @@
         self._events = events
         self._clock = clock
         self._backoff = backoff
+        # Era of the store in which all rows were read last.
+        self._era = 0
         self._dependency = DependencyMonitor(name=name, events=events, clock=clock)
 
     @property
@@ -69,16 +72,26 @@
 
     async def run(self) -> None:
         """Read all rows, then store what is new until cancelled."""
-        while not await self._load():
-            await self._clock.sleep_ms(self._backoff.next_ms())
+        await self._load_all()
         while True:
             await self._clock.sleep_ms(CHECK_INTERVAL_MS)
+            if self._store.era != self._era:
+                # The store came back from an older copy of the rows.
+                await self._load_all()
             if not await self._save():
                 await self._clock.sleep_ms(self._backoff.next_ms())
 
+    async def _load_all(self) -> None:
+        while not await self._load():
+            await self._clock.sleep_ms(self._backoff.next_ms())
+        self._era = self._store.era
+
     @abc.abstractmethod
     async def _load(self) -> bool:
-        """Read all rows; return False if the store did not answer."""
+        """Read all rows, and take those alone for stored.
+
+        Return False if the store did not answer.
+        """
 
     @abc.abstractmethod
     async def _save(self) -> bool:
--- a/carobroute/gateway/_suspect_store.py
+++ b/carobroute/gateway/_suspect_store.py
@@ -83,6 +83,7 @@
         if isinstance(read, Failure):
             return self._note_failure(read.failure())
         self._note_success()
+        self._stored.clear()
         for row in read.unwrap().rows:
             self._apply(row, read.unwrap().store_ms)
         if self._stored:
--- a/carobroute/gateway/tests/test_evidence_store.py
+++ b/carobroute/gateway/tests/test_evidence_store.py
@@ -107,6 +107,26 @@
     play(scenario)
 
 
+def test_evidence_that_a_restored_store_has_lost_is_written_again():
+    async def scenario(clock, store):
+        first = Gateway(clock=clock, store=store)
+        copy = store.copy()
+        first.crash("i-1@1", ("bad", "other"))
+        await clock.sleep_ms(5_000.0)
+        first.crash("i-2@1", ("bad",))
+        await clock.sleep_ms(1_000.0)
+        assert "bad" in stored_parts(store)
+        store.restore(copy)
+        await clock.sleep_ms(1_000.0)
+        assert "bad" in stored_parts(store)
+        first.task.cancel()
+        second = Gateway(clock=clock, store=store, name="g-2")
+        await clock.sleep_ms(100.0)
+        assert second.state_of("bad") is PartState.REFUSED
+
+    play(scenario)
+
+
 def test_gateways_that_write_at_the_same_time_lose_nothing():
     async def scenario(clock, store):
         gateways = [
--- a/carobroute/gateway/tests/test_suspect_store.py
+++ b/carobroute/gateway/tests/test_suspect_store.py
@@ -113,3 +113,36 @@
         assert store.calls == 1
 
     play(scenario)
+
+
+def test_requests_that_a_restored_store_has_lost_are_written_again():
+    async def scenario(clock, store):
+        first = Gateway(clock=clock, store=store)
+        copy = store.copy()
+        first.suspects.add_crash("f1", "i-1")
+        first.suspects.add_crash("f1", "i-2")
+        await clock.sleep_ms(1_000.0)
+        store.restore(copy)
+        await clock.sleep_ms(1_000.0)
+        first.task.cancel()
+        second = Gateway(clock=clock, store=store)
+        await clock.sleep_ms(100.0)
+        assert second.suspects.is_refused("f1")
+
+    play(scenario)
+
+
+def test_a_request_that_is_back_in_a_restored_store_stays_no_longer():
+    async def scenario(clock, store):
+        first = Gateway(clock=clock, store=store)
+        first.suspects.add_crash("f1", "i-1")
+        first.suspects.add_crash("f1", "i-2")
+        await clock.sleep_ms(CRASH_RETENTION_MS - 500.0)
+        copy = store.copy()
+        await clock.sleep_ms(2_000.0)
+        assert not (await store.read(SUSPECT_TABLE)).unwrap().rows
+        store.restore(copy)
+        await clock.sleep_ms(1_000.0)
+        assert not (await store.read(SUSPECT_TABLE)).unwrap().rows
+
+    play(scenario)
