List a gateway again that a restored store has lost

A gateway writes its row once. After the store came back from an older copy the row of one that had started in between was gone, and gateways that started later found it only through a third one. The new test failed before (30 s without the row). In a new era of the store the row is written again and the table is read at once.

--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -317,8 +317,11 @@
     # The table of gateways.
 
     async def _poll_gateways(self) -> None:
-        is_registered = False
+        is_registered, era = False, self._store.era
         while True:
+            if self._store.era != era:
+                # The store came back from a copy, which may lack this gateway.
+                is_registered, era = False, self._store.era
             is_registered = is_registered or await self._register()
             read = await self._store.read_all(GATEWAY_TABLE)
             if isinstance(read, Failure):
@@ -330,7 +333,16 @@
                 if is_registered
                 else self._retry_delay_ms()
             )
-            await self._clock.sleep_ms(wait_ms)
+            await self._wait_for_lookup(wait_ms, era)
+
+    async def _wait_for_lookup(self, wait_ms: float, era: int) -> None:
+        """Wait until the table must be read, or the store is in a new era."""
+        end_ms = self._clock.now_ms() + wait_ms
+        while self._store.era == era and self._clock.now_ms() < end_ms:
+            remaining_ms = end_ms - self._clock.now_ms()
+            await self._clock.sleep_ms(
+                min(self._parameters.max_interval_ms, remaining_ms)
+            )
 
     async def _register(self) -> bool:
         value = msgspec.json.encode(GatewayRow(address=self._bind))
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -110,6 +110,25 @@
     assert not (await store.read("gateways")).unwrap().rows
 
 
+async def test_a_gateway_that_a_restored_store_has_lost_is_listed_again():
+    """Gateways that start later find it there alone."""
+    clock = Clock()
+    store = MemoryRowStore(clock=clock)
+    copy = store.copy()
+    gateway = Gateway("a", store, clock)
+
+    async def is_listed():
+        return bool((await store.read("gateways")).unwrap().rows)
+
+    await gateway.protocol.start()
+    try:
+        await wait_until(is_listed)
+        store.restore(copy)
+        await wait_until(is_listed)
+    finally:
+        await gateway.stop()
+
+
 @pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
 def test_a_gateway_learns_calls_and_suspects_of_its_peer(run):
     run(_check_that_two_gateways_exchange_digests())
