Believe no refusal that names another request, or may be an earlier one

Report of another operator: a faulty target wrote an earlier refusal once more on a kept connection, and callers were told 'not run, try again' for requests that a target was running, or these ran at a second one. It happens here: refusals were believed whatever request they named.

--- a/carobroute/engines/_watched.py
+++ b/carobroute/engines/_watched.py
@@ -2,12 +2,17 @@
 
 import asyncio
 import enum
+from weakref import WeakSet
 
 import aiohttp
+from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientResponse
 
 NO_BODY_STATUSES = frozenset({204, 304})
 
+# Connections that have carried an answer.
+_used_connections: WeakSet[ResponseHandler] = WeakSet()
+
 
 class Framing(enum.StrEnum):
     """What shows where an answer's body ends.
@@ -35,6 +40,16 @@
     """
 
     _connection_end: asyncio.Future[None] | None = None
+    _protocol: ResponseHandler | None = None
+    _is_first: bool = True
+
+    @property
+    def is_first_on_connection(self) -> bool:
+        """Whether its connection has carried no answer before this one.
+
+        Later ones may be a copy of an earlier answer.
+        """
+        return self._is_first
 
     @property
     def framing(self) -> Framing:
@@ -56,13 +71,22 @@
 
     async def start(self, connection) -> "WatchedResponse":
         """Read the headers, and watch the connection from before them on."""
-        if connection.protocol is not None:
-            self._connection_end = connection.protocol.closed
+        self._protocol = connection.protocol
+        if self._protocol is not None:
+            self._connection_end = self._protocol.closed
+            self._is_first = self._protocol not in _used_connections
+            _used_connections.add(self._protocol)
         if self._connection_end is not None:
             self._connection_end.add_done_callback(_retrieve)
         await super().start(connection)
         return self
 
+    def drop_connection(self) -> None:
+        """Close the connection, which may be back in its pool already."""
+        if self._protocol is not None:
+            self._protocol.close()
+        self.close()
+
     def check_end(self) -> None:
         """Make sure that a body that was read to its end is whole.
 
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -430,6 +430,7 @@
             grant.target.note_load(head.load)
         defect = self._response_defect(head, response)
         if defect:
+            response.drop_connection()
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=defect)
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
         self._note_limit(grant.target, head, response)
@@ -441,10 +442,16 @@
 
     def _response_defect(self, head: AnswerHeaders, response: WatchedResponse) -> str:
         """Return why an answer must not be delivered, or an empty string if it may."""
-        if head.not_run or response.status == MISDIRECTED_STATUS:
-            return ""
-        if head.request_id != self._record.request_id:
+        is_refusal = head.not_run or response.status == MISDIRECTED_STATUS
+        # A refusal need not name its request; on a connection that has been used, it
+        # may be an earlier one, written once more.
+        is_own = head.request_id == self._record.request_id or (
+            is_refusal and not head.request_id and response.is_first_on_connection
+        )
+        if not is_own:
             return f"the answer belongs to request {head.request_id!r}"
+        if is_refusal:
+            return ""
         if not head.has_seal:
             return f"the answer with status {response.status} lacks a target's seal"
         if head.is_encoded:
