Let nothing but a resumption follow a stream that has begun

Report of another operator: a stream had begun and broke off, the next target answered with an error, and clients found its text, at times its whole head, in the middle of their stream. An answer that comes after the caller's response has begun must have its status and media type; otherwise the attempt has failed, another target is tried, or the stream is broken off.

--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -436,6 +436,12 @@
         self._note_limit(grant.target, head, response)
         if response.status == MISDIRECTED_STATUS or head.not_run:
             return self._handle_not_run(grant, response)
+        if self._relay.caller_response is not None and not self._relay.can_continue(
+            response
+        ):
+            detail = f"no resumption: {response.status} {response.content_type}"
+            fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
+            return Attempt(outcome=AttemptOutcome.FAILED, fault=fault)
         if self._call.route.streaming and response.status < 300:
             return await self._relay_stream(grant, response)
         return await self._buffer_response(grant, response)
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 
 import aiohttp
 from aiohttp import HttpVersion11, web
@@ -82,6 +82,18 @@
         """Size of the event that the current target has begun and not completed."""
         return len(self._framer.partial_event)
 
+    def can_continue(self, response: WatchedResponse) -> bool:
+        """Return whether a further answer may follow the events sent to the caller.
+
+        Only a resumption may, which has the status and the type of the first answer.
+        """
+        begun = self._caller_response
+        return (
+            begun is not None
+            and response.status == begun.status
+            and _media_type(response.headers) == _media_type(begun.headers)
+        )
+
     async def relay(
         self,
         target: Target,
@@ -259,6 +271,10 @@
             raise CallerLostError(f"cannot write to the caller: {error!r}") from error
 
 
+def _media_type(headers: Mapping[str, str]) -> str:
+    """Return the type of a body without parameters; empty if it is not named."""
+    return headers.get("Content-Type", "").partition(";")[0].strip().lower()
+
+
 def _is_event_stream(response: WatchedResponse) -> bool:
-    content_type = response.headers.get("Content-Type", EVENT_STREAM_TYPE)
-    return content_type.partition(";")[0].strip().lower() == EVENT_STREAM_TYPE
+    return _media_type(response.headers) in (EVENT_STREAM_TYPE, "")
--- a/carobroute/gateway/tests/test_unproven_ends.py
+++ b/carobroute/gateway/tests/test_unproven_ends.py
@@ -181,3 +181,45 @@
 async def test_an_answer_that_ends_before_its_body_is_not_delivered(version):
     status, _, _ = await play(ORDER, [make_plain_script(b"")], version)
     assert status == 502
+
+
+# Guards against an error's text, or a second answer, in the middle of a caller's stream.
+
+EVENT_STREAM = "text/event-stream"
+NO_RESUMPTIONS = {
+    "302": (302, b"moved", "text/plain"),
+    "400": (400, b"no such event", "text/plain"),
+    "404": (404, b"not here", "text/plain"),
+    "204": (204, b"", ""),
+    "500": (500, b"failed", "text/plain"),
+    "error in the type of a stream": (400, b"data: no such event\n\n", EVENT_STREAM),
+    "plain text": (200, b"id: 3\ndata: no stream\n\n", "text/plain"),
+    "JSON": (200, b'{"error": "no such event"}', "application/json"),
+    "no type": (200, b"the whole text", ""),
+    "partial content": (206, EVENTS, EVENT_STREAM),
+}
+
+
+@VERSIONS
+@pytest.mark.parametrize("kind", list(NO_RESUMPTIONS))
+async def test_nothing_but_a_resumption_follows_a_stream_that_broke_off(kind, version):
+    status, body, content_type = NO_RESUMPTIONS[kind]
+    first = Ending(framing="chunks", place="after two events", way="reset")
+
+    async def answer(call):
+        await call.answer(status, body, Content_Type=content_type)
+
+    scripts = [make_stream_script(first), answer]
+    result = await play_stream(scripts, version, in_order=True)
+    assert result[0] == 200
+    assert_not_complete(result)
+    assert not result[2]
+
+
+@VERSIONS
+async def test_an_error_of_the_first_target_is_delivered_as_it_is(version):
+    async def answer(call):
+        await call.answer(404, b"not here")
+
+    result = await play_stream([answer], version)
+    assert result == (404, b"not here", True)
