Break off a resumption that repeats events of the stream before it

A target that ignores the identifier after which it should go on began the stream anew, and its events reached the caller twice. The first event of a resumption must come after the last one that was relayed, by number where both are numbers; otherwise the attempt has failed.

--- a/carobroute/gateway/_event_framing.py
+++ b/carobroute/gateway/_event_framing.py
@@ -19,17 +19,30 @@
     b'id: 7\\ndata: a\\n\\n'
     >>> framer.last_event_id, framer.partial_event, framer.has_event
     ('7', b'id: 8\\nda', True)
+    >>> framer.can_resume
+    True
     >>> framer.feed(b"ta: b\\r\\n\\r")
     b''
     >>> framer.feed(b"\\nid: 9\\rdata: c\\r\\r")
     b'id: 8\\ndata: b\\r\\n\\r\\nid: 9\\rdata: c\\r\\r'
     """
 
-    __slots__ = ("_buffer", "_has_event", "last_event_id")
+    __slots__ = (
+        "_buffer",
+        "_can_resume",
+        "_has_event",
+        "_repeats_events",
+        "_resumed_id",
+        "last_event_id",
+    )
 
     def __init__(self) -> None:
         self._buffer = b""
+        self._can_resume = True
         self._has_event = False
+        self._repeats_events = False
+        # Event after which the current stream should go on, until its first one.
+        self._resumed_id = ""
         self.last_event_id = ""
 
     @property
@@ -42,6 +55,16 @@
         """Whether the current stream has had an event, and not comments alone."""
         return self._has_event
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether another stream can go on after the last event, by its identifier."""
+        return self._can_resume
+
+    @property
+    def repeats_events(self) -> bool:
+        """Whether the current stream began with an event of the one before."""
+        return self._repeats_events
+
     def feed(self, data: bytes) -> bytes:
         """Add `data`, and return the bytes of all events that it completes."""
         buffer = self._buffer + data if self._buffer else data
@@ -54,12 +77,32 @@
         events, self._buffer = buffer[:end], buffer[end:]
         if not self._has_event and _EVENT_DATA.search(events):
             self._has_event = True
-        ids = _EVENT_ID.findall(events)
+        ids = list(_EVENT_ID.finditer(events))
         if ids:
-            self.last_event_id = ids[-1].decode("latin-1")
+            self._note_identifiers(events, ids)
+        elif _EVENT_DATA.search(events):
+            self._can_resume = False
         return events
 
+    def _note_identifiers(self, events: bytes, ids: list[re.Match[bytes]]) -> None:
+        if self._resumed_id:
+            first_id = ids[0][1].decode("latin-1")
+            self._repeats_events = not _is_after(first_id, self._resumed_id)
+            self._resumed_id = ""
+        self.last_event_id = ids[-1][1].decode("latin-1")
+        end = _EVENT_END.search(events, ids[-1].end())
+        self._can_resume = end is None or not _EVENT_DATA.search(events, end.end())
+
     def begin_stream(self) -> None:
         """Begin with another stream, and discard the bytes of an incomplete event."""
         self._buffer = b""
         self._has_event = False
+        self._repeats_events = False
+        self._resumed_id = self.last_event_id
+
+
+def _is_after(event_id: str, last_id: str) -> bool:
+    """Return whether an event may follow another one, as numbers if they are ones."""
+    if event_id.isdecimal() and last_id.isdecimal():
+        return int(event_id) > int(last_id)
+    return event_id != last_id
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -195,6 +195,8 @@
         while data := await response.content.readany():
             events = self._framer.feed(data)
             self._check_partial_event()
+            if self._framer.repeats_events:
+                raise aiohttp.ClientPayloadError("the resumption repeats events")
             if not events:
                 continue
             now_ms = self._context.clock.now_ms()
--- a/carobroute/gateway/tests/test_unproven_ends.py
+++ b/carobroute/gateway/tests/test_unproven_ends.py
@@ -12,6 +12,7 @@
 from carobroute.domain import CallClass
 from carobroute.gateway._stream_ends import UNFRAMED_STREAK
 from carobroute.gateway.tests.answer_scripts import (
+    EVENT_BYTES,
     EVENTS,
     PLACES,
     Ending,
@@ -183,7 +184,7 @@
     assert status == 502
 
 
-# Guards against an error's text, or a second answer, in the middle of a caller's stream.
+# Guards against an error's text, or a second answer, in the middle of a stream.
 
 EVENT_STREAM = "text/event-stream"
 NO_RESUMPTIONS = {
@@ -196,6 +197,8 @@
     "plain text": (200, b"id: 3\ndata: no stream\n\n", "text/plain"),
     "JSON": (200, b'{"error": "no such event"}', "application/json"),
     "no type": (200, b"the whole text", ""),
+    "stream from its beginning": (200, EVENTS, EVENT_STREAM),
+    "stream from the last event": (200, EVENTS[EVENT_BYTES:], EVENT_STREAM),
     "partial content": (206, EVENTS, EVENT_STREAM),
 }
 
