Resume no stream whose last event has no identifier

A resumable stream without identifiers was asked for again from its beginning after it had broken off, and its events reached the caller twice. Such a stream is now broken off towards its caller, and is not closed for being stuck.

--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -374,6 +374,11 @@
             and self._sent_count + 1 < self._call.route.max_attempts
         )
 
+    @property
+    def _can_resume(self) -> bool:
+        """Whether a target may be asked for the rest of the stream."""
+        return self._call.route.resumable and self._relay.can_resume
+
     def _first_byte_timeout_ms(self, target: Target) -> float:
         """Return the first-byte timeout, shorter while a retry is possible.
 
@@ -544,7 +549,7 @@
             on_events=self._parts.note_events,
         )
         verdict = await self._context.stream_ends.judge(
-            target, response.framing, is_resumable=self._call.route.resumable
+            target, response.framing, is_resumable=self._can_resume
         )
         if verdict is EndVerdict.BROKEN:
             raise aiohttp.ClientPayloadError("the target has crashed")
@@ -567,7 +572,7 @@
         is_known_not_run = is_unsent or attempt.outcome is AttemptOutcome.NOT_RUN
         if not (is_known_not_run or self._call.route.is_repeatable):
             return self._note_retry_decision(False, "outcome_unknown")
-        if self._relay.caller_response is not None and not self._call.route.resumable:
+        if self._relay.caller_response is not None and not self._can_resume:
             return self._note_retry_decision(False, "stream_begun")
         if self._sent_count >= self._call.route.max_attempts:
             return self._note_retry_decision(False, "attempts")
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -77,6 +77,11 @@
         """Identifier of the last relayed event; empty for none."""
         return self._framer.last_event_id
 
+    @property
+    def can_resume(self) -> bool:
+        """Whether a target can go on after what the caller has been sent."""
+        return self._framer.can_resume
+
     @property
     def partial_event_bytes(self) -> int:
         """Size of the event that the current target has begun and not completed."""
@@ -227,6 +232,8 @@
         pass_time_estimator = self._context.pass_time_estimators.get(target.group)
         while True:
             await clock.sleep_ms(STUCK_CHECK_INTERVAL_MS)
+            if not self.can_resume:
+                continue
             silent_ms = (
                 clock.now_ms() - self._last_event_ms if self._last_event_ms else 0.0
             )
--- a/carobroute/gateway/tests/test_unproven_ends.py
+++ b/carobroute/gateway/tests/test_unproven_ends.py
@@ -226,3 +226,28 @@
 
     result = await play_stream([answer], version)
     assert result == (404, b"not here", True)
+
+
+# Guards against events that come twice, or none, after a resumption without a place.
+@VERSIONS
+async def test_a_stream_without_identifiers_is_not_resumed(version):
+    async def answer(call):
+        await call.begin_stream(b"data: some tokens\n\n", b"data: more tokens\n\n")
+        call.disconnect()
+
+    status, events, is_whole = await play_stream([answer, answer], version)
+    assert status == 200
+    assert events == b"data: some tokens\n\ndata: more tokens\n\n"
+    assert not is_whole
+
+
+@VERSIONS
+async def test_a_stream_whose_last_event_has_no_identifier_is_not_resumed(version):
+    first = EVENTS + b"data: more tokens\n\n"
+
+    async def answer(call):
+        await call.begin_stream(first)
+        call.disconnect()
+
+    status, events, is_whole = await play_stream([answer, answer], version)
+    assert (status, events, is_whole) == (200, first, False)
