Accept all waiting connections after the event loop has stopped to listen

KNOWN-RED's planned stop beside load: callers of new connections were reset in a planned stop. Cause, by reading so far and now shown: connections that came between the last turn of accepting and the closing of the listener were reset by the kernel; a busy machine makes that moment longer. Two tests that connect exactly then, on both event loops, failed before. The event loop now closes its descriptor of the socket first, and those that wait are accepted at a further one, which is closed right after the last.

--- a/carobroute/web/_site.py
+++ b/carobroute/web/_site.py
@@ -1,6 +1,8 @@
 """HTTP listening sockets of a process."""
 
 import asyncio
+import os
+import socket
 import ssl
 from collections import Counter
 from collections.abc import Awaitable, Callable, Mapping
@@ -20,8 +22,8 @@
 FIRST_REQUEST_GRACE_MS = 300.0
 # Part of a short stop time that this wait may take from requests in flight.
 MAX_GRACE_RATIO = 0.25
-# Turns of the event loop in which a stopping site accepts waiting connections.
-ACCEPT_TURNS = 3
+# Turns of the event loop in which it closes its descriptor of a listening socket.
+CLOSE_TURNS = 3
 
 
 class _RefusingProtocol(asyncio.Protocol):
@@ -117,14 +119,24 @@
     async def stop_accepting(self) -> None:
         """Close the listening socket; open connections go on.
 
-        The kernel resets connections that wait to be accepted, so those are accepted
-        first.
+        The kernel resets connections that wait at a socket when it is closed. So the
+        event loop stops to listen first, and then all that wait are accepted at a
+        further descriptor of the socket, which is closed right after the last one.
         """
-        for _ in range(ACCEPT_TURNS):
+        if self._listener is None:
+            return
+        listener, self._listener = self._listener, None
+        listening = [
+            socket.socket(fileno=os.dup(one.fileno())) for one in listener.sockets
+        ]
+        listener.close()
+        for _ in range(CLOSE_TURNS):
             await asyncio.sleep(0)
-        if self._listener is not None:
-            self._listener.close()
-            self._listener = None
+        for one in listening:
+            for connection in _accept_waiting(one):
+                await asyncio.get_running_loop().connect_accepted_socket(
+                    self._make_protocol, connection, ssl=self._tls
+                )
 
     async def stop(self) -> None:
         """Close everything, after what is in flight has had its time to end."""
@@ -176,3 +188,17 @@
         if protocol.transport is not None:
             self.counts["slow_headers"] += 1
             protocol.transport.abort()
+
+
+def _accept_waiting(listening: socket.socket) -> list[socket.socket]:
+    """Accept all connections that wait at a socket, and close it."""
+    connections = []
+    with listening:
+        listening.setblocking(False)
+        while True:
+            try:
+                connections.append(listening.accept()[0])
+            except BlockingIOError:
+                return connections
+            except ConnectionAbortedError:
+                continue
--- a/carobroute/web/tests/test_site.py
+++ b/carobroute/web/tests/test_site.py
@@ -1,9 +1,11 @@
 import asyncio
+import socket
 import ssl
 
 import aiohttp
 import pytest
 import trustme
+import uvloop
 from aiohttp import web
 
 from carobroute.daemon._process import load_tls
@@ -127,3 +129,50 @@
         assert (await end_of(reader)).endswith(b"hello")
         await stopping
         writer.close()
+
+
+def _connect_blocking(address):
+    """Connect and send a request without a turn of the event loop."""
+    host, port = address.split(":")
+    connection = socket.create_connection((host, int(port)), timeout=5)
+    connection.sendall(b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n")
+    return connection
+
+
+async def _stop_while_connecting():
+    served = Served()
+    async with served:
+        late = []
+        close = served.site._listener.close
+
+        class Listener:
+            sockets = served.site._listener.sockets
+
+            def close(self):
+                late.extend(_connect_blocking(served.address) for _ in range(8))
+                close()
+
+        served.site._listener = Listener()
+        stopping = asyncio.create_task(served.site.stop())
+        await wait_until(lambda: late, what="callers have connected")
+        answers = await asyncio.gather(
+            *(asyncio.to_thread(_read_all, connection) for connection in late)
+        )
+        await stopping
+    return answers
+
+
+def _read_all(connection):
+    data = b""
+    with connection:
+        while piece := connection.recv(65_536):
+            data += piece
+    return data
+
+
+@pytest.mark.parametrize("run", [asyncio.run, uvloop.run])
+def test_connections_that_come_as_the_listener_closes_are_served(run):
+    """The kernel resets connections that a closed listener has not accepted."""
+    answers = run(_stop_while_connecting())
+    assert len(answers) == 8
+    assert all(answer.endswith(b"hello") for answer in answers)
