Send no new calls to a target that says in an answer that it leaves

An answer to the gateway's own call, a refusal or the head of a stream, marks the run as leaving at once, as an entry of the list does, and peers hear of it in the next digest. It is final for that start: no list, nor an entry that lapsed and is back, takes it back; a new start under the same name takes calls. The check right before a call is sent covers those that wait. Other values are logged. Not read yet: the header on reports, health checks and answers to orders to ranks.

--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -120,6 +120,7 @@
         "_ended_count",
         "_events",
         "_first_byte",
+        "_leaving",
         "_limits",
         "_parts",
         "_waits",
@@ -142,6 +143,9 @@
         self._parts = metrics.counter(
             "prompt_parts", "Changes of the state of prompt parts.", ["state"]
         )
+        self._leaving = metrics.counter(
+            "targets_leaving", "Targets that leave, ahead of the list.", ["source"]
+        )
         self._limits = metrics.counter(
             "target_limits", "Changes of the rate limits that targets name.", ["change"]
         )
@@ -168,6 +172,15 @@
         """Count a rate limit that a target has named or lifted."""
         self._limits.labels(change).inc()
 
+    def note_unreadable(self, name: str, target: str) -> None:
+        """Log that a header of a target's answer has no valid value."""
+        self._events.event(name, level="warning", target=target)
+
+    def note_leaving(self, target: str, source: str) -> None:
+        """Count and log that a target leaves, ahead of the list."""
+        self._leaving.labels(source).inc()
+        self._events.event("target_leaving", target=target, source=source)
+
     def observe_wait(self, service: str, waited_ms: float) -> None:
         """Observe the time that a call waited for a target."""
         self._waits.labels(service).observe(waited_ms)
--- a/carobroute/gateway/_context.py
+++ b/carobroute/gateway/_context.py
@@ -1,6 +1,7 @@
 """Parts of a gateway that all its exchanges share."""
 
 import random
+from collections.abc import Callable
 
 from carobroute.gateway._call_records import CallRecorder
 from carobroute.gateway._configuration import ActiveConfiguration
@@ -66,6 +67,7 @@
         "dispatcher",
         "is_stopping",
         "limits",
+        "on_leaving",
         "parameters",
         "pass_time_estimators",
         "pool",
@@ -115,6 +117,25 @@
         self.pass_time_estimators = pass_time_estimators
         self.recorder = recorder
         self.is_stopping = False
+        # Called when a target has said that it leaves.
+        self.on_leaving: Callable[[], None] = lambda: None
+
+    def note_leaving(self, run_id: str, *, is_first_hand: bool) -> None:
+        """Send no new calls to a run of a target that has said that it leaves.
+
+        Parameters
+        ----------
+        run_id : str
+            Run of the target.
+        is_first_hand : bool
+            Whether it said so to this gateway, and not to a peer.
+        """
+        noted = self.directory.note_leaving(run_id, is_first_hand=is_first_hand)
+        if noted is not None:
+            source = "answer" if is_first_hand else "peer"
+            self.recorder.note_leaving(run_id, source)
+            if is_first_hand:
+                self.on_leaving()
 
     @property
     def should_close_connections(self) -> bool:
--- a/carobroute/gateway/_digests.py
+++ b/carobroute/gateway/_digests.py
@@ -44,6 +44,8 @@
         Whether `part_evidence` is all that the gateway knows.
     limits : dict of str to LimitReport
         Rate limits that targets have named, by the run of the target.
+    leaving : list of str
+        Runs of targets that have said that they leave.
     """
 
     incarnation: str
@@ -61,6 +63,7 @@
     trials: dict[str, bool] = {}
     is_evidence_complete: bool = False
     limits: dict[str, LimitReport] = {}
+    leaving: list[str] = []
 
 
 class PeerState:
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -439,6 +439,7 @@
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=defect)
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
         self._note_limit(grant.target, head, response)
+        self._note_leaving(grant.target, head, response)
         if response.status == MISDIRECTED_STATUS or head.not_run:
             return self._handle_not_run(grant, response)
         if self._relay.caller_response is not None and not self._relay.can_continue(
@@ -484,6 +485,19 @@
         elif head.limit_per_s is not None or (head.has_seal and not head.not_run):
             self._context.limits.note(target.run_id, head.limit_per_s)
 
+    def _note_leaving(
+        self, target: Target, head: AnswerHeaders, response: WatchedResponse
+    ) -> None:
+        """Note that a target leaves, unless another one answers at its address."""
+        if response.status == MISDIRECTED_STATUS:
+            return
+        if head.has_invalid_leaving:
+            self._context.recorder.note_unreadable(
+                "leaving_unreadable", target.incarnation
+            )
+        if head.is_leaving:
+            self._context.note_leaving(target.run_id, is_first_hand=True)
+
     def _handle_not_run(self, grant: Grant, response: WatchedResponse) -> Attempt:
         target = grant.target
         if response.status == MISDIRECTED_STATUS:
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -106,6 +106,8 @@
         Background tasks.
     parameters : PeerParameters, default=None
         Intervals and timeouts.
+    on_leaving : callable, default=None
+        Called with each run of a target that a peer knows to leave.
     """
 
     def __init__(
@@ -131,7 +133,9 @@
         random: random.Random,
         tasks: TaskSet,
         parameters: PeerParameters | None = None,
+        on_leaving: Callable[[str], None] | None = None,
     ):
+        self._on_leaving = on_leaving or (lambda run_id: None)
         self._incarnation = incarnation
         self._name = name
         self._bind = bind
@@ -245,6 +249,8 @@
             digest.part_evidence, is_complete=digest.is_evidence_complete
         )
         self._limits.merge(digest.limits)
+        for run_id in digest.leaving:
+            self._on_leaving(run_id)
 
     def error_received(self, exc: Exception) -> None:
         """Log that a peer is unreachable; its silence is detected separately."""
@@ -286,6 +292,7 @@
             trials=self._quarantine.trials,
             is_evidence_complete=is_evidence_complete,
             limits=self._limits.report(),
+            leaving=self._directory.leaving_runs,
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -294,7 +294,11 @@
             clock=clock,
             random=self._random,
             tasks=self._tasks,
+            on_leaving=lambda run_id: self._context.note_leaving(
+                run_id, is_first_hand=False
+            ),
         )
+        self._context.on_leaving = self._peers.share_change
 
     def _count_stronger(self) -> int:
         """Return the number of live gateways that duties are left to."""
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -1,6 +1,7 @@
 """Targets in the store's list, with the load that this gateway sees there."""
 
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import msgspec
 import xxhash
@@ -22,6 +23,8 @@
 SLOW_TARGET_SLOWDOWN = 2.0
 # Time for which entries of runs that are gone are recognized in an older list.
 GONE_RETENTION_MS = 60_000.0
+# Time for which it is remembered that a run which is no longer listed leaves.
+LEAVING_RETENTION_MS = 600_000.0
 
 
 class Target:
@@ -142,6 +145,13 @@
         self._load_reported_ms = self._clock.now_ms()
 
 
+class LeavingRun(NamedTuple):
+    """When it became known that a run leaves, and whether from its own answer."""
+
+    noted_ms: float
+    is_first_hand: bool
+
+
 class DirectoryChange(msgspec.Struct, frozen=True, kw_only=True):
     """Incarnations whose state changed with one reading of the list.
 
@@ -196,6 +206,7 @@
         "_health",
         "_lapsed_grace_ms",
         "_last_read_ms",
+        "_leaving_runs",
         "_list_hash",
         "_list_store_ms",
         "_peer_calls",
@@ -228,6 +239,8 @@
         # Start of each run that is gone, and when its entry was removed.
         self._gone: dict[str, tuple[int, float]] = {}
         self._expiry_until_ms = 0.0
+        # Runs that have said in an answer that they leave.
+        self._leaving_runs: dict[str, LeavingRun] = {}
         self._last_read_ms: float | None = None
         self._grace_until_ms = 0.0
         self._list_hash = 0
@@ -267,6 +280,39 @@
         """Return the targets of all services."""
         return list(self._targets.values())
 
+    @property
+    def leaving_runs(self) -> list[str]:
+        """Runs that have said in an answer to this gateway that they leave."""
+        return [
+            run_id
+            for run_id, noted in self._leaving_runs.items()
+            if noted.is_first_hand
+        ]
+
+    def note_leaving(self, run_id: str, *, is_first_hand: bool = True) -> Target | None:
+        """Note that a run said that it leaves, which is final for that run.
+
+        Parameters
+        ----------
+        run_id : str
+            Run of a target.
+        is_first_hand : bool, default=True
+            Whether it said so to this gateway, and not to a peer.
+
+        Returns
+        -------
+        target : Target or None
+            The target, if the list did not say so yet.
+        """
+        noted = LeavingRun(self._clock.boot_time_ms(), is_first_hand)
+        self._leaving_runs.setdefault(run_id, noted)
+        target = self._targets.get(run_id.rpartition("@")[0])
+        if target is None or target.run_id != run_id:
+            return None
+        was_ready = target.entry.condition is ListedTargetState.READY
+        target.entry = _as_leaving(target.entry)
+        return target if was_ready else None
+
     def confirm(self, read_ms: float, store_ms: float) -> None:
         """Record that the store still held the same list at a time.
 
@@ -340,6 +386,10 @@
         for incarnation, (_, gone_ms) in list(self._gone.items()):
             if now_ms - gone_ms > GONE_RETENTION_MS:
                 del self._gone[incarnation]
+        listed = {target.run_id for target in self._targets.values()}
+        for run_id, noted in list(self._leaving_runs.items()):
+            if run_id not in listed and now_ms - noted.noted_ms > LEAVING_RETENTION_MS:
+                del self._leaving_runs[run_id]
 
     def _is_outdated(self, entry: TargetEntry) -> bool:
         """Whether an entry is of a run that was gone before the list went back."""
@@ -358,25 +408,29 @@
             was_usable = known.is_usable
             if known.entry.condition is ListedTargetState.LEAVING:
                 # A run that leaves does so for good, whatever an older list says.
-                entry = msgspec.structs.replace(
-                    entry, condition=ListedTargetState.LEAVING
-                )
+                entry = _as_leaving(entry)
             known.entry = entry
             if was_usable and entry.condition is ListedTargetState.LEAVING:
                 change.leaving.append(entry.incarnation)
             return
         if known is not None:
             self._note_gone(known, change)
-        self._targets[entry.incarnation] = Target(
+        target = self._targets[entry.incarnation] = Target(
             entry=entry,
             clock=self._clock,
             health=self._health,
             peer_calls=self._peer_calls,
             peer_slowdown=self._peer_slowdown,
         )
+        if target.run_id in self._leaving_runs:
+            target.entry = _as_leaving(entry)
         change.joined.append(entry.incarnation)
 
 
+def _as_leaving(entry: TargetEntry) -> TargetEntry:
+    return msgspec.structs.replace(entry, condition=ListedTargetState.LEAVING)
+
+
 def hash_entries(entries: Iterable[TargetEntry]) -> int:
     """Return a hash of a list of targets, without what changes all the time.
 
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -83,6 +83,9 @@
             clock=clock,
             random=random.Random(1),
             tasks=self.tasks,
+            on_leaving=lambda run_id: self.directory.note_leaving(
+                run_id, is_first_hand=False
+            ),
         )
 
     async def stop(self):
@@ -103,6 +106,11 @@
         await wait_until(lambda: second.target.other_calls == 3)
         await wait_until(lambda: first.peer_state.peer_count == 1)
         assert second.suspects.crashes_by_request() == {"f1": ["run-1"]}
+        first.directory.note_leaving(first.target.run_id)
+        first.protocol.note_change()
+        await wait_until(lambda: not second.target.is_usable)
+        # What a gateway has from a peer is not passed on again, and so expires.
+        assert second.directory.leaving_runs == []
         await wait_until(lambda: second.gateway_counts[-1:] == [2])
     finally:
         await first.stop()
--- a/carobroute/platform/_call_headers.py
+++ b/carobroute/platform/_call_headers.py
@@ -17,6 +17,8 @@
 RETRY_AFTER_HEADER = "Retry-After"
 LOAD_HEADER = "Server-Load"
 LIMIT_HEADER = "Server-Limit"
+LEAVING_HEADER = "Server-Leaving"
+LEAVING_VALUE = "1"
 TOKEN_COUNTS_HEADER = "Token-Counts"
 PROMPT_PREFIX_HEADER = "Prompt-Prefix"
 LENGTH_HINT_HEADER = "Length-Hint"
@@ -109,6 +111,10 @@
         names no limit, or an invalid one.
     has_invalid_limit : bool
         Whether it names a limit that is not a decimal number.
+    is_leaving : bool
+        Whether the target says that it leaves.
+    has_invalid_leaving : bool
+        Whether the header that says so has another value.
     """
 
     request_id: str
@@ -118,6 +124,8 @@
     load: ReportedLoad | None
     limit_per_s: float | None = None
     has_invalid_limit: bool = False
+    is_leaving: bool = False
+    has_invalid_leaving: bool = False
 
 
 def decode_call_headers(headers: Mapping[str, str]) -> CallHeaders:
@@ -160,6 +168,7 @@
     """
     limit = headers.get(LIMIT_HEADER)
     limit_per_s = None if limit is None else _decode_decimal(limit, MAX_LIMIT_LENGTH)
+    leaving = headers.get(LEAVING_HEADER, "").strip()
     encoding = headers.get(CONTENT_ENCODING_HEADER, "identity").strip().lower()
     return AnswerHeaders(
         request_id=headers.get(REQUEST_ID_HEADER, ""),
@@ -169,6 +178,8 @@
         load=_decode_load(headers.get(LOAD_HEADER, "")),
         limit_per_s=limit_per_s,
         has_invalid_limit=limit is not None and limit_per_s is None,
+        is_leaving=leaving == LEAVING_VALUE,
+        has_invalid_leaving=leaving not in ("", LEAVING_VALUE),
     )
 
 
