Leave a target alone for the time that it asks for

While all targets pause, a call waits for a pause that ends within its time in the queue, and is refused at once otherwise, with the time until the first pause ends. Times that are no number are logged, longer ones than an hour bounded.

--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -123,6 +123,7 @@
         "_leaving",
         "_limits",
         "_parts",
+        "_pauses",
         "_waits",
     )
 
@@ -143,6 +144,9 @@
         self._parts = metrics.counter(
             "prompt_parts", "Changes of the state of prompt parts.", ["state"]
         )
+        self._pauses = metrics.counter(
+            "target_pauses", "Times that a target has asked for a pause.", []
+        )
         self._leaving = metrics.counter(
             "targets_leaving", "Targets that leave, ahead of the list.", ["source"]
         )
@@ -181,6 +185,11 @@
         self._leaving.labels(source).inc()
         self._events.event("target_leaving", target=target, source=source)
 
+    def note_pause(self, target: str, pause_ms: float) -> None:
+        """Count and log that a target wants no calls for a time."""
+        self._pauses.inc()
+        self._events.event("target_paused", target=target, for_ms=round(pause_ms))
+
     def observe_wait(self, service: str, waited_ms: float) -> None:
         """Observe the time that a call waited for a target."""
         self._waits.labels(service).observe(waited_ms)
--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -24,7 +24,7 @@
 # The lower loaded of two random targets is far better than one random target.
 MIN_SAMPLE_SIZE = 2
 
-# Calls that are refused for the rate limits of all targets come back at different
+# Calls that are refused for rate limits or pauses of all targets come back at different
 # times, up to this factor.
 MAX_RETURN_SPREAD = 1.3
 # Slow ranks are left out only while at least this part of the targets is not slow.
@@ -277,6 +277,8 @@
         service = request.service.name
         candidates = self._candidates(request)
         if not candidates:
+            if self._pause_remaining_ms(request) < self._max_wait_ms(request):
+                return None
             return Fault(
                 kind=ErrorKind.NO_TARGET,
                 detail=f"service {service!r} has no target that takes calls",
@@ -345,8 +347,25 @@
                 breaker.note_outage()
             if breaker.is_down:
                 recovery_ms.append(breaker.retry_after_ms)
+            elif target.pause_remaining_ms:
+                # Calls that come back do not all arrive at the end of the pause.
+                spread = self._random.uniform(1.0, MAX_RETURN_SPREAD)
+                recovery_ms.append(spread * target.pause_remaining_ms)
         return min(recovery_ms, default=self._parameters.default_wait_ms)
 
+    def _pause_remaining_ms(self, request: DispatchRequest) -> float:
+        """Return the time until a target that asked for a pause takes calls again.
+
+        It is infinite if there is none that the call may be sent to.
+        """
+        remaining_ms = (
+            target.pause_remaining_ms
+            for target in self._directory.targets(request.service.name)
+            if target.pause_remaining_ms
+            and target.incarnation not in request.excluded_targets
+        )
+        return min(remaining_ms, default=float("inf"))
+
     def _max_wait_ms(self, request: DispatchRequest) -> float:
         if request.may_have_run:
             return request.remaining_ms
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -43,6 +43,7 @@
 # Status of a server that is not the target incarnation that the call is meant for; it
 # does not run the call, and that incarnation is gone.
 MISDIRECTED_STATUS = 421
+UNAVAILABLE_STATUS = 503
 # Largest value of the Request-Urgency header; 0 comes first.
 MAX_URGENCY = 9
 
@@ -362,7 +363,7 @@
         if stale is not None:
             return stale
         if not target.is_usable:
-            detail = f"target {target.incarnation} is leaving"
+            detail = f"target {target.incarnation} is leaving or takes no calls now"
             return Fault(kind=ErrorKind.LEAVING, detail=detail)
         return self._parts.find_obstacle()
 
@@ -440,6 +441,7 @@
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
         self._note_limit(grant.target, head, response)
         self._note_leaving(grant.target, head, response)
+        self._note_pause(grant.target, head, response)
         if response.status == MISDIRECTED_STATUS or head.not_run:
             return self._handle_not_run(grant, response)
         if self._relay.caller_response is not None and not self._relay.can_continue(
@@ -498,6 +500,22 @@
         if head.is_leaving:
             self._context.note_leaving(target.run_id, is_first_hand=True)
 
+    def _note_pause(
+        self, target: Target, head: AnswerHeaders, response: WatchedResponse
+    ) -> None:
+        """Note the time for which a target that refuses the call wants no others."""
+        if response.status != UNAVAILABLE_STATUS:
+            return
+        if head.has_invalid_pause:
+            self._context.recorder.note_unreadable(
+                "pause_unreadable", target.incarnation
+            )
+        if head.pause_s:
+            max_pause_ms = self._context.parameters.max_pause_ms
+            pause_ms = min(max_pause_ms, head.pause_s * MS_PER_S)
+            target.pause(pause_ms)
+            self._context.recorder.note_pause(target.run_id, pause_ms)
+
     def _handle_not_run(self, grant: Grant, response: WatchedResponse) -> Attempt:
         target = grant.target
         if response.status == MISDIRECTED_STATUS:
--- a/carobroute/gateway/_parameters.py
+++ b/carobroute/gateway/_parameters.py
@@ -62,6 +62,8 @@
     crash_limit : int
         Number of target crashes with the same request in flight after which that
         request is refused.
+    max_pause_ms : float
+        Longest time for which a target gets no calls because it has asked for that.
     """
 
     max_watch_ms: float = 1_800.0
@@ -83,6 +85,7 @@
     max_connections: int = 2_000
     body_buffer_bytes: int = 1 << 20
     crash_limit: int = 2
+    max_pause_ms: float = 3_600_000.0
 
     def target_poll_interval_ms(self, drain_ms: float) -> float:
         """Return the interval between two readings of the list of targets.
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -50,6 +50,7 @@
         "_clock",
         "_load_reported_ms",
         "_own_slowdown",
+        "_paused_until_ms",
         "_peer_calls",
         "_peer_slowdown",
         "_reported_other_calls",
@@ -75,6 +76,8 @@
         self._peer_calls = peer_calls
         self._peer_slowdown = peer_slowdown or (lambda incarnation: 1.0)
         self._own_slowdown = 1.0
+        # Boot time up to which the target wants no calls from this gateway.
+        self._paused_until_ms = 0.0
         self._slowdown_reported_ms = -SLOWDOWN_MAX_AGE_MS
         self._reported_other_calls = 0.0
         self._load_reported_ms = -REPORTED_LOAD_MAX_AGE_MS
@@ -105,7 +108,15 @@
     def is_usable(self) -> bool:
         """Whether new calls may be sent to the target."""
         ready = self.entry.condition is ListedTargetState.READY
-        return ready and not self.is_gone and self.entry.is_group_open
+        is_listed = ready and not self.is_gone and self.entry.is_group_open
+        return is_listed and not self.pause_remaining_ms
+
+    @property
+    def pause_remaining_ms(self) -> float:
+        """Time for which the target wants no calls from this gateway; 0 for none."""
+        if not self._paused_until_ms:
+            return 0.0
+        return max(0.0, self._paused_until_ms - self._clock.boot_time_ms())
 
     @property
     def other_calls(self) -> float:
@@ -133,6 +144,11 @@
         slowdown = max(self.own_slowdown, self._peer_slowdown(self.incarnation))
         return slowdown >= SLOW_TARGET_SLOWDOWN
 
+    def pause(self, duration_ms: float) -> None:
+        """Send no calls for a time; one that was named before is not shortened."""
+        until_ms = self._clock.boot_time_ms() + duration_ms
+        self._paused_until_ms = max(self._paused_until_ms, until_ms)
+
     def note_slowdown(self, slowdown: float) -> None:
         """Record the step time, relative to the published one, that a rank reports."""
         self._own_slowdown = slowdown
@@ -405,7 +421,7 @@
     def _apply_entry(self, entry: TargetEntry, change: DirectoryChange) -> None:
         known = self._targets.get(entry.incarnation)
         if known is not None and known.entry.started_ms == entry.started_ms:
-            was_usable = known.is_usable
+            was_usable = known.is_usable or known.pause_remaining_ms > 0
             if known.entry.condition is ListedTargetState.LEAVING:
                 # A run that leaves does so for good, whatever an older list says.
                 entry = _as_leaving(entry)
--- a/carobroute/platform/_call_headers.py
+++ b/carobroute/platform/_call_headers.py
@@ -27,6 +27,7 @@
 MAX_TIME_LEFT_LENGTH = 12
 # Longest text of a rate limit; more digits than that are no decimal number of use.
 MAX_LIMIT_LENGTH = 12
+MAX_PAUSE_LENGTH = 24
 # Identifiers of prompt parts are kept in memory and sent to peers.
 MAX_PART_NAME_LENGTH = 32
 
@@ -115,6 +116,11 @@
         Whether the target says that it leaves.
     has_invalid_leaving : bool
         Whether the header that says so has another value.
+    pause_s : float or None
+        Time for which the target wants no requests; None if it names none, or an
+        invalid one.
+    has_invalid_pause : bool
+        Whether it names a time that is not a decimal number.
     """
 
     request_id: str
@@ -126,6 +132,8 @@
     has_invalid_limit: bool = False
     is_leaving: bool = False
     has_invalid_leaving: bool = False
+    pause_s: float | None = None
+    has_invalid_pause: bool = False
 
 
 def decode_call_headers(headers: Mapping[str, str]) -> CallHeaders:
@@ -168,6 +176,8 @@
     """
     limit = headers.get(LIMIT_HEADER)
     limit_per_s = None if limit is None else _decode_decimal(limit, MAX_LIMIT_LENGTH)
+    pause = headers.get(RETRY_AFTER_HEADER)
+    pause_s = None if pause is None else _decode_decimal(pause, MAX_PAUSE_LENGTH)
     leaving = headers.get(LEAVING_HEADER, "").strip()
     encoding = headers.get(CONTENT_ENCODING_HEADER, "identity").strip().lower()
     return AnswerHeaders(
@@ -180,6 +190,8 @@
         has_invalid_limit=limit is not None and limit_per_s is None,
         is_leaving=leaving == LEAVING_VALUE,
         has_invalid_leaving=leaving not in ("", LEAVING_VALUE),
+        pause_s=pause_s,
+        has_invalid_pause=pause is not None and pause_s is None,
     )
 
 
