Withdraw a proof only where the store has come back before

An older configuration in an answer, where peers know a newer one, means that the store went back only if it has had more than one era. A store that answers late in its first era must not cost the keyed calls of a gateway; its proof grows old as before.

--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -289,7 +289,10 @@
         if not is_read:
             # The store may have withheld the change from the watch.
             self._version = None
-        elif self._configuration.version < self._newest_peer_version:
+        elif (
+            self._era > FIRST_ERA
+            and self._configuration.version < self._newest_peer_version
+        ):
             self._configuration.withdraw_proof()
 
     def _note_proof(self, sent_ms: float, store_ms: float) -> None:
