Show the gateway in the demonstration, with a stream that breaks off and is resumed

make demo showed the other two programs alone, and not python -m carobroute.gateway, which users run. Scripted targets are builders of their own now.

--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -1,4 +1,4 @@
-"""The whole path as separate processes, from a caller's stream to a drained target."""
+"""The programs as separate processes, from a caller's stream to a drained target."""
 
 import argparse
 import asyncio
@@ -8,13 +8,31 @@
 
 from benchmarks._callers import CallerAnswer, send_example
 from carobroute.domain import ServiceKind
-from carobroute.testing import Fleet, FleetShape, FleetTarget, wait_until
+from carobroute.testing import (
+    Fleet,
+    FleetShape,
+    FleetTarget,
+    GatewayRun,
+    wait_until,
+)
+from carobroute.testing.gateway_data import (
+    make_configuration,
+    make_route,
+    make_target_entry,
+)
+from carobroute.testing.scripted_target import ScriptedTarget, TargetCall
 
 DESK = Path("examples/klangbjallra")
 LOAD_STREAMS = 8
 MORE_STREAMS = 12
 DRAIN_TIMEOUT_S = 30.0
 TOO_MANY = 429
+EVENTS = 12
+# Event in the middle of which the demonstrated stream breaks off.
+BROKEN_EVENT = 5
+GATEWAY_CONFIGURATION = make_configuration(
+    routes=[make_route(streaming=True, resumable=True, timeout_ms=5_000.0)]
+)
 # The team's rate lets all streams through within a few times its Retry-After.
 MAX_REFUSALS = 10
 
@@ -112,6 +130,58 @@
     return whole == len(answers) and good and new_work == 0
 
 
+async def show_gateway(directory: Path) -> bool:
+    """Resume a stream that breaks off, through the program for users' platforms."""
+    run = GatewayRun(directory=directory, configuration=GATEWAY_CONFIGURATION)
+    targets = [ScriptedTarget(_stream_half) for _ in range(2)]
+    for number, target in enumerate(targets):
+        run.list_target(
+            make_target_entry(
+                incarnation=f"target-{number}", address=await target.start()
+            )
+        )
+    await run.start()
+    try:
+        headers = {"Host": "shop.example", "Request-Id": "demo-1", "X-Api-Key": "key-1"}
+        async with run.session.post(run.url + "/orders/1", headers=headers) as answer:
+            body = await answer.read()
+    finally:
+        await run.stop()
+        for target in targets:
+            await target.stop()
+    resumed = [
+        call.headers["last-event-id"]
+        for target in targets
+        for call in target.calls
+        if "last-event-id" in call.headers
+    ]
+    whole = body == b"".join(_event(number) for number in range(EVENTS))
+    say(
+        f"gateway: a stream broke off inside event {BROKEN_EVENT}; resumed after event"
+        f" {','.join(resumed)}; status {answer.status}, {body.count(b'id:')} of"
+        f" {EVENTS} events, each once and in order: {whole}"
+    )
+    return answer.status == 200 and whole and resumed == [str(BROKEN_EVENT - 1)]
+
+
+async def _stream_half(call: TargetCall) -> None:
+    """Answer with a stream that breaks off inside an event, unless it is resumed."""
+    last = call.headers.get("last-event-id")
+    if last is None:
+        await call.begin_stream(*(_event(number) for number in range(BROKEN_EVENT)))
+        await call.send(_event(BROKEN_EVENT)[:9])
+        call.disconnect()
+        return
+    await call.begin_stream(
+        *(_event(number) for number in range(int(last) + 1, EVENTS))
+    )
+    await call.end_stream()
+
+
+def _event(number: int) -> bytes:
+    return b"id: %d\ndata: a line for a bell\n\n" % number
+
+
 class StreamLoad:
     """Streams that go on, one after the other in each slot, until they are stopped.
 
@@ -219,7 +289,10 @@
                 say(f"NOT AS EXPECTED: {part.__name__}")
             met = met and good
     say(f"stopped: {len(fleet.group.children)} processes")
-    return met
+    good = await show_gateway(directory)
+    if not good:
+        say(f"NOT AS EXPECTED: {show_gateway.__name__}")
+    return met and good
 
 
 def main() -> None:
--- a/benchmarks/gateway.py
+++ b/benchmarks/gateway.py
@@ -13,7 +13,6 @@
 from benchmarks._process_costs import read_costs
 from benchmarks._report import parse_arguments, print_result, print_table
 from carobroute.domain import CallClass, ServiceShare
-from carobroute.gateway.tests.gateway_harness import ScriptedTarget, TargetCall
 from carobroute.testing import GatewayRun
 from carobroute.testing.gateway_data import (
     make_configuration,
@@ -21,6 +20,7 @@
     make_service,
     make_target_entry,
 )
+from carobroute.testing.scripted_target import ScriptedTarget, TargetCall
 
 EVENTS = 28
 GAP_S = 0.02
--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -1,9 +1,7 @@
 """Gateway on loopback in the test's process, with scripted targets."""
 
-import asyncio
 import io
 import random
-from collections.abc import Awaitable, Callable
 
 import aiohttp
 from aiohttp import web
@@ -30,140 +28,10 @@
 from carobroute.platform import RankClient
 from carobroute.telemetry import EventLog, Metrics
 from carobroute.testing.gateway_data import make_configuration, make_target_entry
+from carobroute.testing.scripted_target import Script, ScriptedTarget
 from carobroute.utils import Clock, TaskSet
 from carobroute.web import WebSite
 
-Script = Callable[["TargetCall"], Awaitable[None]]
-
-
-class TargetCall:
-    """Request received by a scripted target, with methods that answer it.
-
-    Parameters
-    ----------
-    head : str
-        Request line and headers.
-    body : bytes
-        Request body.
-    writer : asyncio.StreamWriter
-        Connection to the gateway, to write the answer.
-    reader : asyncio.StreamReader
-        The same connection, to detect that the gateway closes it.
-    target : ScriptedTarget
-        Target that received it.
-    """
-
-    def __init__(
-        self,
-        *,
-        head: str,
-        body: bytes,
-        writer: asyncio.StreamWriter,
-        reader: asyncio.StreamReader,
-        target: "ScriptedTarget",
-    ):
-        self.target = target
-        self.head = head
-        self.body = body
-        self.writer = writer
-        self.reader = reader
-        lines = head.split("\r\n")
-        self.line = lines[0]
-        self.headers = {
-            name.lower(): value.strip()
-            for name, _, value in (line.partition(":") for line in lines[1:] if line)
-        }
-
-    async def answer(
-        self, status: int = 200, body: bytes = b"ok", **headers: str
-    ) -> None:
-        """Send a complete answer with the target's seal."""
-        fields = {
-            "Request-Id": self.headers.get("request-id", ""),
-            "Server-Seal": "seal",
-            "Content-Length": str(len(body)),
-            **{name.replace("_", "-"): value for name, value in headers.items()},
-        }
-        await self.begin(status, fields)
-        self.writer.write(body)
-        await self.writer.drain()
-
-    async def begin_stream(self, *events: bytes) -> None:
-        """Send the status line and headers of an event stream, and some events."""
-        fields = {
-            "Request-Id": self.headers.get("request-id", ""),
-            "Server-Seal": "seal",
-            "Content-Type": "text/event-stream",
-            "Transfer-Encoding": "chunked",
-        }
-        await self.begin(200, fields)
-        await self.send(*events)
-
-    async def begin(self, status: int, headers: dict[str, str]) -> None:
-        """Send a status line and headers."""
-        lines = [f"HTTP/1.1 {status} Scripted"]
-        lines += [f"{name}: {value}" for name, value in headers.items() if value]
-        self.writer.write(("\r\n".join(lines) + "\r\n\r\n").encode())
-        await self.writer.drain()
-
-    async def send(self, *chunks: bytes) -> None:
-        """Send chunks of a chunked body."""
-        for chunk in chunks:
-            self.writer.write(b"%x\r\n%s\r\n" % (len(chunk), chunk))
-        await self.writer.drain()
-
-    async def end_stream(self) -> None:
-        """Send the last chunk of a chunked body."""
-        self.writer.write(b"0\r\n\r\n")
-        await self.writer.drain()
-
-    def disconnect(self) -> None:
-        """Close the connection without completing the answer."""
-        self.writer.close()
-
-
-class ScriptedTarget:
-    """Target that answers each request with a script.
-
-    Parameters
-    ----------
-    script : callable
-        Coroutine function that answers one request.
-    """
-
-    def __init__(self, script: Script):
-        self._script = script
-        self._server: asyncio.Server | None = None
-        self.address = ""
-        self.calls: list[TargetCall] = []
-
-    async def start(self) -> str:
-        """Listen, and return the address."""
-        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
-        return self.address
-
-    async def stop(self) -> None:
-        """Stop listening."""
-        if self._server is not None:
-            self._server.close()
-
-    async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        try:
-            while True:
-                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
-                call = TargetCall(
-                    head=head, body=b"", writer=writer, reader=reader, target=self
-                )
-                length = int(call.headers.get("content-length", "0"))
-                call.body = await reader.readexactly(length)
-                self.calls.append(call)
-                await self._script(call)
-        except (asyncio.IncompleteReadError, ConnectionError):
-            writer.close()
-
 
 class GatewayHarness:
     """Forwarding part of a gateway, with targets and a configuration.
--- a/carobroute/tests/test_operators_reports.py
+++ b/carobroute/tests/test_operators_reports.py
@@ -11,7 +11,6 @@
 import pytest
 
 from carobroute.domain import CallClass, ListedTargetState, ServiceShare, TeamProfile
-from carobroute.gateway.tests.gateway_harness import ScriptedTarget
 from carobroute.testing import GatewayRun, wait_until
 from carobroute.testing.gateway_data import (
     make_configuration,
@@ -19,6 +18,7 @@
     make_service,
     make_target_entry,
 )
+from carobroute.testing.scripted_target import ScriptedTarget
 
 STREAM = make_route(
     name="r-2",
