--- a/carobroute/testing/_gateway_run.py
+++ b/carobroute/testing/_gateway_run.py
@@ -87,6 +87,11 @@
         """Where callers connect."""
         return f"http://{self._ip}:{self._ports[0]}"
 
+    @property
+    def is_running(self) -> bool:
+        """Whether the process has been started and has not ended."""
+        return self._process is not None and self._process.returncode is None
+
     @property
     def pid(self) -> int:
         """Process id."""
