--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 WORKERS ?= 6
 SECONDS ?= 600
 
-.PHONY: help setup test lint types check format demo report capacity soak clean
+.PHONY: help setup test lint types check format demo report capacity soak soak-gateways clean
 
 help:  ## list the targets
 	@grep -hE '^[a-z-]+%?:.*##' $(MAKEFILE_LIST) | sed -E 's/:.*## /  /'
@@ -48,6 +48,9 @@
 soak: setup  ## run both desks under random pairs of faults (SECONDS=n SEED=n)
 	$(BIN)/python -m benchmarks.soak --seconds $(SECONDS) --seed $(SEED)
 
+soak-gateways: setup  ## run gateways under random faults (SECONDS=n SEED=n)
+	$(BIN)/python -m benchmarks.gateway_soak --seconds $(SECONDS) --seed $(SEED)
+
 bench-%: setup  ## run one benchmark
 	$(BIN)/python -m benchmarks.$(subst -,_,$*) --seed $(SEED) $(if $(QUICK),--quick)
 
--- a/benchmarks/gateway_soak.py
+++ b/benchmarks/gateway_soak.py
@@ -148,6 +148,8 @@
         Faults to play.
     mistake : str, default=""
         Code that the gateways run before they start, to seed a mistake.
+    recovery_s : float, default=RECOVERY_S
+        Time after the last fault in which service must be whole again.
     """
 
     def __init__(
@@ -157,8 +159,10 @@
         seed: int,
         plan: list[PlannedFault],
         mistake: str = "",
+        recovery_s: float = RECOVERY_S,
     ):
         self._plan = plan
+        self._recovery_s = recovery_s
         self._random = random_module.Random(seed + 1)
         self._record = TargetRecord()
         self._platform = PlatformStandIn(clock=Clock())
@@ -209,7 +213,7 @@
         ]
         try:
             await asyncio.gather(*faults)
-            await asyncio.sleep(RECOVERY_S)
+            await asyncio.sleep(self._recovery_s)
             self._calm_from_s = time.monotonic()
             await asyncio.sleep(CALM_S)
         finally:
