--- a/carobroute/testing/scripted_target.py
+++ b/carobroute/testing/scripted_target.py
@@ -3,6 +3,8 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+from carobroute.platform import REQUEST_ID_HEADER, SEAL_HEADER
+
 Script = Callable[["TargetCall"], Awaitable[None]]
 
 
@@ -49,8 +51,8 @@
     ) -> None:
         """Send a complete answer with the target's seal."""
         fields = {
-            "Request-Id": self.headers.get("request-id", ""),
-            "Server-Seal": "seal",
+            REQUEST_ID_HEADER: self.headers.get("request-id", ""),
+            SEAL_HEADER: "seal",
             "Content-Length": str(len(body)),
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
@@ -61,8 +63,8 @@
     async def begin_stream(self, *events: bytes) -> None:
         """Send the status line and headers of an event stream, and some events."""
         fields = {
-            "Request-Id": self.headers.get("request-id", ""),
-            "Server-Seal": "seal",
+            REQUEST_ID_HEADER: self.headers.get("request-id", ""),
+            SEAL_HEADER: "seal",
             "Content-Type": "text/event-stream",
             "Transfer-Encoding": "chunked",
         }
