List that a restored store costs keyed calls, with a test that fails

Shown by a play with that one fault: the store comes back from a copy that holds the active configuration, with no outage; from 2.2 s after it, all keyed calls of three gateways are refused for 3.2 s, 1,026 of 2,289 in all, for an old proof. The proof is withheld for two seconds, and the next one comes only at the end of a watch sent after them. Known red, strict.

--- a/carobroute/gateway/tests/test_restored_store.py
+++ b/carobroute/gateway/tests/test_restored_store.py
@@ -100,6 +100,17 @@
     assert scenario.active.accepts_keys
 
 
+# Guards against seconds in which all keyed calls are refused, though nothing was lost.
+@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 34")
+async def test_keys_are_accepted_all_the_time_if_the_copy_is_current(scenario):
+    configure(scenario, 4)
+    await poll_for(scenario, 2_000)
+    scenario.store.restore(scenario.store.copy())
+    for _ in range(40):
+        await scenario.watcher.poll_once()
+        assert scenario.active.accepts_keys
+
+
 async def test_a_configuration_that_was_written_again_is_a_proof_at_once(scenario):
     configure(scenario, 4)
     await poll_for(scenario, 2_000)
