--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,7 +1,8 @@
-"""Some runners end their streams with the connection."""
+"""A gateway gets SIGTERM while clients send requests on kept connections."""
 
 import asyncio
 import os
+import signal
 import sys
 from pathlib import Path
 
@@ -12,22 +13,23 @@
 import stand_ins  # noqa: E402
 from stand_ins import Connection, Gateway, HttpServer, Message, Record, Store  # noqa: E402
 
-RUNNERS = 6
+RUNNERS = 3
 RUNNER_ID = "i-7f3a91c{}"
-EVENTS = 12
-PAUSE_S = 0.04
+# A long answer: pauses of 90 ms where 120 ms are on time, 5 s of a deadline of 8 s.
+EVENTS = 55
+PAUSE_S = 0.09
 DEADLINE_MS = 8_050
-CLIENTS = 10
-CALLS = 12
-# Streams that are cut on kept connections of one machine, before the rule is broken.
-MAX_CUT = 3
+GRACE_S = 8.0
+# Requests that are sent later than this after SIGTERM are not excused.
+EXCUSED_S = 3.0
+# When clients send their requests, in seconds from SIGTERM.
+SENT_S = [-1.0 + 0.15 * number for number in range(32)]
 
 
 class Runner:
     """Runner that streams events at an even pace."""
 
-    def __init__(self, *, number: int, record: Record, is_framed: bool):
-        self.is_framed = is_framed
+    def __init__(self, *, number: int, record: Record):
         self.name = RUNNER_ID.format(number)
         self._record = record
         self.server = HttpServer(ip=stand_ins.free_ip(), handle=self._handle)
@@ -41,91 +43,97 @@
         self._record.note(f"{self.name} runs {request_id} from event {first}")
         writer.write(
             b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
-            b"Server-Seal: 3e1b.07\r\nWeight-Versions: 1\r\n"
-            b"Request-Id: "
-            + request_id.encode()
-            + b"\r\n"
-            + (
-                b"Transfer-Encoding: chunked"
-                if self.is_framed
-                else b"Connection: close"
-            )
-            + b"\r\n\r\n"
+            b"Transfer-Encoding: chunked\r\nServer-Seal: 3e1b.07\r\n"
+            b"Weight-Versions: 1\r\nRequest-Id: " + request_id.encode() + b"\r\n\r\n"
         )
         for event in range(first, EVENTS + 1):
             await asyncio.sleep(PAUSE_S)
             data = f"id: {event}\ndata: {request_id}\n\n".encode()
-            writer.write(
-                b"%x\r\n%s\r\n" % (len(data), data) if self.is_framed else data
-            )
+            writer.write(b"%x\r\n%s\r\n" % (len(data), data))
             await writer.drain()
-        if self.is_framed:
-            writer.write(b"0\r\n\r\n")
-        else:
-            await writer.drain()
-            writer.close()
+        writer.write(b"0\r\n\r\n")
         self._record.note(f"{self.name} ends {request_id}")
 
 
-async def use(record: Record, gateway: Gateway) -> int:
-    """Send requests one after the other; return how many complete streams were cut."""
-    connection = Connection(host=gateway.host, port=gateway.port)
-    cut = 0
-    for _ in range(CALLS):
-        request_id = os.urandom(8).hex()
-        received: list[bytes] = []
-        try:
-            answer = await connection.send(
-                "POST",
-                deployment.STREAM_PATH,
-                headers=deployment.build_call_headers(request_id, DEADLINE_MS),
-                body=b"draft",
-                on_data=received.append,
-            )
-            outcome = f"complete answer, status {answer.status}"
-        except (asyncio.IncompleteReadError, ConnectionError):
-            outcome = "connection closed before the end"
-            connection.close()
-            cut += 1
-        events = b"".join(received).count(b"id: ")
-        record.note(f"client has {events} events of {request_id}: {outcome}")
-        await asyncio.sleep(0.1)
-    connection.close()
-    return cut
+async def call(
+    record: Record, connection: Connection, sent_s: float, term_ms: float
+) -> bool:
+    """Send a request at its time; return whether it was cut against the rule."""
+    await asyncio.sleep(max(0.0, term_ms / 1_000 + sent_s - stand_ins.now_ms() / 1_000))
+    if not connection.is_open:
+        record.note(f"at {sent_s:.2f} s: the kept connection was closed before")
+        return False
+    request_id = os.urandom(8).hex()
+    received: list[bytes] = []
+    record.note(f"at {sent_s:.2f} s: client sends {request_id}")
+    outcome = ""
+    try:
+        answer = await connection.send(
+            "POST",
+            deployment.STREAM_PATH,
+            headers=deployment.build_call_headers(request_id, DEADLINE_MS),
+            body=b"draft",
+            on_data=received.append,
+        )
+        outcome = f"complete answer, status {answer.status}"
+    except (asyncio.IncompleteReadError, ConnectionError):
+        outcome = "connection ended without a complete answer"
+    at_s = (stand_ins.now_ms() - term_ms) / 1_000
+    events = b"".join(received).count(b"id: ")
+    record.note(f"sent at {sent_s:.2f} s, ended at {at_s:.2f} s: {outcome}, {events}")
+    was_passed_on = events > 0
+    is_cut = outcome.startswith("connection") and was_passed_on
+    is_excused = sent_s <= EXCUSED_S and at_s >= GRACE_S * 5 / 6
+    return is_cut and not is_excused
 
 
 async def main(record: Record, folder: Path, has_trouble: bool) -> bool:
-    """Send streams to sound runners."""
+    """Stop the gateway while clients use it."""
     store = Store(ip=stand_ins.free_ip())
     await store.start()
     gateway = Gateway(
         name="front-svea-a-1", zone="svea-a", store=store.address, folder=folder
     )
     store.write("op", "config", deployment.build_configuration())
-    runners = [
-        Runner(
-            number=number,
-            record=record,
-            is_framed=not has_trouble or number % 2 == 0,
-        )
-        for number in range(RUNNERS)
-    ]
+    runners = [Runner(number=number, record=record) for number in range(RUNNERS)]
     for runner in runners:
         await runner.server.start()
-        entry = deployment.build_entry(deployment.MODEL_SERVICE, runner.server.address)
+        entry = deployment.build_entry(
+            deployment.MODEL_SERVICE, runner.server.address, slots=16
+        )
         store.write("servers", runner.name, entry)
+    connections = [Connection(host=gateway.host, port=gateway.port) for _ in SENT_S]
     try:
         await gateway.start()
         await asyncio.sleep(3.5)
-        used = await asyncio.gather(*(use(record, gateway) for _ in range(CLIENTS)))
-        record.say(f"{sum(used)} of {CLIENTS * CALLS} streams were cut")
+        for connection in connections:
+            await connection.open()
+        term_ms = stand_ins.now_ms() + 2_000
+        calls = [
+            asyncio.create_task(call(record, connection, sent_s, term_ms))
+            for connection, sent_s in zip(connections, SENT_S, strict=True)
+        ]
+        await asyncio.sleep(2.0)
+        if has_trouble:
+            record.note("SIGTERM")
+            gateway.signal(signal.SIGTERM)
+            with_grace = asyncio.wait_for(gateway.wait_ended(), GRACE_S)
+            try:
+                await with_grace
+                record.note("the process has ended")
+            except TimeoutError:
+                record.note("SIGKILL")
+                gateway.signal(signal.SIGKILL)
+        cut = sum(await asyncio.gather(*calls))
+        record.say(f"{cut} requests were passed on and cut without an excuse")
     finally:
-        (FOLDER / "gateway.log").write_text(gateway.log())
         await gateway.stop()
+        for connection in connections:
+            connection.close()
         for runner in runners:
             runner.server.stop()
         store.stop()
-    return sum(used) > MAX_CUT
+    return cut > 0
 
 
 stand_ins.run_case(main, FOLDER)
--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -187,8 +187,12 @@
     def write(self, table: str, key: str, value: dict | None) -> None:
         """Write a row as the operator or a runner does; None removes it."""
         encoded = None if value is None else json.dumps(value).encode()
+        self.write_bytes(table, key, encoded)
+
+    def write_bytes(self, table: str, key: str, value: bytes | None) -> None:
+        """Write a row with any content."""
         self._version += 1
-        self._put(table, key, encoded)
+        self._put(table, key, value)
         self._wake()
 
     def _put(self, table: str, key: str, value: bytes | None) -> None:
