--- a/review/common/stand_ins.py
+++ b/review/common/stand_ins.py
@@ -21,6 +21,8 @@
 TENANT_KEY = "n2ctnfzs989anu6wsjnb"
 TENANT = "hule930"
 HOST = "ficu95.example"
+# Longest run of a case; its processes are ended after it.
+MAX_RUN_S = 110.0
 
 
 def now_ms() -> float:
@@ -463,6 +465,20 @@
         self._reader = self._writer = None
 
 
+async def _run_within_time(
+    main: Callable[[Record, Path, bool], Awaitable[bool]],
+    record: Record,
+    folder: Path,
+    has_trouble: bool,
+) -> bool:
+    """Run a case; SIGTERM cancels it, so that it ends its processes."""
+    task = asyncio.current_task()
+    assert task is not None
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    async with asyncio.timeout(MAX_RUN_S):
+        return await main(record, folder, has_trouble)
+
+
 def run_case(
     main: Callable[[Record, Path, bool], Awaitable[bool]], folder: Path
 ) -> None:
@@ -473,9 +489,9 @@
     with tempfile.TemporaryDirectory() as temporary:
         try:
             is_broken = asyncio.run(
-                asyncio.wait_for(main(record, Path(temporary), has_trouble), 110)
+                _run_within_time(main, record, Path(temporary), has_trouble)
             )
-        except Exception as error:
+        except (Exception, asyncio.CancelledError) as error:
             record.say(f"the case could not run: {error!r}")
             sys.exit(2)
     record.say("the rule was broken" if is_broken else "the rule held")
