--- a/review/5/case.py
+++ b/review/5/case.py
@@ -23,7 +23,10 @@
 # Requests that are sent later than this after SIGTERM are not excused.
 EXCUSED_S = 3.0
 # When clients send their requests, in seconds from SIGTERM.
-SENT_S = [-1.0 + 0.15 * number for number in range(32)]
+SENT_S = [round(-0.95 + 0.1 * number, 2) for number in range(46)]
+# Body of the short request with which each connection is used before it is idle.
+SHORT = b"short"
+SHORT_EVENTS = 2
 
 
 class Runner:
@@ -46,7 +49,8 @@
             b"Transfer-Encoding: chunked\r\nServer-Seal: 3e1b.07\r\n"
             b"Weight-Versions: 1\r\nRequest-Id: " + request_id.encode() + b"\r\n\r\n"
         )
-        for event in range(first, EVENTS + 1):
+        events = SHORT_EVENTS if message.body == SHORT else EVENTS
+        for event in range(first, events + 1):
             await asyncio.sleep(PAUSE_S)
             data = f"id: {event}\ndata: {request_id}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(data), data))
@@ -87,6 +91,18 @@
     return is_cut and not is_excused
 
 
+async def use(connection: Connection) -> None:
+    """Send a short request, after which the connection is kept."""
+    answer = await connection.send(
+        "POST",
+        deployment.STREAM_PATH,
+        headers=deployment.build_call_headers(os.urandom(8).hex(), DEADLINE_MS),
+        body=SHORT,
+    )
+    if answer.status != 200 or not connection.is_open:
+        raise RuntimeError(f"the first request got {answer.status}")
+
+
 async def main(record: Record, folder: Path, has_trouble: bool) -> bool:
     """Stop the gateway while clients use it."""
     store = Store(ip=stand_ins.free_ip())
@@ -106,8 +122,8 @@
     try:
         await gateway.start()
         await asyncio.sleep(3.5)
-        for connection in connections:
-            await connection.open()
+        await asyncio.gather(*(use(connection) for connection in connections))
+        record.note("each connection has carried a request and is kept")
         term_ms = stand_ins.now_ms() + 2_000
         calls = [
             asyncio.create_task(call(record, connection, sent_s, term_ms))
