Tell each caller's connection that ends with a call unanswered

There is now one line, connection_cut, and one counter by reason for each caller's connection that ends without a complete answer: caller_left, stream_broken (with the fault of the target's answer), exception, stop, unread_requests (requests that arrived behind another one), header_timer and connection_limit. A line names the request, whether and to which target it was passed on, the events sent, the age of the connection, the requests that it carried before, and whether the gateway is stopping. It goes through the event log, which bounds its volume and does not block.

"Passed on" is noted at the check that runs right before the first byte leaves. No logic of calls is changed. A call that is in flight at SIGKILL still leaves no line.

--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -6,6 +6,7 @@
 
 from carobroute.telemetry import EventLog, Metrics
 from carobroute.utils import Clock
+from carobroute.web import ClientConnection
 
 # The decisions of one in this many successful calls are logged.
 SUCCESS_SAMPLE_INTERVAL = 16
@@ -41,7 +42,9 @@
     __slots__ = (
         "_clock",
         "_decisions",
+        "_event_count",
         "_first_byte_ms",
+        "_last_target",
         "_max_gap_ms",
         "_received_ms",
         "request_id",
@@ -56,6 +59,8 @@
         self._decisions: list[CallDecision] = []
         self._first_byte_ms = 0.0
         self._max_gap_ms = 0.0
+        self._last_target = ""
+        self._event_count = 0
         # Identifier in the caller's Request-Id header.
         self.request_id = ""
         self.route = ""
@@ -87,6 +92,24 @@
         """Longest time between two events of the stream."""
         return self._max_gap_ms
 
+    @property
+    def last_target(self) -> str:
+        """Target that the call was last passed on to; empty for none."""
+        return self._last_target
+
+    @property
+    def event_count(self) -> int:
+        """Number of events that were written to the caller."""
+        return self._event_count
+
+    def note_passed_on(self, target: str) -> None:
+        """Record that the call's first byte is about to leave for a target."""
+        self._last_target = target
+
+    def note_events(self, events: bytes) -> None:
+        """Count complete events that were written to the caller."""
+        self._event_count += events.count(b"\n\n") + events.count(b"\r\n\r\n")
+
     def note_first_byte(self) -> None:
         """Record the time of the answer's first byte."""
         self._first_byte_ms = self.age_ms
@@ -117,6 +140,7 @@
         "_answers",
         "_attempts",
         "_calls",
+        "_cuts",
         "_ended_count",
         "_events",
         "_first_byte",
@@ -141,6 +165,11 @@
             "Answers of targets, by their framing and how they were read.",
             ["service", "framing", "end"],
         )
+        self._cuts = metrics.counter(
+            "connections_cut",
+            "Connections of callers that ended without a complete answer.",
+            ["reason"],
+        )
         self._parts = metrics.counter(
             "prompt_parts", "Changes of the state of prompt parts.", ["state"]
         )
@@ -190,6 +219,55 @@
         self._pauses.inc()
         self._events.event("target_paused", target=target, for_ms=round(pause_ms))
 
+    def note_cut(
+        self,
+        reason: str,
+        connection: ClientConnection | None,
+        *,
+        record: CallRecord | None = None,
+        detail: str = "",
+        is_stopping: bool,
+    ) -> None:
+        """Count and log a caller's connection that ends without a complete answer.
+
+        Parameters
+        ----------
+        reason : str
+            Why it ends.
+        connection : ClientConnection or None
+            The connection; None if it was refused.
+        record : CallRecord, optional
+            Call that has no complete answer; None if none had begun.
+        detail : str, default=""
+            What is known beyond the reason.
+        is_stopping : bool
+            Whether the gateway has been asked to stop.
+        """
+        self._cuts.labels(reason).inc()
+        call: dict[str, Any] = {}
+        if record is not None:
+            call = {
+                "request": record.request_id,
+                "route": record.route,
+                "passed_on": bool(record.last_target),
+                "target": record.last_target,
+                "events_sent": record.event_count,
+                "took_ms": round(record.age_ms, 1),
+            }
+        if connection is not None:
+            call |= {
+                "connection_ms": round(connection.age_ms, 1),
+                "earlier_requests": connection.begun_count - (record is not None),
+                "unread_requests": connection.unread_count,
+            }
+        self._events.event(
+            "connection_cut",
+            reason=reason,
+            detail=detail,
+            stopping=is_stopping,
+            **call,
+        )
+
     def observe_wait(self, service: str, waited_ms: float) -> None:
         """Observe the time that a call waited for a target."""
         self._waits.labels(service).observe(waited_ms)
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -38,6 +38,7 @@
     decode_call_headers,
     is_replaced_header,
 )
+from carobroute.web import ClientConnection
 
 MS_PER_S = 1_000
 # Status of a server that is not the target incarnation that the call is meant for; it
@@ -101,6 +102,13 @@
         try:
             response, outcome = await self._serve()
             status = response.status
+        except asyncio.CancelledError:
+            is_lost = self._connection.is_lost
+            self._note_cut("caller_left" if is_lost else "stop")
+            raise
+        except Exception as error:
+            self._note_cut("exception", repr(error))
+            raise
         finally:
             self._context.recorder.finish_call(
                 self._record, status=status, outcome=outcome
@@ -109,6 +117,21 @@
             response.force_close()
         return response
 
+    @property
+    def _connection(self) -> ClientConnection:
+        connection = self._request.protocol
+        assert isinstance(connection, ClientConnection)
+        return connection
+
+    def _note_cut(self, reason: str, detail: str = "") -> None:
+        self._context.recorder.note_cut(
+            reason,
+            self._connection,
+            record=self._record,
+            detail=detail,
+            is_stopping=self._context.is_stopping,
+        )
+
     async def _serve(self) -> tuple[web.StreamResponse, str]:
         head = decode_call_headers(self._request.headers)
         self._record.request_id = head.request_id
@@ -371,7 +394,10 @@
         if not target.is_usable:
             detail = f"target {target.incarnation} is leaving or takes no calls now"
             return Fault(kind=ErrorKind.LEAVING, detail=detail)
-        return self._parts.find_obstacle()
+        obstacle = self._parts.find_obstacle()
+        if obstacle is None:
+            self._record.note_passed_on(target.incarnation)
+        return obstacle
 
     @property
     def _can_fail_over(self) -> bool:
@@ -677,6 +703,8 @@
     def _abort_stream(self, fault: Fault) -> tuple[web.StreamResponse, str]:
         """Abort a started response, so that the caller sees it as incomplete."""
         self._record.note("stream_cut", kind=fault.kind.value, detail=fault.detail)
+        is_left = fault.kind is ErrorKind.CANCELLED
+        self._note_cut("caller_left" if is_left else "stream_broken", fault.detail)
         self._relay.abort()
         response = self._relay.caller_response or error_response(
             fault, self._record.request_id
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -52,7 +52,7 @@
 )
 from carobroute.telemetry import EventLog, LineBuffer, Metrics
 from carobroute.utils import Clock, TaskSet, new_incarnation
-from carobroute.web import WebSite
+from carobroute.web import ClientConnection, WebSite
 
 METRICS_PORT = 9464
 # Limit on a header line; the configuration's own limit is not known at the start.
@@ -461,6 +461,7 @@
             header_timeout_ms=FIRST_HEADERS_TIMEOUT_MS,
             stop_timeout_ms=self._stop_timeout_ms,
             options=options,
+            on_cut=self._note_cut,
         )
         self._sites = [
             WebSite(application=application, bind=bind, stop_timeout_ms=0.0)
@@ -515,6 +516,11 @@
         self._events.event("stopped")
         self._line_buffer.close()
 
+    def _note_cut(self, reason: str, connection: ClientConnection | None) -> None:
+        self._context.recorder.note_cut(
+            reason, connection, is_stopping=self._context.is_stopping
+        )
+
     def _note_failed_task(self, name: str, error: BaseException) -> None:
         self._events.event("task_failed", level="error", task=name, error=repr(error))
 
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -214,6 +214,7 @@
             breaker.note_event()
             on_events()
             await self._write(events, response)
+            self._record.note_events(events)
 
     def _check_partial_event(self) -> None:
         max_bytes = self._context.parameters.body_buffer_bytes
--- /dev/null
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -0,0 +1,192 @@
+"""Callers' kept connections at a real process, and how they end."""
+
+import asyncio
+
+import pytest
+
+from carobroute.domain import CallClass, ServiceShare
+from carobroute.telemetry import parse_line
+from carobroute.testing import GatewayRun, wait_until
+from carobroute.testing.gateway_data import (
+    make_configuration,
+    make_route,
+    make_service,
+    make_target_entry,
+)
+from carobroute.testing.raw_caller import RawCaller, request_bytes
+from carobroute.testing.scripted_target import ScriptedTarget
+
+ROUTES = [
+    make_route(timeout_ms=10_000.0),
+    make_route(
+        name="r-2",
+        path_prefix="/once/",
+        call_class=CallClass.NON_IDEMPOTENT,
+        timeout_ms=10_000.0,
+    ),
+    make_route(
+        name="r-3",
+        path_prefix="/chat/",
+        call_class=CallClass.NON_IDEMPOTENT,
+        streaming=True,
+        timeout_ms=10_000.0,
+        shares=[ServiceShare(service="model", weight=1.0)],
+    ),
+]
+CONFIGURATION = make_configuration(
+    routes=ROUTES, services=[make_service(), make_service(name="model")]
+)
+EVENT = b"id: 1\ndata: a\n\n"
+
+
+class Desk:
+    """A gateway process, and a target of each service whose script a test sets."""
+
+    def __init__(self, run):
+        self.run = run
+        self.go_on = asyncio.Event()
+        self.orders = ScriptedTarget(self._answer_order)
+        self.model = ScriptedTarget(self._answer_chat)
+        self.order_script = None
+        self.chat_script = None
+
+    async def _answer_order(self, call):
+        if "/warm" in call.line or self.order_script is None:
+            await call.answer(body=b"1 bell")
+        else:
+            await self.order_script(call)
+
+    async def _answer_chat(self, call):
+        await self.chat_script(call)
+
+    async def start(self):
+        for target, service in ((self.orders, "orders"), (self.model, "model")):
+            self.run.list_target(
+                make_target_entry(
+                    incarnation=f"i-{service}",
+                    service=service,
+                    address=await target.start(),
+                )
+            )
+        await self.run.start()
+        return self
+
+    async def stop(self):
+        self.go_on.set()
+        await self.run.stop()
+        await self.orders.stop()
+        await self.model.stop()
+
+    def caller(self):
+        return RawCaller(self.run.url)
+
+    def events(self, name):
+        lines = map(parse_line, self.run.lines)
+        return [line.fields for line in lines if line and line.event == name]
+
+    async def cut(self, request_id):
+        """Return the fields of the line about the connection of a call."""
+
+        def find():
+            return [
+                fields
+                for fields in self.events("connection_cut")
+                if fields.get("request") == request_id
+            ]
+
+        await wait_until(find, what=f"a line about {request_id}")
+        (fields,) = find()
+        return fields
+
+
+@pytest.fixture
+async def desk(tmp_path):
+    desk = Desk(GatewayRun(directory=tmp_path, configuration=CONFIGURATION))
+    await desk.start()
+    yield desk
+    await desk.stop()
+
+
+async def warm_up(caller):
+    """Have a connection carry a request, so that it is a kept one."""
+    assert (await caller.ask("r-warm", "/orders/warm")).status == 200
+
+
+# What the log says of connections that end with a call unanswered.
+
+
+async def test_a_caller_that_leaves_is_told_with_its_target(desk):
+    async def wait(call):
+        await desk.go_on.wait()
+
+    desk.order_script = wait
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        await caller.write(request_bytes("r-left"))
+        await wait_until(lambda: len(desk.orders.calls) == 2, what="the call runs")
+    cut = await desk.cut("r-left")
+    assert cut["reason"] == "caller_left"
+    assert (cut["passed_on"], cut["target"]) == ("true", "i-orders")
+    assert (cut["earlier_requests"], cut["stopping"]) == ("1", "false")
+    assert float(cut["connection_ms"]) >= float(cut["took_ms"])
+
+
+async def test_a_stream_that_breaks_off_is_told_with_its_events(desk):
+    async def break_off(call):
+        await call.begin_stream(EVENT)
+        call.disconnect()
+
+    desk.chat_script = break_off
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        await caller.write(request_bytes("r-cut", "/chat/1", method="POST"))
+        await caller.wait_closed()
+    cut = await desk.cut("r-cut")
+    assert (cut["reason"], cut["events_sent"]) == ("stream_broken", "1")
+    assert "broke off" in cut["detail"]
+    async with desk.run.session.get(desk.run.metrics_url) as answer:
+        metrics = await answer.text()
+    assert 'carobroute_connections_cut_total{reason="stream_broken"} 1.0' in metrics
+
+
+async def test_requests_that_are_lost_unread_are_told(desk):
+    async def wait(call):
+        await desk.go_on.wait()
+
+    desk.order_script = wait
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        await caller.write(request_bytes("r-first") + request_bytes("r-second"))
+        await wait_until(lambda: len(desk.orders.calls) == 2, what="the call runs")
+    assert (await desk.cut("r-first"))["unread_requests"] == "1"
+    unread = [
+        fields
+        for fields in desk.events("connection_cut")
+        if fields["reason"] == "unread_requests"
+    ]
+    assert [fields["unread_requests"] for fields in unread] == ["1"]
+
+
+async def test_a_call_that_ends_well_leaves_no_line_about_its_connection(desk):
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        assert (await caller.ask("r-1")).status == 200
+    assert (await caller_left_alone(desk)) == []
+
+
+async def caller_left_alone(desk):
+    """Return the lines about connections, after one that is expected."""
+
+    async def wait(call):
+        await desk.go_on.wait()
+
+    desk.order_script = wait
+    async with desk.caller() as caller:
+        await caller.write(request_bytes("r-last"))
+        await wait_until(
+            lambda: "r-last" in [c.headers["request-id"] for c in desk.orders.calls],
+            what="the call runs",
+        )
+    await desk.cut("r-last")
+    cuts = desk.events("connection_cut")
+    return [fields for fields in cuts if fields.get("request") != "r-last"]
--- /dev/null
+++ b/carobroute/testing/raw_caller.py
@@ -0,0 +1,152 @@
+"""Callers that write bytes of their own choice and keep their connection."""
+
+import asyncio
+import socket
+from urllib.parse import urlsplit
+
+import msgspec
+
+READ_TIMEOUT_S = 15.0
+
+
+class RawAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """One answer, as it came from the connection.
+
+    Parameters
+    ----------
+    status : int
+        Status code.
+    headers : list of tuple of str
+        Names, in lower case, and values of the headers.
+    body : bytes
+        Body, without the framing of chunks.
+    """
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Return the first value of a header; empty if there is none."""
+        return next((value for key, value in self.headers if key == name), "")
+
+
+class RawCaller:
+    """One connection to a gateway.
+
+    Parameters
+    ----------
+    url : str
+        Where the gateway listens.
+    """
+
+    def __init__(self, url: str):
+        parts = urlsplit(url)
+        self._host, self._port = parts.hostname, parts.port
+        self._reader: asyncio.StreamReader
+        self._writer: asyncio.StreamWriter
+
+    async def __aenter__(self) -> "RawCaller":
+        self._reader, self._writer = await asyncio.open_connection(
+            self._host, self._port
+        )
+        return self
+
+    async def __aexit__(self, *exc_info: object) -> None:
+        self._writer.close()
+
+    async def write(self, data: bytes) -> None:
+        """Write bytes."""
+        self._writer.write(data)
+        await self._writer.drain()
+
+    def end_sending(self) -> None:
+        """Close the sending side of the connection alone."""
+        connection = self._writer.get_extra_info("socket")
+        connection.shutdown(socket.SHUT_WR)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+    async def ask(
+        self, request_id: str, path: str = "/orders/1", *, method: str = "GET", **fields
+    ) -> RawAnswer:
+        """Send a request without a body, and read its answer."""
+        await self.write(request_bytes(request_id, path, method=method, **fields))
+        return await self.read(method)
+
+    async def read(self, method: str = "GET") -> RawAnswer:
+        """Read one final answer.
+
+        Raises
+        ------
+        EOFError
+            If the connection ends before the answer is complete.
+        """
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            answer = await self._read_one(method)
+            while answer.status < 200:
+                answer = await self._read_one(method)
+            return answer
+
+    async def wait_closed(self) -> bytes:
+        """Return what comes until the gateway closes the connection."""
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            try:
+                return await self._reader.read()
+            except ConnectionError:
+                return b""
+
+    async def _read_one(self, method: str) -> RawAnswer:
+        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        line, *rest = head[:-4].split("\r\n")
+        status = int(line.split()[1])
+        headers = []
+        for field in rest:
+            name, _, value = field.partition(":")
+            headers.append((name.strip().lower(), value.strip()))
+        known = dict(headers)
+        body = b""
+        if method == "HEAD" or status < 200 or status in (204, 304):
+            pass
+        elif "chunked" in known.get("transfer-encoding", ""):
+            body = await self._read_chunks()
+        elif "content-length" in known:
+            body = await self._reader.readexactly(int(known["content-length"]))
+        else:
+            body = await self._reader.read()
+        return RawAnswer(status=status, headers=headers, body=body)
+
+    async def _read_chunks(self) -> bytes:
+        body = b""
+        while True:
+            size = int(await self._reader.readuntil(b"\r\n"), 16)
+            body += (await self._reader.readexactly(size + 2))[:-2]
+            if not size:
+                return body
+
+
+def request_bytes(
+    request_id: str,
+    path: str = "/orders/1",
+    *,
+    method: str = "GET",
+    version: str = "1.1",
+    body: bytes = b"",
+    deadline_ms: int = 5_000,
+    **fields: str,
+) -> bytes:
+    """Return a request that the builders' configurations allow."""
+    headers = {
+        "Host": "shop.example",
+        "Request-Id": request_id,
+        "Deadline-Ms": str(deadline_ms),
+        "X-Api-Key": "key-1",
+    }
+    if body:
+        headers["Content-Length"] = str(len(body))
+    headers |= {name.replace("_", "-"): value for name, value in fields.items()}
+    lines = [f"{method} {path} HTTP/{version}"]
+    lines += [f"{name}: {value}" for name, value in headers.items()]
+    return ("\r\n".join(lines) + "\r\n\r\n").encode("latin-1") + body
--- a/carobroute/web/__init__.py
+++ b/carobroute/web/__init__.py
@@ -1,5 +1,6 @@
 """HTTP listening sockets."""
 
+from carobroute.web._connection import ClientConnection
 from carobroute.web._site import WebSite
 
-__all__ = ["WebSite"]
+__all__ = ["ClientConnection", "WebSite"]
--- a/carobroute/web/_site.py
+++ b/carobroute/web/_site.py
@@ -11,6 +11,7 @@
 from aiohttp import web
 
 from carobroute.utils import split_host_port
+from carobroute.web._connection import ClientConnection
 
 STOP_TIMEOUT_MS = 5_000.0
 BACKLOG = 1_024
@@ -26,6 +27,13 @@
 CLOSE_TURNS = 3
 
 
+OnCut = Callable[[str, ClientConnection | None], None]
+
+
+def _ignore_cut(reason: str, connection: ClientConnection | None) -> None:
+    return None
+
+
 class _RefusingProtocol(asyncio.Protocol):
     """Closes a connection as soon as it is made."""
 
@@ -53,6 +61,10 @@
         Time that requests in flight have to end when the site stops.
     options : mapping, default={}
         Further options of the HTTP server.
+    on_cut : callable, optional
+        Called with a reason and the connection, if there is one, for each connection
+        that ends before a request of it is handed to a handler: `connection_limit`,
+        `header_timer` or `unread_requests`.
     """
 
     __slots__ = (
@@ -62,6 +74,7 @@
         "_header_timeout_ms",
         "_listener",
         "_max_connections",
+        "_on_cut",
         "_options",
         "_runner",
         "_stop_timeout_ms",
@@ -80,6 +93,7 @@
         header_timeout_ms: float = HEADER_TIMEOUT_MS,
         stop_timeout_ms: float = STOP_TIMEOUT_MS,
         options: Mapping[str, Any] | None = None,
+        on_cut: OnCut = _ignore_cut,
     ):
         self._application = application
         self._bind = bind
@@ -88,9 +102,10 @@
         self._header_timeout_ms = header_timeout_ms
         self._stop_timeout_ms = stop_timeout_ms
         self._options = dict(options or {})
+        self._on_cut = on_cut
         self._runner: web.AppRunner | None = None
         self._listener: asyncio.Server | None = None
-        self._unserved: set[web.RequestHandler] = set()
+        self._unserved: set[ClientConnection] = set()
         self._has_first_request = asyncio.Event()
         self.counts: Counter[str] = Counter()
 
@@ -163,7 +178,10 @@
         request: web.Request,
         handler: Callable[[web.Request], Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
-        self._unserved.discard(request.protocol)
+        connection = request.protocol
+        assert isinstance(connection, ClientConnection)
+        connection.note_request()
+        self._unserved.discard(connection)
         self._has_first_request.set()
         return await handler(request)
 
@@ -172,21 +190,29 @@
         server = self._runner.server
         if len(server.connections) >= self._max_connections:
             self.counts["refused_connections"] += 1
+            self._on_cut("connection_limit", None)
             return _RefusingProtocol()
-        protocol = server()
+        protocol = ClientConnection(
+            server, on_lost=self._note_lost, access_log=None, **self._options
+        )
         loop = asyncio.get_running_loop()
         timeout_s = self._header_timeout_ms / MS_PER_S
         self._unserved.add(protocol)
         loop.call_later(timeout_s, self._close_unless_served, protocol)
         return protocol
 
-    def _close_unless_served(self, protocol: web.RequestHandler) -> None:
+    def _note_lost(self, connection: ClientConnection) -> None:
+        if connection.unread_count:
+            self._on_cut("unread_requests", connection)
+
+    def _close_unless_served(self, protocol: ClientConnection) -> None:
         """Close a connection whose first request has not come to its headers' end."""
         if protocol not in self._unserved:
             return
         self._unserved.discard(protocol)
         if protocol.transport is not None:
             self.counts["slow_headers"] += 1
+            self._on_cut("header_timer", protocol)
             protocol.transport.abort()
 
 
