Answer the caller though a target's header cannot be written

Callers whose target sent a header with a control character (\x01, \x7f, an escape) got no answer: their connection, a kept one too, was closed after the target had run the call. The HTTP library reads such a header from a target, and raises ValueError when the answer's head is written. For a plain answer that is after the handler has returned, where the server closes the connection; for a stream it is in the handler, and the head of the 500 that follows is written with the framing of the stream.

Fields with control characters other than a tab are left out now, towards callers and targets alike; all others, and the body and seal, go on as they came.

Nine cases at the real process, three values on a repeatable, a once-only and a stream route: all nine failed before, IncompleteReadError after 0 bytes, and all pass now.

--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -1,6 +1,7 @@
 """HTTP to one target: connections, time limits, faults."""
 
 import asyncio
+import re
 from collections.abc import Mapping
 
 import aiohttp
@@ -36,10 +37,15 @@
     }
 )
 
+# Characters that the HTTP library reads in a target's header and refuses to write.
+_UNWRITABLE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+
 
 def end_to_end(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the headers that go on to the next hop, repeated ones included.
 
+    Fields with control characters are left out, since they cannot be written.
+
     Examples
     --------
     >>> dict(end_to_end({"Connection": "close", "Content-Type": "text/plain"}))
@@ -53,7 +59,8 @@
         for name in value.split(",")
     }
     for name, value in headers.items():
-        if name.lower() not in HOP_HEADERS and name.lower() not in named:
+        is_hop = name.lower() in HOP_HEADERS or name.lower() in named
+        if not is_hop and not _UNWRITABLE.search(value):
             kept.add(name, value)
     return kept
 
--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -174,6 +174,31 @@
     assert (await caller_left_alone(desk)) == []
 
 
+# Answers of sound targets that a library refuses to write or to read.
+
+
+@pytest.mark.parametrize("value", ["a\x01b", "a\x7fb", "\x1b[0m"])
+@pytest.mark.parametrize(
+    ("path", "method"), [("/orders/1", "GET"), ("/once/1", "POST"), ("/chat/1", "POST")]
+)
+async def test_control_characters_in_a_targets_header_lose_no_answer(
+    desk, path, method, value
+):
+    """The server library refused the header, and closed the caller's connection."""
+
+    async def answer(call):
+        await call.answer(body=EVENT, X_Odd=value, X_Even="b")
+
+    desk.order_script = desk.chat_script = answer
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        answered = await caller.ask("r-1", path, method=method)
+        assert (answered.status, answered.body) == (200, EVENT)
+        assert answered.header("server-seal") == "seal"
+        assert (answered.header("x-even"), answered.header("x-odd")) == ("b", "")
+        await warm_up(caller)
+
+
 async def caller_left_alone(desk):
     """Return the lines about connections, after one that is expected."""
 
