Answer calls that an unexpected exception ends, and keep their connections

An exception that no code expects went out of the exchange: the HTTP server answered 500, which promises nothing, and closed the caller's kept connection, with requests that waited behind on it. Within a stream the connection closed with one line on standard error.

A call is answered now as far as is known: 503 with Retry-After if it was sent to no target, else 502, on a connection that stays. A stream is reset, so that it is not taken for complete, and connection_cut tells the exception. exception_caught names the error and its place, with the request's id.

Three tests with a mistake seeded in the process: before, two failed (500, and the next request on the connection got IncompleteReadError after 0 bytes); the third, which holds streams to be incomplete, passed before and after.

--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -1,7 +1,9 @@
 """Exchange of one caller's request for an answer, with retries and failover."""
 
 import asyncio
+import traceback
 from collections.abc import Coroutine
+from pathlib import Path
 from typing import Any
 
 import aiohttp
@@ -107,8 +109,8 @@
             self._note_cut("caller_left" if is_lost else "stop")
             raise
         except Exception as error:
-            self._note_cut("exception", repr(error))
-            raise
+            response, outcome = self._answer_unexpected(error)
+            status = response.status
         finally:
             self._context.recorder.finish_call(
                 self._record, status=status, outcome=outcome
@@ -666,6 +668,26 @@
         )
         return allowed
 
+    def _answer_unexpected(self, error: Exception) -> tuple[web.StreamResponse, str]:
+        """Return the answer to a call that an unexpected exception has ended."""
+        place = traceback.extract_tb(error.__traceback__)[-1]
+        self._record.note(
+            "exception_caught",
+            error=repr(error),
+            place=f"{Path(place.filename).name}:{place.lineno}",
+        )
+        if self._connection.is_lost:
+            self._note_cut("caller_left", repr(error))
+        detail = f"unexpected {type(error).__name__}"
+        if self._relay.caller_response is not None:
+            self._relay.abort()
+            if not self._connection.is_lost:
+                self._note_cut("exception", repr(error))
+            return self._relay.caller_response, ErrorKind.INTERNAL.value
+        kind = ErrorKind.TARGET_FAILED if self._may_have_run else ErrorKind.NO_TARGET
+        fault = Fault(kind=kind, detail=detail, retry_after_ms=UNAVAILABLE_RETRY_MS)
+        return self._refuse_call(fault)
+
     def _fail_call(
         self, attempt: Attempt, target_error: web.StreamResponse | None
     ) -> tuple[web.StreamResponse, str]:
--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -100,8 +100,15 @@
 
 
 @pytest.fixture
-async def desk(tmp_path):
-    desk = Desk(GatewayRun(directory=tmp_path, configuration=CONFIGURATION))
+def patch():
+    """Code that seeds a mistake in the process; tests parametrize it."""
+    return ""
+
+
+@pytest.fixture
+async def desk(tmp_path, patch):
+    run = GatewayRun(directory=tmp_path, configuration=CONFIGURATION, patch=patch)
+    desk = Desk(run)
     await desk.start()
     yield desk
     await desk.stop()
@@ -199,6 +206,67 @@
         await warm_up(caller)
 
 
+# Exceptions that no code expects.
+
+RAISE = """
+from carobroute.gateway import _call, _exchange, _relay
+
+async def fail(self, *args, **options):
+    raise RuntimeError("seeded")
+
+"""
+
+
+async def ask_twice(desk, path, method):
+    """Ask on a kept connection that has to stay open."""
+    async with desk.caller() as caller:
+        await caller.ask("r-0", path, method=method)
+        answer = await caller.ask("r-1", path, method=method)
+        await caller.ask("r-2", path, method=method)
+        return answer
+
+
+@pytest.mark.parametrize("patch", [RAISE + "_call.CallReader._read_body = fail"])
+async def test_an_exception_before_a_call_is_sent_is_answered_as_not_run(desk):
+    """It was a 500, which promises nothing."""
+    answer = await ask_twice(desk, "/once/1", "POST")
+    assert answer.status == 503 and answer.header("retry-after")
+    assert answer.header("request-id") == "r-1"
+    assert not desk.orders.calls
+    await wait_until(
+        lambda: len(desk.events("exception_caught")) == 3, what="they are told"
+    )
+    told = desk.events("exception_caught")[0]
+    assert told["error"] == "RuntimeError('seeded')" and told["request"] == "r-0"
+
+
+@pytest.mark.parametrize(
+    "patch", [RAISE + "_exchange.Exchange._buffer_response = fail"]
+)
+async def test_an_exception_after_a_call_has_run_promises_nothing(desk):
+    """It was a 500 instead of the 502 that says that a target got the call."""
+    answer = await ask_twice(desk, "/once/1", "POST")
+    assert answer.status == 502 and not answer.header("retry-after")
+    assert len(desk.orders.calls) == 3
+
+
+@pytest.mark.parametrize("patch", [RAISE + "_relay.StreamRelay.finish = fail"])
+async def test_an_exception_within_a_stream_leaves_it_incomplete_and_is_told(desk):
+    async def stream(call):
+        await call.begin_stream(EVENT)
+        await call.end_stream()
+
+    desk.chat_script = stream
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        await caller.write(request_bytes("r-1", "/chat/1", method="POST"))
+        got = await caller.wait_closed()
+    assert EVENT in got and not got.endswith(b"0\r\n\r\n")
+    cut = await desk.cut("r-1")
+    assert (cut["reason"], cut["events_sent"]) == ("exception", "1")
+    assert "seeded" in cut["detail"]
+
+
 async def caller_left_alone(desk):
     """Return the lines about connections, after one that is expected."""
 
