Treat every failure to reach a target as a call that was not sent

The HTTP library checks such parts only when it connects, and raises ValueError, OverflowError or UnicodeError there, while the transport expected its own errors and those of sockets.

Whatever is raised while a request is sent is a fault now. The body knows whether the first byte has left: if not, the fault promises that nothing was sent, the target is left out and counts as failed, and the call goes to the next one, or is refused as not run with Retry-After. An invalid URL is no fault of the caller, whose path has matched a route. An exception in handling an answer, before anything went to the caller, is an attempt with an unknown outcome; it was the end of the call.

--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -193,8 +193,13 @@
                 f"no first byte from {self._address} within {first_byte_ms:.0f} ms",
             )
         except aiohttp.InvalidURL as error:
-            return fail(ErrorKind.BAD_REQUEST, f"invalid path: {error}")
-        except (aiohttp.ClientError, OSError) as error:
+            kind = (
+                ErrorKind.NO_TARGET if path.startswith("/") else ErrorKind.BAD_REQUEST
+            )
+            return fail(kind, f"invalid URL: {error}")
+        except Exception as error:
+            # The HTTP library checks parts of an address only when it connects, and
+            # then raises ValueError, OverflowError or UnicodeError.
             return fail(
                 ErrorKind.TARGET_FAILED,
                 f"connection to {self._address} failed: {error!r}",
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -345,6 +345,15 @@
             detail = f"the answer of {target.incarnation} broke off: {error!r}"
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
+        except CallerLostError:
+            raise
+        except Exception as error:
+            if self._relay.caller_response is not None:
+                raise
+            self._note_exception(error)
+            detail = f"the answer of {target.incarnation} cannot be handled: {error!r}"
+            fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
+            return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
         finally:
             self._note_answer_end(target, response, end)
             # If the answer is incomplete, this closes the connection, which cancels
@@ -668,14 +677,17 @@
         )
         return allowed
 
-    def _answer_unexpected(self, error: Exception) -> tuple[web.StreamResponse, str]:
-        """Return the answer to a call that an unexpected exception has ended."""
+    def _note_exception(self, error: Exception) -> None:
         place = traceback.extract_tb(error.__traceback__)[-1]
         self._record.note(
             "exception_caught",
             error=repr(error),
             place=f"{Path(place.filename).name}:{place.lineno}",
         )
+
+    def _answer_unexpected(self, error: Exception) -> tuple[web.StreamResponse, str]:
+        """Return the answer to a call that an unexpected exception has ended."""
+        self._note_exception(error)
         if self._connection.is_lost:
             self._note_cut("caller_left", repr(error))
         detail = f"unexpected {type(error).__name__}"
--- /dev/null
+++ b/carobroute/gateway/tests/test_unreachable_targets.py
@@ -0,0 +1,85 @@
+"""Targets that cannot be reached, by their address or by what answers there."""
+
+import socket
+
+import pytest
+
+from carobroute.domain import CallClass
+from carobroute.gateway.tests.gateway_harness import GatewayHarness
+from carobroute.testing.gateway_data import (
+    make_configuration,
+    make_route,
+    make_target_entry,
+)
+
+ADDRESSES = {
+    "port beyond the largest": "127.0.0.1:99999",
+    "port of 5,000 digits": "127.0.0.1:" + "9" * 5_000,
+    "port no number": "127.0.0.1:http",
+    "port a digit that is no decimal": "127.0.0.1:\u00b2",
+    "port below zero": "127.0.0.1:-1",
+    "port zero": "127.0.0.1:0",
+    "host of 300 letters": "h" * 300 + ":80",
+    "label of 64 letters": "a" * 64 + ".b:80",
+    "empty label": "a..b:80",
+    "dot": ".:80",
+    "bracket that is not closed": "[::1:80",
+    "encoded name that is none": "xn--\u2603:80",
+    "null character": "a\0b:80",
+    "no host": ":80",
+    "nothing": "",
+}
+ONCE = make_route(call_class=CallClass.NON_IDEMPOTENT, path_prefix="/once/", name="r-2")
+CONFIGURATION = make_configuration(routes=[make_route(), ONCE])
+
+
+def free_port():
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+@pytest.fixture
+async def gateway():
+    harness = GatewayHarness(configuration=CONFIGURATION)
+    yield harness
+    await harness.stop()
+
+
+async def answer(call):
+    await call.answer(body=b"1 bell")
+
+
+@pytest.fixture(params=[*ADDRESSES, "closed port"])
+def address(request):
+    if request.param in ADDRESSES:
+        return ADDRESSES[request.param]
+    return f"127.0.0.1:{free_port()}"
+
+
+@pytest.mark.parametrize("path", ["/orders/1", "/once/1"])
+async def test_a_call_that_reaches_no_target_is_answered_as_not_run(
+    gateway, address, path
+):
+    """It was answered 500, since no code expected what the HTTP library raised."""
+    await gateway.start()
+    gateway.directory.update([make_target_entry(incarnation="i-odd", address=address)])
+    status, body, headers = await gateway.call("POST", path, body=b"x")
+    assert status == 503 and b'"outcome":"not_run"' in body
+    assert float(headers["Retry-After"]) > 0
+
+
+@pytest.mark.parametrize("path", ["/orders/1", "/once/1"])
+async def test_a_target_that_cannot_be_reached_leaves_the_call_to_the_next(
+    gateway, address, path
+):
+    (sound,) = await gateway.start(answer)
+    # The target that is free of calls comes first.
+    entries = [
+        make_target_entry(incarnation="i-odd", address=address, slots=1_000),
+        make_target_entry(incarnation="i-sound", address=sound.address, slots=1),
+    ]
+    gateway.directory.update(entries)
+    status, body, _ = await gateway.call("POST", path, body=b"x")
+    assert (status, body) == (200, b"1 bell")
+    assert len(sound.calls) == 1
