Read the rest of requests while a site stops, and wait once for them

Cause: AppRunner.cleanup() marks all connections as closing; their protocol then returns from data_received at once, so the rest of a body is thrown away. It then waits shutdown_timeout for each handler, cancels it and waits the same time again: with 8 s of grace, until after the kill. A timeout of 0, as of the sites for readiness and metrics, even means no limit there.

A stopping site now closes connections itself, each once it is idle: no request in progress, none read ahead, no byte of a next head. What is left at the end is cancelled and has 50 ms. The timeout can be given to `stop`, because it depends on the moment of the signal.

The three new tests fail before: the body of two parts gets b"" for an answer, the head of two parts finds its connection closed, 2 of 3 requests sent in one go are answered, and the handler is cancelled only after the first of two waits.

--- a/carobroute/web/_site.py
+++ b/carobroute/web/_site.py
@@ -25,6 +25,11 @@
 MAX_GRACE_RATIO = 0.25
 # Turns of the event loop in which it closes its descriptor of a listening socket.
 CLOSE_TURNS = 3
+# Interval at which a stopping site closes the connections that have become idle.
+IDLE_CHECK_INTERVAL_MS = 20.0
+# Time that a request has to end once it has been cancelled. The HTTP server waits for
+# it twice, and forever if it is 0.
+CANCEL_TIMEOUT_MS = 50.0
 
 
 OnCut = Callable[[str, ClientConnection | None], None]
@@ -58,7 +63,8 @@
         Longest time from the opening of a connection to the end of its first
         request's headers.
     stop_timeout_ms : float, default=5000
-        Time that requests in flight have to end when the site stops.
+        Time that requests in flight have to end when the site stops, unless `stop` is
+        given another one.
     options : mapping, default={}
         Further options of the HTTP server.
     on_cut : callable, optional
@@ -109,10 +115,6 @@
         self._has_first_request = asyncio.Event()
         self.counts: Counter[str] = Counter()
 
-    @property
-    def _grace_ms(self) -> float:
-        return min(FIRST_REQUEST_GRACE_MS, MAX_GRACE_RATIO * self._stop_timeout_ms)
-
     async def start(self) -> str:
         """Listen, and return the address as `host:port`."""
         self._application.middlewares.insert(0, self._note_request)
@@ -120,7 +122,7 @@
             self._application,
             access_log=None,
             handler_cancellation=True,
-            shutdown_timeout=(self._stop_timeout_ms - self._grace_ms) / MS_PER_S,
+            shutdown_timeout=CANCEL_TIMEOUT_MS / MS_PER_S,
             **self._options,
         )
         await self._runner.setup()
@@ -153,17 +155,29 @@
                     self._make_protocol, connection, ssl=self._tls
                 )
 
-    async def stop(self) -> None:
-        """Close everything, after what is in flight has had its time to end."""
+    async def stop(self, timeout_ms: float | None = None) -> None:
+        """Close everything, after what is in flight has had its time to end.
+
+        Parameters
+        ----------
+        timeout_ms : float, default=None
+            Time that requests in flight have to end, in milliseconds; None for the
+            site's `stop_timeout_ms`.
+        """
+        if timeout_ms is None:
+            timeout_ms = self._stop_timeout_ms
+        end_s = asyncio.get_running_loop().time() + timeout_ms / MS_PER_S
         await self.stop_accepting()
-        await self._wait_for_first_requests()
+        grace_ms = min(FIRST_REQUEST_GRACE_MS, MAX_GRACE_RATIO * timeout_ms)
+        await self._wait_for_first_requests(grace_ms)
         if self._runner is not None:
+            await self._close_idle_connections(end_s)
             await self._runner.cleanup()
 
-    async def _wait_for_first_requests(self) -> None:
+    async def _wait_for_first_requests(self, grace_ms: float) -> None:
         """Wait until connections that have just been accepted have sent a request."""
         try:
-            async with asyncio.timeout(self._grace_ms / MS_PER_S):
+            async with asyncio.timeout(grace_ms / MS_PER_S):
                 while any(
                     protocol.transport is not None for protocol in self._unserved
                 ):
@@ -172,6 +186,24 @@
         except TimeoutError:
             self.counts["silent_connections"] += 1
 
+    async def _close_idle_connections(self, end_s: float) -> None:
+        """Close each connection once it is idle, until all are closed or time is up.
+
+        The HTTP server would mark all of them as closing, and drop the rest of a
+        request that it has begun to read.
+        """
+        assert self._runner is not None
+        server, loop = self._runner.server, asyncio.get_running_loop()
+        while server is not None and server.connections:
+            for connection in server.connections:
+                if isinstance(connection, ClientConnection) and connection.is_idle:
+                    connection.force_close()
+            remaining_s = end_s - loop.time()
+            if remaining_s <= 0:
+                self.counts["cut_connections"] += len(server.connections)
+                return
+            await asyncio.sleep(min(IDLE_CHECK_INTERVAL_MS / MS_PER_S, remaining_s))
+
     @web.middleware
     async def _note_request(
         self,
--- a/carobroute/web/tests/test_site.py
+++ b/carobroute/web/tests/test_site.py
@@ -23,6 +23,10 @@
     def __init__(self, **options):
         application = web.Application()
         application.router.add_get("/", hello)
+        application.router.add_post("/", self.echo)
+        application.router.add_get("/wait", self.wait)
+        self.go_on = asyncio.Event()
+        self.cancelled = asyncio.Event()
         self.site = WebSite(application=application, bind="127.0.0.1:0", **options)
 
     async def __aenter__(self):
@@ -32,6 +36,17 @@
     async def __aexit__(self, *exc_info):
         await self.site.stop()
 
+    async def echo(self, request):
+        return web.Response(body=await request.read())
+
+    async def wait(self, request):
+        try:
+            await self.go_on.wait()
+        except asyncio.CancelledError:
+            self.cancelled.set()
+            raise
+        return web.Response(text="waited")
+
     async def connect(self):
         host, _, port = self.address.rpartition(":")
         return await asyncio.open_connection(host, int(port))
@@ -176,3 +191,91 @@
     answers = run(_stop_while_connecting())
     assert len(answers) == 8
     assert all(answer.endswith(b"hello") for answer in answers)
+
+
+async def _begin_request(served, data):
+    """Send the beginning of a request on a connection that has been used."""
+    reader, writer = await served.connect()
+    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    await reader.readuntil(b"hello")
+    writer.write(data)
+    await writer.drain()
+    return reader, writer
+
+
+@pytest.mark.parametrize(
+    ("begin", "rest"),
+    [
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nab", b"cdef"),
+        (b"POST / HTTP/1.1\r\nHost: a\r\nContent-", b"Length: 6\r\n\r\nabcdef"),
+    ],
+    ids=["body", "head"],
+)
+async def test_rest_of_a_request_is_read_after_idle_connections_are_closed(begin, rest):
+    """It was dropped, and its caller had no answer until the process was killed."""
+    async with Served() as served:
+        idle, other = await served.connect()
+        other.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+        await idle.readuntil(b"hello")
+        reader, writer = await _begin_request(served, begin)
+        server = served.site._runner.server
+        await wait_until(
+            lambda: any(
+                one._is_in_head or one._current_request is not None
+                for one in server.connections
+            ),
+            what="the beginning is read",
+        )
+        stopping = asyncio.create_task(served.site.stop())
+        assert await end_of(idle) == b""
+        assert not stopping.done()
+        writer.write(rest)
+        assert b"abcdef" in await end_of(reader)
+        await stopping
+        assert served.site.counts["cut_connections"] == 0
+        other.close()
+        writer.close()
+
+
+async def test_requests_that_were_sent_in_one_go_are_all_answered_in_a_stop():
+    """Those behind the first one were read and closed without an answer."""
+    async with Served() as served:
+        reader, writer = await served.connect()
+        writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n" * 3)
+        await wait_until(
+            lambda: any(
+                one._messages for one in served.site._runner.server.connections
+            ),
+            what="they are read",
+        )
+        stopping = asyncio.create_task(served.site.stop())
+        await asyncio.sleep(0)
+        served.go_on.set()
+        assert (await end_of(reader)).count(b"waited") == 3
+        await stopping
+        writer.close()
+
+
+async def test_stopping_site_waits_once_for_requests_in_flight():
+    """The HTTP server waited its timeout twice, so a process was killed meanwhile."""
+    async with Served(stop_timeout_ms=200.0) as served:
+        reader, writer = await served.connect()
+        writer.write(b"GET /wait HTTP/1.1\r\nHost: a\r\n\r\n")
+        await wait_until(
+            lambda: served.site._runner.server.requests_count, what="it is served"
+        )
+        timeouts = []
+        shutdown = served.site._runner.server.shutdown
+
+        async def note_shutdown(timeout):
+            timeouts.append(timeout)
+            await shutdown(timeout)
+
+        served.site._runner.server.shutdown = note_shutdown
+        await served.site.stop()
+        assert served.cancelled.is_set()
+        assert served.site.counts["cut_connections"] == 1
+        # The server waits this time before it cancels a request, and again after it.
+        assert 0 < sum(timeouts) <= 0.05
+        assert await end_of(reader) == b""
+        writer.close()
