Don't cut whole streams where the framings of a service's targets differ

Callers of a service of which some targets end their streams with the connection, and others send chunks, got all events of a stream, and then a connection that ended without a complete answer.

Cause: what is known of framings was kept by service. An unframed end was confirmed at the same target, whose answer has no framing either and proves nothing; the further target was chosen without regard to its framing; and each unframed end cost up to three repeats, so that the retry budget was used up, after which all such ends were cut.

Now each target remembers the framing of its streams. One that is known to prove nothing isn't asked; the repeat goes to a target that sends a length or chunks. Where 6 unframed ends of a target in a row were proven complete by such answers, further ones are confirmed while half of the retry budget is left for failures and no call waits, and believed otherwise, on the condition that the target accepts connections. An end that a resumption shows to be early starts the count again.

Cost: a target with a clean record that breaks off between two events while the budget is short is believed, where it was cut before.

--- a/carobroute/gateway/_attempt.py
+++ b/carobroute/gateway/_attempt.py
@@ -5,7 +5,9 @@
 import msgspec
 from aiohttp import web
 
+from carobroute.engines import WatchedResponse
 from carobroute.errors import Fault
+from carobroute.gateway._targets import Target
 
 
 class AttemptOutcome(enum.StrEnum):
@@ -53,3 +55,21 @@
     outcome: AttemptOutcome
     response: web.StreamResponse | None = None
     fault: Fault | None = None
+
+
+class UnprovenEnd(msgspec.Struct, frozen=True, kw_only=True):
+    """End of a stream that nothing proves to be complete.
+
+    Parameters
+    ----------
+    target : Target
+        Target that sent the stream.
+    response : WatchedResponse
+        Its answer.
+    last_event_id : str
+        Identifier of the last event.
+    """
+
+    target: Target
+    response: WatchedResponse
+    last_event_id: str
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -14,7 +14,7 @@
 
 from carobroute.engines import Framing, WatchedResponse, end_to_end
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.gateway._attempt import Attempt, AttemptOutcome
+from carobroute.gateway._attempt import Attempt, AttemptOutcome, UnprovenEnd
 from carobroute.gateway._call import (
     UNAVAILABLE_RETRY_MS,
     Call,
@@ -79,6 +79,7 @@
         "_request",
         "_resumed_event_id",
         "_sent_count",
+        "_unproven_end",
     )
 
     # Set once the request has been read and authorized.
@@ -94,6 +95,7 @@
         self._sent_count = 0
         self._excluded_targets: set[str] = set()
         self._may_have_run = False
+        self._unproven_end: UnprovenEnd | None = None
         # Event after which the caller resumes a stream of an earlier call.
         self._resumed_event_id = ""
 
@@ -178,6 +180,9 @@
         while True:
             granted = await self._acquire_target()
             if isinstance(granted, Failure):
+                believed = await self._believe_end()
+                if believed is not None:
+                    return believed, "done"
                 if self._relay.caller_response is not None:
                     return self._abort_stream(granted.failure())
                 if target_error is not None:
@@ -190,6 +195,9 @@
                 return attempt.response, "done"
             target_error = attempt.response or target_error
             if not self._should_retry(attempt):
+                believed = await self._believe_end()
+                if believed is not None:
+                    return believed, "done"
                 return self._fail_call(attempt, target_error)
 
     async def _acquire_target(self) -> Result[Grant, Fault]:
@@ -251,8 +259,13 @@
     async def _confirm_end(self, grant: Grant, unproven: Attempt) -> Attempt:
         """Ask the target of a stream whose end is not proven for the rest.
 
-        It has just freed the place of the call, and is no further target of it.
+        It has just freed the place of the call, and is no further target of it. If it
+        is known to prove nothing, another one that may is asked instead.
         """
+        unframed = self._find_unframed()
+        if grant.target.stream_ends.is_resumption_unframed and unframed:
+            self._excluded_targets |= unframed
+            return unproven
         if not self._can_repeat(unproven):
             return unproven
         last_event_id = self._relay.last_event_id
@@ -263,8 +276,21 @@
                 found_events=self._relay.last_event_id != last_event_id,
             )
         is_answered = attempt.outcome is AttemptOutcome.ANSWERED
+        if not is_answered:
+            self._excluded_targets |= self._find_unframed()
         return attempt if is_answered else unproven
 
+    def _find_unframed(self) -> set[str]:
+        """Return targets that can't prove an end, if another one may be asked."""
+        if not self._can_fail_over:
+            return set()
+        targets = self._context.directory.targets(self._call.service.name)
+        return self._context.stream_ends.find_unframed(
+            target
+            for target in targets
+            if target.incarnation not in self._excluded_targets
+        )
+
     async def _check_crash(self, target: Target, attempt: Attempt) -> None:
         """Find out whether a target crashed, before the call is retried.
 
@@ -615,27 +641,80 @@
 
     async def _relay_stream(self, grant: Grant, response: WatchedResponse) -> Attempt:
         target = grant.target
+        is_resumption = bool(self._relay.last_event_id or self._resumed_event_id)
         self._context.stream_ends.note_framing(target.entry.service, response.framing)
+        target.stream_ends.note_framing(response.framing, is_resumption=is_resumption)
         await self._relay.relay(
             target,
             response,
             can_fail_over=self._can_fail_over,
-            is_resumption=bool(self._relay.last_event_id or self._resumed_event_id),
+            is_resumption=is_resumption,
             on_events=self._parts.note_events,
         )
+        self._note_proof(response)
         verdict = await self._context.stream_ends.judge(
-            target, response.framing, is_resumable=self._can_resume
+            target,
+            response.framing,
+            is_resumable=self._can_resume and self._should_confirm(target),
         )
         if verdict is EndVerdict.BROKEN:
             raise aiohttp.ClientPayloadError("the target has crashed")
         if verdict is EndVerdict.UNPROVEN:
             detail = f"nothing proves that the stream of {target.incarnation} is whole"
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
+            self._unproven_end = UnprovenEnd(
+                target=target,
+                response=response,
+                last_event_id=self._relay.last_event_id,
+            )
             return Attempt(outcome=AttemptOutcome.UNPROVEN, fault=fault)
         self._parts.note_answered()
         caller_response = await self._relay.finish(response)
         return Attempt(outcome=AttemptOutcome.ANSWERED, response=caller_response)
 
+    def _note_proof(self, response: WatchedResponse) -> None:
+        """Note what a resumption proves of the stream that it goes on with."""
+        end = self._unproven_end
+        if end is None:
+            return
+        found_events = self._relay.has_events
+        if found_events or response.framing is not Framing.CONNECTION:
+            end.target.stream_ends.note_proof(found_events=found_events)
+
+    def _should_confirm(self, target: Target) -> bool:
+        """Whether an end of a target's stream without a framing needs a proof.
+
+        One of a trusted target gets it only where that takes nothing from others.
+        """
+        if not self._context.stream_ends.is_trusted(target):
+            return True
+        service = self._call.service.name
+        return self._context.retry_budget.has_spare(
+            service
+        ) and not self._context.dispatcher.queue_length(service)
+
+    async def _believe_end(self) -> web.StreamResponse | None:
+        """End the caller's response, if a trusted target's end could not be confirmed.
+
+        Returns
+        -------
+        response : web.StreamResponse or None
+            None if the target isn't trusted or has crashed, or if events came later.
+        """
+        end = self._unproven_end
+        if end is None or end.last_event_id != self._relay.last_event_id:
+            return None
+        judge = self._context.stream_ends
+        if not judge.is_trusted(end.target):
+            return None
+        verdict = await judge.judge(
+            end.target, end.response.framing, is_resumable=False
+        )
+        if verdict is not EndVerdict.COMPLETE:
+            return None
+        self._parts.note_answered()
+        return await self._relay.finish(end.response)
+
     # Retries and final responses.
 
     def _should_retry(self, attempt: Attempt) -> bool:
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -82,6 +82,11 @@
         """Whether a target can go on after what the caller has been sent."""
         return self._framer.can_resume
 
+    @property
+    def has_events(self) -> bool:
+        """Whether the current target's stream has had an event."""
+        return self._framer.has_event
+
     @property
     def partial_event_bytes(self) -> int:
         """Size of the event that the current target has begun and not completed."""
--- a/carobroute/gateway/_retry_budget.py
+++ b/carobroute/gateway/_retry_budget.py
@@ -4,6 +4,9 @@
 
 from carobroute.utils import Clock
 
+# Part of the limit that is kept for retries after failures.
+SPARE_RESERVE_RATIO = 0.5
+
 
 class RetryBudget:
     """Limits retries to a share of the calls in a sliding window.
@@ -82,10 +85,13 @@
 
     def remaining(self, service: str) -> float:
         """Return the number of retries of `service` that this gateway may make now."""
-        calls = self._count_recent(self._call_times_ms, service)
         retries = self._count_recent(self._retry_times_ms, service)
-        limit = self._share * calls + self._slack / self._gateway_count
-        return self._margin * limit - retries
+        return self._margin * self._limit(service) - retries
+
+    def has_spare(self, service: str) -> bool:
+        """Whether a retry of `service` would leave half of its limit for failures."""
+        reserve = SPARE_RESERVE_RATIO * self._margin * self._limit(service)
+        return self.remaining(service) - reserve >= 1.0
 
     def try_spend(self, service: str) -> bool:
         """Count a retry and return True, or return False if the budget is used up."""
@@ -94,6 +100,10 @@
         self._retry_times_ms.setdefault(service, deque()).append(self._clock.now_ms())
         return True
 
+    def _limit(self, service: str) -> float:
+        calls = self._count_recent(self._call_times_ms, service)
+        return self._share * calls + self._slack / self._gateway_count
+
     def _count_recent(
         self, times_ms_by_service: dict[str, deque[float]], service: str
     ) -> int:
--- a/carobroute/gateway/_stream_ends.py
+++ b/carobroute/gateway/_stream_ends.py
@@ -1,6 +1,7 @@
 """Verdicts on streams that have ended without an error, by their framing."""
 
 import enum
+from collections.abc import Iterable
 
 from carobroute.engines import Framing
 from carobroute.gateway._crash_detector import CrashDetector
@@ -86,6 +87,34 @@
         """
         return self._confirmed.get(service, 0) >= UNFRAMED_STREAK
 
+    def is_trusted(self, target: Target) -> bool:
+        """Return whether ends of a target's streams may be believed without a proof."""
+        return target.stream_ends.is_proven or self.is_usually_unframed(
+            target.entry.service
+        )
+
+    def find_unframed(self, targets: Iterable[Target]) -> set[str]:
+        """Return the targets whose answers prove nothing, if others may prove an end.
+
+        Parameters
+        ----------
+        targets : iterable of Target
+            Targets of one service that are not excluded.
+
+        Returns
+        -------
+        incarnations : set of str
+            Empty if no usable target sends streams with a length or chunks.
+        """
+        unframed, framed = set(), set()
+        for target in targets:
+            framing = target.stream_ends.framing
+            if framing is Framing.CONNECTION:
+                unframed.add(target.incarnation)
+            elif framing is not None and target.is_usable:
+                framed.add(target.incarnation)
+        return unframed if framed else set()
+
     async def judge(
         self,
         target: Target,
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from carobroute.domain import ListedTargetState, TargetEntry
+from carobroute.gateway._end_history import StreamEndHistory
 from carobroute.health import HealthParameters, TargetHealth
 from carobroute.platform import ReportedLoad
 from carobroute.utils import Clock
@@ -61,6 +62,7 @@
         "in_flight",
         "is_gone",
         "last_event_ms",
+        "stream_ends",
     )
 
     def __init__(
@@ -88,6 +90,7 @@
         self.is_gone = False
         # Monotonic time of the last event of any stream from this target.
         self.last_event_ms = 0.0
+        self.stream_ends = StreamEndHistory()
 
     @property
     def incarnation(self) -> str:
--- a/carobroute/gateway/tests/test_retry_budget.py
+++ b/carobroute/gateway/tests/test_retry_budget.py
@@ -35,3 +35,13 @@
         budget.note_call("orders")
         clock.advance_ms(10)
     assert len(budget._call_times_ms["orders"]) <= 101
+
+
+def test_spare_retries_leave_half_of_the_limit_for_failures():
+    budget = _budget(ManualClock())
+    for _ in range(50):
+        budget.note_call("orders")
+    spare = 0
+    while budget.has_spare("orders") and budget.try_spend("orders"):
+        spare += 1
+    assert (spare, budget.remaining("orders")) == (20, 20.0)
