Pass on requests and answers with many or long headers

A caller's request with 130 short headers, far below the limit of the configuration's maxHeaderBytes, was answered 400 on a connection that closed: the HTTP server takes 128 header lines at most unless told otherwise. A target's answer with more than 128 header lines, or one of over 8,190 bytes, became a 502 after the target had run the call.

The server's number of lines now follows from the bound on their bytes. Answers may have 1,024 lines of 16 KB. Three tests at the real process, with 500 headers each way and one of 12,000 bytes: 400, 502 and 502 before, all 200 now.

--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -17,6 +17,9 @@
 MS_PER_S = 1_000
 PIECE_BYTES = 64 * 1024
 STALE_FENCE_STATUS = 409
+# Bounds on the head of a target's answer.
+MAX_HEADER_LINE_BYTES = 16_384
+MAX_HEADERS = 1_024
 
 SKIPPED_HEADERS = ("User-Agent", "Content-Type", "Accept", "Accept-Encoding")
 
@@ -261,6 +264,9 @@
             auto_decompress=False,
             cookie_jar=aiohttp.DummyCookieJar(),
             read_bufsize=PIECE_BYTES,
+            max_line_size=MAX_HEADER_LINE_BYTES,
+            max_field_size=MAX_HEADER_LINE_BYTES,
+            max_headers=MAX_HEADERS,
             skip_auto_headers=SKIPPED_HEADERS,
         )
 
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -57,6 +57,8 @@
 METRICS_PORT = 9464
 # Limit on a header line; the configuration's own limit is not known at the start.
 MAX_HEADER_BYTES = 16_384
+# Shortest header line: a name of one character, a colon and the line's end.
+MIN_HEADER_LINE_BYTES = 4
 MAX_BODY_BYTES = 1 << 24
 IDLE_TIMEOUT_MS = 75_000.0
 FIRST_HEADERS_TIMEOUT_MS = 10_000.0
@@ -453,6 +455,7 @@
             "keepalive_timeout": IDLE_TIMEOUT_MS / MS_PER_S,
             "max_line_size": MAX_HEADER_BYTES,
             "max_field_size": MAX_HEADER_BYTES,
+            "max_headers": MAX_HEADER_BYTES // MIN_HEADER_LINE_BYTES,
         }
         caller_site = WebSite(
             application=callers,
--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -206,6 +206,40 @@
         await warm_up(caller)
 
 
+async def test_many_short_headers_within_the_limit_are_passed_on(desk):
+    """More than 128 were answered 400, whatever their size."""
+    headers = {f"X-{number}": "a" for number in range(500)}
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        assert (await caller.ask("r-1", **headers)).status == 200
+        assert headers.items() <= {
+            (name.title(), value)
+            for name, value in desk.orders.calls[-1].headers.items()
+        }
+        await warm_up(caller)
+
+
+@pytest.mark.parametrize(
+    "headers",
+    [{f"X-{number}": "a" for number in range(500)}, {"X-Long": "a" * 12_000}],
+    ids=["many", "long"],
+)
+async def test_large_heads_of_targets_answers_are_passed_on(desk, headers):
+    """The answer was refused with 502 after the target had run the call."""
+
+    async def answer(call):
+        await call.answer(body=b"1 bell", **headers)
+
+    desk.order_script = answer
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        answered = await caller.ask("r-1", "/once/1", method="POST")
+        assert (answered.status, answered.body) == (200, b"1 bell")
+        got = {(name.title(), value) for name, value in answered.headers}
+        assert headers.items() <= got
+        await warm_up(caller)
+
+
 # Exceptions that no code expects.
 
 RAISE = """
