Answer a body that passes the deadline with 504 instead of 400

It is answered like any call that was not sent before its deadline: 504 with outcome not_run. The rest of the body is read, and the connection stays.

Two tests, with a length and in chunks: 400 before, 504 now.

--- a/carobroute/gateway/_call.py
+++ b/carobroute/gateway/_call.py
@@ -190,7 +190,7 @@
                     chunks.append(chunk)
         except TimeoutError:
             return fail(
-                ErrorKind.BAD_REQUEST, "the body did not arrive before the deadline"
+                ErrorKind.DEADLINE, "the body did not arrive before the deadline"
             )
         except web.RequestPayloadError as error:
             return fail(ErrorKind.BAD_REQUEST, f"the body cannot be read: {error}")
--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -240,6 +240,29 @@
         await warm_up(caller)
 
 
+# Proper requests that come slowly, in pieces or in one go.
+
+
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_a_slow_body_that_passes_the_deadline_is_no_fault_of_the_caller(
+    desk, chunked
+):
+    """It was answered 400, as if the request were not a proper one."""
+    fields = {"Transfer_Encoding": "chunked"} if chunked else {"Content_Length": "9"}
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        await caller.write(
+            request_bytes("r-1", "/once/1", method="POST", deadline_ms=300, **fields)
+        )
+        await caller.write(b"3\r\nabc\r\n" if chunked else b"abc")
+        answer = await caller.read()
+        assert answer.status == 504 and b'"outcome":"not_run"' in answer.body
+        # What comes late is read, and the connection stays.
+        await caller.write(b"3\r\ndef\r\n0\r\n\r\n" if chunked else b"defghi")
+        await warm_up(caller)
+    assert all("/once" not in call.line for call in desk.orders.calls)
+
+
 # Exceptions that no code expects.
 
 RAISE = """
