--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -32,13 +32,67 @@
         timeout_ms=10_000.0,
         shares=[ServiceShare(service="model", weight=1.0)],
     ),
+    make_route(
+        name="r-4",
+        path_prefix="/early/",
+        timeout_ms=10_000.0,
+        shares=[ServiceShare(service="early", weight=1.0)],
+    ),
+    make_route(
+        name="r-5",
+        path_prefix="/early-once/",
+        call_class=CallClass.NON_IDEMPOTENT,
+        timeout_ms=10_000.0,
+        shares=[ServiceShare(service="early", weight=1.0)],
+    ),
 ]
 CONFIGURATION = make_configuration(
-    routes=ROUTES, services=[make_service(), make_service(name="model")]
+    routes=ROUTES,
+    services=[make_service(name=name) for name in ("orders", "model", "early")],
 )
 EVENT = b"id: 1\ndata: a\n\n"
 
 
+class EarlyTarget:
+    """Target that answers before it reads the body, and reads it when it is told."""
+
+    def __init__(self):
+        self.status = 200
+        self.read_on = asyncio.Event()
+        self.rests = []
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        return f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+
+    async def stop(self):
+        self.read_on.set()
+        self._server.close()
+
+    async def _serve(self, reader, writer):
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
+                fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:-2])
+                read_on = self.read_on
+                writer.write(
+                    f"HTTP/1.1 {self.status} Early\r\nServer-Seal: seal\r\n"
+                    f"Request-Id: {fields['request-id']}\r\n"
+                    "Content-Length: 2\r\n\r\nok".encode()
+                )
+                await writer.drain()
+                await read_on.wait()
+                rest = await reader.readexactly(int(fields["content-length"]))
+                self.rests.append(rest)
+        except asyncio.IncompleteReadError as error:
+            if error.partial:
+                self.rests.append(error.partial)
+            writer.close()
+        except ConnectionError:
+            self.rests.append(b"")
+
+
 class Desk:
     """A gateway process, and a target of each service whose script a test sets."""
 
@@ -47,6 +101,7 @@
         self.go_on = asyncio.Event()
         self.orders = ScriptedTarget(self._answer_order)
         self.model = ScriptedTarget(self._answer_chat)
+        self.early = EarlyTarget()
         self.order_script = None
         self.chat_script = None
 
@@ -60,7 +115,8 @@
         await self.chat_script(call)
 
     async def start(self):
-        for target, service in ((self.orders, "orders"), (self.model, "model")):
+        targets = {"orders": self.orders, "model": self.model, "early": self.early}
+        for service, target in targets.items():
             self.run.list_target(
                 make_target_entry(
                     incarnation=f"i-{service}",
@@ -76,6 +132,7 @@
         await self.run.stop()
         await self.orders.stop()
         await self.model.stop()
+        await self.early.stop()
 
     def caller(self):
         return RawCaller(self.run.url)
@@ -263,6 +320,85 @@
     assert all("/once" not in call.line for call in desk.orders.calls)
 
 
+@pytest.mark.parametrize("count", [2, 100])
+async def test_requests_in_one_segment_are_answered_in_order(desk, count):
+    requests = [
+        request_bytes(f"r-{number}", "/once/1", method="POST", body=b"x" * 2_000)
+        for number in range(count)
+    ]
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        await caller.write(b"".join(requests))
+        for number in range(count):
+            answer = await caller.read()
+            assert (answer.status, answer.header("request-id")) == (200, f"r-{number}")
+        await warm_up(caller)
+
+
+async def test_a_request_in_pieces_is_served_on_a_kept_connection(desk):
+    data = request_bytes("r-1", "/once/1", method="POST", body=b"hello")
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        for start in range(0, len(data), 20):
+            await caller.write(data[start : start + 20])
+            await asyncio.sleep(0)
+        assert (await caller.read()).status == 200
+        assert desk.orders.calls[-1].body == b"hello"
+        await warm_up(caller)
+
+
+@pytest.mark.parametrize("waits", [False, True])
+async def test_a_caller_may_expect_100_continue_on_a_kept_connection(desk, waits):
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        head = request_bytes(
+            "r-1", "/once/1", method="POST", Expect="100-continue", Content_Length="5"
+        )
+        await caller.write(head)
+        if waits:
+            assert (await caller.read_head())[0] == 100
+        await caller.write(b"hello")
+        assert (await caller.read()).status == 200
+        assert desk.orders.calls[-1].body == b"hello"
+        await warm_up(caller)
+
+
+async def test_a_large_body_that_is_refused_early_leaves_the_connection_open(desk):
+    body = b"x" * 3_000_000
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        await caller.write(
+            request_bytes("r-1", "/orders/1", method="POST", body=body, X_Api_Key="no")
+        )
+        assert (await caller.read()).status == 401
+        await warm_up(caller)
+
+
+@pytest.mark.parametrize("path", ["/early/1", "/early-once/1"])
+@pytest.mark.parametrize("status", [200, 413])
+@pytest.mark.parametrize("size", [1_000, 3_000_000])
+async def test_an_answer_before_the_body_was_read_is_delivered(
+    desk, path, status, size
+):
+    """The target keeps the connection and reads on; it must get no other bytes."""
+    desk.early.status = status
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        for number in range(2):
+            request_id = f"r-{number}"
+            await caller.write(
+                request_bytes(request_id, path, method="POST", body=b"x" * size)
+            )
+            answer = await caller.read()
+            assert (answer.status, answer.body) == (status, b"ok")
+            assert answer.header("request-id") == request_id
+            desk.early.read_on.set()
+            desk.early.read_on = asyncio.Event()
+        await warm_up(caller)
+    await wait_until(lambda: len(desk.early.rests) == 2, what="the rests are read")
+    assert all(set(rest) <= {ord("x")} for rest in desk.early.rests)
+
+
 # Exceptions that no code expects.
 
 RAISE = """
--- a/carobroute/testing/raw_caller.py
+++ b/carobroute/testing/raw_caller.py
@@ -98,14 +98,19 @@
             except ConnectionError:
                 return b""
 
-    async def _read_one(self, method: str) -> RawAnswer:
-        head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    async def read_head(self) -> tuple[int, list[tuple[str, str]]]:
+        """Read the head of an answer, an interim one too; return status and headers."""
+        async with asyncio.timeout(READ_TIMEOUT_S):
+            head = (await self._reader.readuntil(b"\r\n\r\n")).decode("latin-1")
         line, *rest = head[:-4].split("\r\n")
-        status = int(line.split()[1])
         headers = []
         for field in rest:
             name, _, value = field.partition(":")
             headers.append((name.strip().lower(), value.strip()))
+        return int(line.split()[1]), headers
+
+    async def _read_one(self, method: str) -> RawAnswer:
+        status, headers = await self.read_head()
         known = dict(headers)
         body = b""
         if method == "HEAD" or status < 200 or status in (204, 304):
