Encode refusals of requests whose id is not UTF-8

A request with a byte that is no UTF-8 in its Request-Id got 500 for each refusal, a 401 or a 503 that means "not run" too, and its kept connection was closed: the HTTP server reads such a byte as a lone surrogate, and the JSON encoder raises UnicodeEncodeError. It is shown as a replacement character in the document now.

Two tests at the real process, 404 and 401: 500 with Connection: close before. Not mended: the HTTP library leaves such bytes out of every header it writes, so the header of the answer, and of the request to a target, lacks them.

--- a/carobroute/errors/_documents.py
+++ b/carobroute/errors/_documents.py
@@ -39,14 +39,23 @@
 
 
 def encode_error(fault: Fault, request_id: str) -> bytes:
-    """Encode a fault as the JSON document that a caller gets."""
+    """Encode a fault as the JSON document that a caller gets.
+
+    Bytes of a header that are no UTF-8 are shown as replacement characters.
+    """
     answer = fault.answer
     body = ErrorBody(
-        message=fault.detail,
+        message=_encodable(fault.detail),
         type=fault.kind.value,
         code=fault.kind.value,
         outcome=answer.outcome.value,
         resend=answer.resend,
-        request_id=request_id,
+        request_id=_encodable(request_id),
     )
     return msgspec.json.encode(ErrorDocument(error=body))
+
+
+def _encodable(text: str) -> str:
+    if text.isascii():
+        return text
+    return text.encode(errors="surrogateescape").decode(errors="replace")
--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -399,6 +399,18 @@
     assert all(set(rest) <= {ord("x")} for rest in desk.early.rests)
 
 
+@pytest.mark.parametrize("path", ["/nowhere", "/orders/1"])
+async def test_a_refusal_names_a_request_whose_id_is_not_utf_8(desk, path):
+    """It became a 500 that closed the connection, since JSON has no such text."""
+    fields = {"X_Api_Key": "no"}
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        answer = await caller.ask("caf\xe9", path, **fields)
+        assert answer.status == (404 if path == "/nowhere" else 401)
+        assert '"request_id":"caf\ufffd"' in answer.body.decode()
+        await warm_up(caller)
+
+
 # Exceptions that no code expects.
 
 RAISE = """
