Take no load from a target's header that is no number of calls

A target's answer with Server-Load 9...9,0,8 of 400 digits was delivered, and then each call of the whole service was refused: the estimate of the target's load is no float, and the comparison of targets raises OverflowError. With 5,000 digits, or a digit that is no decimal number, the answer itself was lost after the target had run the call.

Counts have nine ASCII digits at most, like those of a caller; any other load is taken as not named.

--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -411,6 +411,23 @@
         await warm_up(caller)
 
 
+@pytest.mark.parametrize(
+    "load", ["9" * 400 + ",0,8", "0,0," + "9" * 400, "9" * 5_000 + ",0,8", "\u00b2,0,8"]
+)
+async def test_a_load_that_is_no_number_of_calls_loses_no_answer(desk, load):
+    """The answer was lost, or all later calls of the service failed."""
+
+    async def answer(call):
+        await call.answer(body=b"1 bell", Server_Load=load)
+
+    desk.order_script = answer
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        for number in range(3):
+            answered = await caller.ask(f"r-{number}", "/once/1", method="POST")
+            assert (answered.status, answered.body) == (200, b"1 bell")
+
+
 # Exceptions that no code expects.
 
 RAISE = """
--- a/carobroute/platform/_call_headers.py
+++ b/carobroute/platform/_call_headers.py
@@ -25,6 +25,8 @@
 CONTENT_ENCODING_HEADER = "Content-Encoding"
 READY_PATH = "/api/ready"
 MAX_TIME_LEFT_LENGTH = 12
+# Longest text of a number of tokens or calls.
+MAX_COUNT_LENGTH = 9
 # Longest text of a rate limit; more digits than that are no decimal number of use.
 MAX_LIMIT_LENGTH = 12
 MAX_PAUSE_LENGTH = 24
@@ -234,7 +236,7 @@
 
 def _decode_count(text: str) -> int:
     text = text.strip()
-    return int(text) if text.isascii() and text.isdigit() and len(text) < 10 else 0
+    return int(text) if _is_count(text) else 0
 
 
 def _decode_shared_parts(text: str) -> tuple[str, ...]:
@@ -263,6 +265,11 @@
 
 def _decode_load(text: str) -> ReportedLoad | None:
     parts = text.split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 3 or not all(map(_is_count, parts)):
         return None
     return ReportedLoad(*(int(part) for part in parts))
+
+
+def _is_count(text: str) -> bool:
+    text = text.strip()
+    return text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_LENGTH
