Keep own calls to targets apart from callers' answers

That rank had sent a caller's answer a second time, late. The copy waited in an idle kept connection and was taken for the answer to the order to arm, whose status alone counts; the order never left, and the group was released.

Orders, reports, counts and the questions of the detectors of crashes and stuck calls went over the kept connections of callers' requests. They have a transport of their own now (`TargetPool.own_transport`), and an answer that names a request or bears a seal is none to them.

Ruled out: waiting for `armed` in the ranks' reports before the release. They lag by 200 ms, for which the group would stand at each switch, and streams may pause for 120 ms.

--- a/carobroute/gateway/_crash_detector.py
+++ b/carobroute/gateway/_crash_detector.py
@@ -52,7 +52,7 @@
         connection = await self._connect(target)
         if connection is not Connection.ACCEPTED:
             return connection is Connection.REFUSED
-        transport = await self._pool.transport(target)
+        transport = await self._pool.own_transport(target)
         answered = await self._client.read_report(transport)
         if not isinstance(answered, Success):
             return False
--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -96,12 +96,12 @@
 
     async def send_order(self, order: RankOrder) -> OrderResult:
         """Send an order to the rank, without retries."""
-        transport = await self._pool.transport(self._target)
+        transport = await self._pool.own_transport(self._target)
         return await self._client.send_order(transport, self._target.incarnation, order)
 
     async def read_report(self) -> RankReport | None:
         """Return the rank's report, or None without an answer."""
-        transport = await self._pool.transport(self._target)
+        transport = await self._pool.own_transport(self._target)
         report = self._unwrap_or_log(
             await self._client.read_report(transport), "report"
         )
@@ -111,12 +111,12 @@
 
     async def read_counts(self) -> ExpertCounts | None:
         """Return how often each expert was chosen, or None without an answer."""
-        transport = await self._pool.transport(self._target)
+        transport = await self._pool.own_transport(self._target)
         return self._unwrap_or_log(await self._client.read_counts(transport), "counts")
 
     async def read_held_experts(self) -> HeldExperts | None:
         """Return the experts that the rank holds, or None without an answer."""
-        transport = await self._pool.transport(self._target)
+        transport = await self._pool.own_transport(self._target)
         return self._unwrap_or_log(
             await self._client.read_held_experts(transport), "held"
         )
--- a/carobroute/gateway/_stuck_calls.py
+++ b/carobroute/gateway/_stuck_calls.py
@@ -78,7 +78,7 @@
         return waited_ms > self._stuck_after_ms + MAX_QUEUE_WAIT_RATIO * queue_ms
 
     async def _read_report(self, target: Target) -> RankReport | None:
-        transport = await self._pool.transport(target)
+        transport = await self._pool.own_transport(target)
         for _ in range(REPORT_ATTEMPTS):
             answered = await self._client.read_report(transport)
             if isinstance(answered, Success):
--- a/carobroute/gateway/tests/test_endless_answers.py
+++ b/carobroute/gateway/tests/test_endless_answers.py
@@ -128,7 +128,7 @@
     harness = GatewayHarness(configuration=make_configuration(routes=[STREAM]))
     await harness.start(target)
     try:
-        transport = await harness.pool.transport(harness.directory.all_targets()[0])
+        transport = await harness.pool.own_transport(harness.directory.all_targets()[0])
         async with asyncio.timeout(2.0):
             answered = await RankClient().read_report(transport)
             await wait_until(lambda: target.has_ended)
--- a/carobroute/gateway/tests/test_rank_groups.py
+++ b/carobroute/gateway/tests/test_rank_groups.py
@@ -27,7 +27,7 @@
 class EmptyPool:
     """Pool without connections."""
 
-    async def transport(self, target):
+    async def own_transport(self, target):
         return None
 
 
--- a/carobroute/gateway/tests/test_stuck_calls.py
+++ b/carobroute/gateway/tests/test_stuck_calls.py
@@ -24,7 +24,7 @@
 
 
 class NoTransports:
-    async def transport(self, target):
+    async def own_transport(self, target):
         return None
 
 
--- a/carobroute/platform/_rank_client.py
+++ b/carobroute/platform/_rank_client.py
@@ -7,9 +7,13 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from carobroute.engines import HttpTransport
+from carobroute.engines import HttpTransport, WatchedResponse
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.platform._call_headers import EXPECTED_TARGET_HEADER
+from carobroute.platform._call_headers import (
+    EXPECTED_TARGET_HEADER,
+    REQUEST_ID_HEADER,
+    SEAL_HEADER,
+)
 
 REPORT_PATH = "/api/report"
 COUNTS_PATH = "/api/picked"
@@ -258,7 +262,11 @@
     async def send_order(
         self, transport: HttpTransport, incarnation: str, order: RankOrder
     ) -> OrderResult:
-        """Send an order once, and return its outcome as far as it is known."""
+        """Send an order once, and return its outcome as far as it is known.
+
+        The answer is a bare status. So each order has a new connection, on which no
+        second copy of an answer to an earlier one can wait.
+        """
         body = msgspec.json.encode(order)
         timeout_ms = self._order_timeout_ms
         if order.action is OrderAction.PREPARE:
@@ -272,13 +280,15 @@
             },
             body=body,
             first_byte_ms=timeout_ms,
-            new_connection=False,
+            new_connection=True,
         )
         if isinstance(sent, Failure):
             unsent = sent.failure().not_run
             return OrderResult.UNSENT if unsent else OrderResult.UNANSWERED
         response = sent.unwrap()
         response.close()
+        if _answers_caller(response):
+            return OrderResult.UNANSWERED
         if response.status == OK_STATUS:
             return OrderResult.IN_EFFECT
         if response.status == BEGUN_STATUS:
@@ -294,6 +304,11 @@
         if isinstance(sent, Failure):
             return sent
         response = sent.unwrap()
+        if _answers_caller(response):
+            response.drop_connection()
+            return fail(
+                ErrorKind.TARGET_FAILED, f"{path}: the answer is that to a caller"
+            )
         data = bytearray()
         try:
             async with asyncio.timeout(self._read_timeout_ms / MS_PER_S):
@@ -320,6 +335,13 @@
         return Success(bytes(data))
 
 
+def _answers_caller(response: WatchedResponse) -> bool:
+    """Return whether an answer belongs to a caller's request, which it then names."""
+    return bool(
+        response.headers.get(REQUEST_ID_HEADER) or SEAL_HEADER in response.headers
+    )
+
+
 def decode_rank_report(data: bytes) -> Result[RankReport, Fault]:
     """Decode a rank's report, or return a `TARGET_FAILED` fault."""
     try:
