Use no kept connection on which bytes came unasked

The HTTP library keeps a complete answer that comes on an idle connection and hands it to the next request, also before the task that writes this request has run; closing the answer then cancels that task. Callers' answers are checked against their request's id, and the next call failed; what has no id had no check.

A kept connection on which anything has come while it was idle, read or still in the kernel, or which has ended, is closed when it would be used again. An answer that is there before its request has left is dropped, the request may not leave any more, and it counts as not sent.

--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -9,6 +9,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from carobroute.engines._connector import CleanConnector
 from carobroute.engines._interface import EngineParameters
 from carobroute.engines._once import Guard, OnceBody
 from carobroute.engines._watched import WatchedResponse
@@ -151,7 +152,13 @@
         sent = await self._send(
             method, path, headers, once or body, first_byte_ms, new_connection
         )
-        if once is not None and not once.started and isinstance(sent, Failure):
+        if once is not None and not once.started:
+            once.withdraw()
+            if isinstance(sent, Success):
+                # What came belongs to no request of this transport.
+                sent.unwrap().drop_connection()
+                detail = f"{self._address} answered before the request was sent"
+                return fail(ErrorKind.NO_TARGET, detail)
             fault = sent.failure()
             detail = f"nothing was sent: {fault.detail}"
             unsent = Fault(kind=ErrorKind.NO_TARGET, detail=detail)
@@ -255,9 +262,7 @@
             connector = aiohttp.TCPConnector(limit=limit, force_close=True)
         else:
             keep_alive_s = self._parameters.keep_alive_ms / MS_PER_S
-            connector = aiohttp.TCPConnector(
-                limit=limit, keepalive_timeout=keep_alive_s
-            )
+            connector = CleanConnector(limit=limit, keepalive_timeout=keep_alive_s)
         return aiohttp.ClientSession(
             connector=connector,
             response_class=WatchedResponse,
--- a/carobroute/engines/_once.py
+++ b/carobroute/engines/_once.py
@@ -29,9 +29,14 @@
     def __init__(self, value: bytes, *, guard: Guard):
         super().__init__(value)
         self._guard = guard
+        self._is_withdrawn = False
         self.started = False
         self.refusal: Fault | None = None
 
+    def withdraw(self) -> None:
+        """Refuse every later write."""
+        self._is_withdrawn = True
+
     async def write(self, writer: AbstractStreamWriter) -> None:
         """Write the body if it may still leave."""
         await self.write_with_length(writer, None)
@@ -40,11 +45,11 @@
         self, writer: AbstractStreamWriter, content_length: int | None
     ) -> None:
         """Write the body if it may still leave."""
-        if self.started:
+        if self.started or self._is_withdrawn:
             raise FaultError(
                 Fault(
                     kind=ErrorKind.TARGET_FAILED,
-                    detail="the request had left before; it is not sent again",
+                    detail="the request has left or was withdrawn; it is not sent",
                 )
             )
         self.refusal = self._guard()
