Take no second copy of an answer for the store's next one

The same cause as in the gateway's calls to targets: an answer that came on an idle kept connection to the platform was taken for that to the next call, so a write that was refused could count as done. No page says that the store sends an answer twice, and it has not been seen. The channel uses the pool that closes such connections.

--- a/carobroute/engines/__init__.py
+++ b/carobroute/engines/__init__.py
@@ -1,5 +1,6 @@
 """Adapters to what a local process stands beside: model engines and plain services."""
 
+from carobroute.engines._connector import CleanConnector
 from carobroute.engines._http import HttpTransport, end_to_end
 from carobroute.engines._interface import (
     CacheEvent,
@@ -30,6 +31,7 @@
     "CHARS_PER_TOKEN",
     "CacheEvent",
     "CacheEvents",
+    "CleanConnector",
     "Engine",
     "EngineAnswer",
     "EngineCall",
--- a/carobroute/platform/_http_channel.py
+++ b/carobroute/platform/_http_channel.py
@@ -7,6 +7,7 @@
 from returns.result import Result, Success
 from yarl import URL
 
+from carobroute.engines import CleanConnector
 from carobroute.errors import ErrorKind, Fault, fail
 
 JSON_CONTENT_TYPE = "application/json"
@@ -135,7 +136,7 @@
             headers = {"Content-Type": JSON_CONTENT_TYPE}
             if self._token:
                 headers["Authorization"] = f"Bearer {self._token}"
-            connector = aiohttp.TCPConnector(
+            connector = CleanConnector(
                 limit=MAX_POOL_CONNECTIONS, keepalive_timeout=KEEP_ALIVE_TIMEOUT_S
             )
             self._pool = _ConnectionPool(
