Pass encoded request bodies on as they were sent

The HTTP server library decompresses request bodies by default. Nothing in the gateway needs a body's text: the fingerprint is a hash of its bytes, and what the prompt holds is told by headers. The limit on a body counts the bytes that were sent.

The test sends 11 bodies with a length and in chunks to the real process: gzip, deflate, br, zstd, unknown and several encodings, broken ones.

The entry of the demonstration (carobroute/entry) still decompresses; it drops the header too and reads the body of model calls.

--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -456,6 +456,8 @@
             "max_line_size": MAX_HEADER_BYTES,
             "max_field_size": MAX_HEADER_BYTES,
             "max_headers": MAX_HEADER_BYTES // MIN_HEADER_LINE_BYTES,
+            # A body is the target's to decode.
+            "auto_decompress": False,
         }
         caller_site = WebSite(
             application=callers,
--- a/carobroute/tests/test_gateway_process.py
+++ b/carobroute/tests/test_gateway_process.py
@@ -2,11 +2,14 @@
 
 import asyncio
 import contextlib
+import gzip
 import os
 import signal
+import zlib
 
 import msgspec
 import pytest
+from aiohttp import ClientOSError
 
 from carobroute.domain import CallClass, ListedTargetState, ServiceShare, TeamProfile
 from carobroute.standins._faults import Faults
@@ -96,6 +99,55 @@
     assert "carobroute" in text
 
 
+PLAIN_BODY = b'{"order": 7, "text": "bell bell bell"}'
+# Values of Content-Encoding, and bodies that may have them or not.
+ENCODED_BODIES = [
+    ("gzip", gzip.compress(PLAIN_BODY)),
+    ("x-gzip", gzip.compress(PLAIN_BODY)),
+    ("gzip, gzip", gzip.compress(gzip.compress(PLAIN_BODY))),
+    ("gzip", b"no gzip at all"),
+    ("deflate", zlib.compress(PLAIN_BODY)),
+    ("deflate", zlib.compress(PLAIN_BODY)[:-6]),
+    ("br", b"\x8b\x12\x80" + PLAIN_BODY + b"\x03"),
+    ("zstd", b"\x28\xb5\x2f\xfd\x04\x00" + PLAIN_BODY),
+    ("deflate, br", b"\x00\xff" * 40),
+    ("bells", PLAIN_BODY),
+    ("identity", PLAIN_BODY),
+]
+
+
+@pytest.mark.parametrize("has_length", [True, False], ids=["length", "chunks"])
+async def test_encoded_bodies_reach_their_target_as_they_were_sent(desk, has_length):
+    """Targets ran requests that nobody had sent; others were refused with 400."""
+
+    async def send_pieces(body):
+        for start in range(0, len(body), 16):
+            yield body[start : start + 16]
+
+    statuses = []
+    for encoding, body in ENCODED_BODIES:
+        headers = {
+            "Host": "shop.example",
+            "Request-Id": f"r-{len(statuses)}",
+            "Deadline-Ms": "2000",
+            "X-Api-Key": "key-1",
+            "Content-Encoding": encoding,
+            "Connection": "close",
+        }
+        with contextlib.suppress(ClientOSError):
+            async with desk.run.session.post(
+                desk.run.url + "/orders/1",
+                headers=headers,
+                data=body if has_length else send_pieces(body),
+            ) as answer:
+                statuses.append(answer.status)
+    received = [
+        (call.headers["content-encoding"], call.body) for call in desk.orders.calls
+    ]
+    assert received == ENCODED_BODIES
+    assert statuses == [200] * len(ENCODED_BODIES)
+
+
 async def test_sigterm_leaves_the_rotation_and_cuts_nothing(desk):
     streaming = asyncio.create_task(desk.call("/chat/1", method="POST", deadline=5_000))
     await wait_until(lambda: desk.model.calls, what="the stream has begun")
