Pass a request's path and query on as they were sent

A path with a line feed in percent encoding was answered 404, since the pattern of the gateway's only route did not match it; the absolute form is refused with 400 like the others without a path, and no longer with 404.

The test sends 22 request targets to the real process that must arrive as they are, and 9 that must be refused with 400.

--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -80,10 +80,11 @@
         Times and bounds.
     """
 
-    __slots__ = ("_address", "_fresh", "_parameters", "_pooled")
+    __slots__ = ("_address", "_base", "_fresh", "_parameters", "_pooled")
 
     def __init__(self, *, address: str, parameters: EngineParameters):
         self._address = address.rstrip("/")
+        self._base = URL(self._address, encoded=True)
         self._parameters = parameters
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
@@ -120,7 +121,7 @@
         Parameters
         ----------
         method, path : str
-            HTTP method and path.
+            HTTP method, and path with its query, which are sent as they are.
         headers : mapping of str to str, default=None
             Request headers.
         body : bytes, default=b""
@@ -187,7 +188,7 @@
             async with asyncio.timeout(first_byte_ms / MS_PER_S):
                 response = await session.request(
                     method,
-                    URL(self._address + path, encoded=True),
+                    self._build_url(path),
                     headers=headers,
                     data=body if body else None,
                     timeout=limit,
@@ -246,6 +247,18 @@
             response.release()
         return self._judge(path, response.status, data)
 
+    def _build_url(self, path: str) -> URL:
+        """Return the URL of a path with its query, of which nothing is parsed.
+
+        A URL with a query of its own would lose an empty one, and any fragment.
+        """
+        return URL.build(
+            scheme=self._base.scheme,
+            authority=self._base.raw_authority,
+            path=self._base.raw_path.rstrip("/") + path,
+            encoded=True,
+        )
+
     def _judge(self, path: str, status: int, data: bytes) -> Result[bytes, Fault]:
         if status < 300:
             return Success(data)
--- a/carobroute/gateway/_call.py
+++ b/carobroute/gateway/_call.py
@@ -148,6 +148,9 @@
 
     def _authorize(self, table: RoutingTable) -> Result[_Authorization, Fault]:
         route = table.find_route(_requested_host(self._request), self._request.raw_path)
+        if route is None and not self._request.raw_path.startswith("/"):
+            detail = "the request line has no path, expected one that begins with /"
+            return fail(ErrorKind.BAD_REQUEST, detail)
         if route is None:
             detail = f"no route matches in configuration {table.version}"
             return fail(ErrorKind.UNKNOWN_SERVICE, detail)
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -445,7 +445,8 @@
 
     async def _listen(self) -> WebSite:
         callers = web.Application(client_max_size=MAX_BODY_BYTES)
-        callers.router.add_route("*", "/{path:.*}", self._serve)
+        # A dot would match no line feed, which a path may have in percent encoding.
+        callers.router.add_route("*", r"/{path:[\s\S]*}", self._serve)
         operations = web.Application()
         operations.router.add_get(READY_PATH, self._answer_ready)
         operators = OperationsInterface(
--- a/carobroute/tests/test_gateway_process.py
+++ b/carobroute/tests/test_gateway_process.py
@@ -148,6 +148,72 @@
     assert statuses == [200] * len(ENCODED_BODIES)
 
 
+# Request targets that are passed on, and that are not.
+PASSED_TARGETS = [
+    b"/orders/a%2Fb%2f%7Euser/%41",
+    b"/orders//a///b/",
+    b"/orders/a?",
+    b"/orders/?",
+    b"/orders/a??",
+    b"/orders/a?x=",
+    b"/orders/a?x",
+    b"/orders/a?&&x=1&x=1&=2",
+    b"/orders/a?x=a+b%20c;y=%3D%26%23",
+    b"/orders/a?x=/?:@[]",
+    b"/orders/a;v=1/b;c,d=e!$'()*",
+    b"/orders/a+b:c@d",
+    b"/orders/a/../b/./c/..",
+    b"/orders/%2e%2e/b",
+    b"/orders/%00%0d%0a",
+    b"/orders/%zz%",
+    b"/orders/caf%C3%A9/%ff",
+    b"/orders/a#",
+    b"/orders/a#top",
+    b"/orders/a?x=1#top?",
+    b"/orders/a?#",
+    b"/orders/" + b"a" * 3_000 + b"?" + b"b" * 3_000,
+]
+REFUSED_TARGETS = [
+    b"*",
+    b"orders/a",
+    b"http://shop.example/orders/a",
+    b"http://other.example/orders/a?",
+    b"/orders/caf\xc3\xa9",
+    b"/orders/\xff",
+    b"/orders/a?x=\xe9",
+    b"/orders/\x01",
+    b"/orders/\x7f",
+]
+
+
+async def send_target(desk, target):
+    """Send a request with a target as it is; return the status of its answer."""
+    host, port = desk.run.url.removeprefix("http://").split(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(
+        b"GET " + target + b" HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r-1\r\n"
+        b"Deadline-Ms: 2000\r\nX-Api-Key: key-1\r\nConnection: close\r\n\r\n"
+    )
+    answer = await reader.read()
+    writer.close()
+    return int(answer.split(b" ")[1])
+
+
+async def test_request_targets_arrive_as_they_were_sent_or_not_at_all(desk):
+    """A path that ended in `?` arrived without it, and so did one with a fragment."""
+    statuses = [await send_target(desk, target) for target in PASSED_TARGETS]
+    received = [call.line.split(" ")[1].encode() for call in desk.orders.calls]
+    assert received == PASSED_TARGETS
+    assert statuses == [200] * len(PASSED_TARGETS)
+    statuses = [await send_target(desk, target) for target in REFUSED_TARGETS]
+    assert desk.orders.calls[len(PASSED_TARGETS) :] == []
+    assert statuses == [400] * len(REFUSED_TARGETS)
+    # No prefix of a route begins these, whatever a caller might resolve them to.
+    assert await send_target(desk, b"//orders/a") == 404
+    assert await send_target(desk, b"/../orders/a") == 404
+    assert len(desk.orders.calls) == len(PASSED_TARGETS)
+
+
 async def test_sigterm_leaves_the_rotation_and_cuts_nothing(desk):
     streaming = asyncio.create_task(desk.call("/chat/1", method="POST", deadline=5_000))
     await wait_until(lambda: desk.model.calls, what="the stream has begun")
