Decode entries of the list of targets within their ranges

What callers saw: an odd entry of another writer among those of the targets had calls refused or answered with 500. JSON nested some thousand levels deep ended the reading of the list in every gateway: 503 for all once the targets had been replaced. A `slots` of 400 digits gave 500 for all calls of the service; a port of 99999 or of 5,000 digits, the port '²', a host of 300 letters and a host 'a..b' were taken for targets and gave 500 for each call sent there.

Cause: what another writer sends was trusted once its JSON was decoded, and the decoder's RecursionError is none of the exceptions that were caught beside it.

One boundary, `decode_foreign`, now turns whatever a decoder raises into a fault with a short message, and the types beside it check ranges while decoding: integers that every JSON implementation represents exactly, finite numbers, sizes, names that fit a key, and addresses of an IPv4 address or a host name with a port from 1 to 65535. A rank beyond its group's size and a key that a header cannot carry name no target either. `slots` of 0 still counts as 1 and a negative slow start as none, since a target may write these. Configurations go through the same boundary; their numbers are bounded only widely. Checking after the decoding was ruled out: it costs a pass over each entry at each reading.

--- a/carobroute/platform/_configuration_decoding.py
+++ b/carobroute/platform/_configuration_decoding.py
@@ -1,9 +1,10 @@
 """Decoders of the operators' configuration and of the targets' entries."""
 
-from typing import Any
+from typing import Annotated, Any
 
 import msgspec
-from returns.result import Result, Success
+from msgspec import Meta
+from returns.result import Result
 
 from carobroute.domain import (
     CallClass,
@@ -18,7 +19,16 @@
     TargetEntry,
     TeamProfile,
 )
-from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.errors import ErrorKind, Fault
+from carobroute.utils import (
+    Address,
+    Count,
+    Integer,
+    Name,
+    Number,
+    Size,
+    decode_foreign,
+)
 
 _CALL_CLASS_BY_KIND = {
     "safe": CallClass.IDEMPOTENT,
@@ -31,11 +41,14 @@
     "draining": ListedTargetState.LEAVING,
 }
 _OPEN_GROUP_STATE = "open"
+_MAX_RANK = (1 << 16) - 1
+# Identifiers of targets are sent to them in a header.
+_INCARNATION = Annotated[str, Meta(pattern=r"\A[!-~]{1,200}\Z")]
 
 
 class _WireShare(msgspec.Struct):
     service: str
-    weight: float = 1.0
+    weight: Number = 1.0
 
 
 class _WireRoute(msgspec.Struct, rename="camel"):
@@ -43,67 +56,67 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = 30_000.0
-    target_latency_ms: float = 0.0
-    gap_target_ms: float = 0.0
-    priority: int = 5
+    timeout_ms: Number = 30_000.0
+    target_latency_ms: Number = 0.0
+    gap_target_ms: Number = 0.0
+    priority: Integer = 5
     service: str = ""
     # Services of a split route, not single targets.
     backends: list[_WireShare] = []
-    max_attempts: int = 1
+    max_attempts: Integer = 1
     allow_anonymous: bool = False
     resume_streams: bool = False
 
 
 class _WireUsual(msgspec.Struct):
-    prompt: float = 0.0
-    answer: float = 0.0
+    prompt: Number = 0.0
+    answer: Number = 0.0
 
 
 class _WireEngine(msgspec.Struct):
-    slots: int = 1
-    kv_capacity_tokens: int = msgspec.field(default=0, name="kvCapacityTokens")
-    step_ms: float = 0.0
-    per_seq_ms: float = 0.0
-    context_per_k: float = 0.0
-    read_per_s: float = 0.0
-    pairs_per_m: float = 0.0
-    chunk: int = 0
-    stride: int = 1
-    form_ms: float = 0.0
-    report_lag_ms: float = 0.0
-    sets: int = 0
-    experts: int = 0
-    placements: int = 0
-    spare: int = 0
-    expert_mb: float = msgspec.field(default=0.0, name="expertMb")
-    expert_share: float = msgspec.field(default=0.0, name="expertShare")
-    link_mbps: float = msgspec.field(default=0.0, name="linkMbps")
+    slots: Integer = 1
+    kv_capacity_tokens: Integer = msgspec.field(default=0, name="kvCapacityTokens")
+    step_ms: Number = 0.0
+    per_seq_ms: Number = 0.0
+    context_per_k: Number = 0.0
+    read_per_s: Number = 0.0
+    pairs_per_m: Number = 0.0
+    chunk: Integer = 0
+    stride: Integer = 1
+    form_ms: Number = 0.0
+    report_lag_ms: Number = 0.0
+    sets: Size = 0
+    experts: Size = 0
+    placements: Size = 0
+    spare: Size = 0
+    expert_mb: Number = msgspec.field(default=0.0, name="expertMb")
+    expert_share: Number = msgspec.field(default=0.0, name="expertShare")
+    link_mbps: Number = msgspec.field(default=0.0, name="linkMbps")
     usual: _WireUsual = msgspec.field(default_factory=_WireUsual)
 
 
 class _WireService(msgspec.Struct, rename="camel"):
     name: str
     health_path: str = ""
-    max_conns: int = 0
+    max_conns: Integer = 0
     engine: _WireEngine | None = None
 
 
 class _WireTenant(msgspec.Struct, rename="camel"):
     name: str
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Integer | None = None
 
 
 class _WireLimits(msgspec.Struct, rename="camel"):
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    max_header_bytes: Integer = 16_384
+    max_body_bytes: Integer = 4_194_304
+    header_timeout_ms: Number = 3_000.0
+    idle_timeout_ms: Number = 15_000.0
 
 
 class _WireConfiguration(msgspec.Struct):
-    version: int
+    version: Integer
     routes: list[_WireRoute] = []
     services: list[_WireService] = []
     tenants: list[_WireTenant] = []
@@ -111,25 +124,25 @@
 
 
 class _WireGroup(msgspec.Struct):
-    name: str = ""
-    epoch: int = 0
-    rank: int = -1
+    name: Name = ""
+    epoch: Count = 0
+    rank: Annotated[int, Meta(ge=-1, le=_MAX_RANK)] = -1
     state: str = _OPEN_GROUP_STATE
 
 
 class _WireEntry(msgspec.Struct, rename="camel"):
-    service: str
-    address: str
-    zone: str
+    service: Annotated[Name, Meta(min_length=1)]
+    address: Address
+    zone: Name
     state: str
-    slots: int = 1
+    slots: Size = 1
     # Remaining time of the slow start, not an age.
-    cold_remaining_ms: float = 0.0
+    cold_remaining_ms: Number = 0.0
     # Wall-clock time of the start.
-    born: int = 0
+    born: Count = 0
     group: _WireGroup | None = None
     # Ranks of the group, not of the target.
-    size: int = 0
+    size: Size = 0
 
 
 _configuration_decoder = msgspec.json.Decoder(_WireConfiguration)
@@ -138,37 +151,19 @@
 
 def decode_configuration(data: bytes) -> Result[RoutingConfiguration, Fault]:
     """Decode a configuration, or return an `INVALID_TICKET` fault."""
-    try:
-        wire = _configuration_decoder.decode(data)
-        routes = [_convert_route(route) for route in wire.routes]
-    except (msgspec.DecodeError, UnicodeDecodeError, KeyError) as error:
-        return fail(
-            ErrorKind.INVALID_TICKET, f"configuration cannot be decoded: {error}"
-        )
-    return Success(
-        RoutingConfiguration(
-            version=wire.version,
-            routes=routes,
-            services=[_convert_service(service) for service in wire.services],
-            teams=[
-                TeamProfile(name=team.name, keys=team.api_keys, priority=team.priority)
-                for team in wire.tenants
-            ],
-            bounds=CallerLimits(
-                header_bytes=wire.limits.max_header_bytes,
-                body_bytes=wire.limits.max_body_bytes,
-                header_timeout_ms=wire.limits.header_timeout_ms,
-                idle_timeout_ms=wire.limits.idle_timeout_ms,
-            ),
-        )
+    return decode_foreign(
+        lambda content: _build_configuration(_configuration_decoder.decode(content)),
+        data,
+        kind=ErrorKind.INVALID_TICKET,
+        what="configuration",
     )
 
 
 def decode_target_entry(incarnation: str, data: bytes) -> Result[TargetEntry, Fault]:
     """Decode a target's entry, or return an `INVALID_TICKET` fault.
 
-    Other programs may write entries too. A missing field, a field of another type, an
-    unknown state or undecodable bytes make an entry invalid.
+    Other programs may write entries too. A missing field, a field of another type or
+    out of range, an unknown state or undecodable bytes make an entry invalid.
 
     Parameters
     ----------
@@ -177,38 +172,50 @@
     data : bytes
         The entry.
     """
-    try:
-        wire = _entry_decoder.decode(data)
-        condition = _CONDITION_BY_STATE[wire.state]
-    except (msgspec.DecodeError, UnicodeDecodeError, KeyError) as error:
-        return fail(
-            ErrorKind.INVALID_TICKET,
-            f"target entry {incarnation!r} cannot be decoded: {error!r}",
-        )
-    host, _, port = wire.address.rpartition(":")
-    if not host or not port.isdigit() or not wire.service or not incarnation:
-        detail = (
-            f"target entry {incarnation!r} lacks an incarnation, a service or a "
-            f"host:port address: {wire.address!r}"
-        )
-        return fail(ErrorKind.INVALID_TICKET, detail)
+    return decode_foreign(
+        lambda entry: _build_entry(incarnation, _entry_decoder.decode(entry)),
+        data,
+        kind=ErrorKind.INVALID_TICKET,
+        what=f"target entry {incarnation!r}",
+    )
+
+
+def _build_entry(incarnation: str, wire: _WireEntry) -> TargetEntry:
     group = wire.group or _WireGroup()
-    return Success(
-        TargetEntry(
-            incarnation=incarnation,
-            started_ms=wire.born,
-            service=wire.service,
-            address=wire.address,
-            data_centre=wire.zone,
-            slots=max(1, wire.slots),
-            condition=condition,
-            slow_start_ms=wire.cold_remaining_ms,
-            group=group.name,
-            rank=group.rank,
-            group_epoch=group.epoch,
-            group_size=wire.size,
-            is_group_open=group.state == _OPEN_GROUP_STATE,
-        )
+    if wire.size and group.rank >= wire.size:
+        raise ValueError(f"rank {group.rank} of a group of {wire.size}")
+    return TargetEntry(
+        incarnation=msgspec.convert(incarnation, _INCARNATION),
+        started_ms=wire.born,
+        service=wire.service,
+        address=wire.address,
+        data_centre=wire.zone,
+        slots=max(1, wire.slots),
+        condition=_CONDITION_BY_STATE[wire.state],
+        slow_start_ms=max(0.0, wire.cold_remaining_ms),
+        group=group.name,
+        rank=group.rank,
+        group_epoch=group.epoch,
+        group_size=wire.size,
+        is_group_open=group.state == _OPEN_GROUP_STATE,
+    )
+
+
+def _build_configuration(wire: _WireConfiguration) -> RoutingConfiguration:
+    return RoutingConfiguration(
+        version=wire.version,
+        routes=[_convert_route(route) for route in wire.routes],
+        services=[_convert_service(service) for service in wire.services],
+        teams=[
+            TeamProfile(name=team.name, keys=team.api_keys, priority=team.priority)
+            for team in wire.tenants
+        ],
+        bounds=CallerLimits(
+            header_bytes=wire.limits.max_header_bytes,
+            body_bytes=wire.limits.max_body_bytes,
+            header_timeout_ms=wire.limits.header_timeout_ms,
+            idle_timeout_ms=wire.limits.idle_timeout_ms,
+        ),
     )
 
 
--- a/carobroute/tests/test_gateway_process.py
+++ b/carobroute/tests/test_gateway_process.py
@@ -14,6 +14,7 @@
 from carobroute.domain import CallClass, ListedTargetState, ServiceShare, TeamProfile
 from carobroute.standins._faults import Faults
 from carobroute.testing import GatewayRun, wait_until
+from carobroute.testing.foreign_data import HUGE, encode_entry, nest, odd_entries
 from carobroute.testing.gateway_data import (
     make_configuration,
     make_route,
@@ -44,6 +45,7 @@
         self.orders = orders
         self.model = model
         self.go_on = asyncio.Event()
+        self.others = []
 
     async def call(
         self, path="/orders/1", *, key="key-1", method="GET", deadline=2_000
@@ -59,6 +61,32 @@
         ) as answer:
             return answer.status, await answer.read(), answer.headers
 
+    async def replace_orders(self):
+        """Start another target of the orders; the first one leaves."""
+        first = self.orders.address
+        replacement = ScriptedTarget(self.answer)
+        self.others.append(replacement)
+        self.run.list_target(
+            make_target_entry(incarnation="i-new", address=await replacement.start())
+        )
+        self.run.list_target(
+            make_target_entry(
+                incarnation="i-orders",
+                address=first,
+                condition=ListedTargetState.LEAVING,
+            )
+        )
+
+        async def is_found():
+            await self.call()
+            return bool(replacement.calls)
+
+        await wait_until(is_found, what="the new target has a call")
+
+    async def answer(self, call):
+        """Answer an order."""
+        await call.answer(body=b"1 bell")
+
 
 @pytest.fixture
 async def desk(tmp_path):
@@ -83,7 +111,7 @@
     await run.start()
     yield desk
     await run.stop()
-    for target in targets:
+    for target in (*targets, *desk.others):
         await target.stop()
 
 
@@ -310,18 +338,49 @@
         b"\xff\xfe\x00",
         b"[]",
         b'{"service":"orders"}',
-        b'{"service":7,"address":"127.0.0.1:1","zone":"a","state":"ready"}',
-        b'{"service":"orders","address":"nowhere","zone":"a","state":"ready"}',
-        b'{"service":"orders","address":"127.0.0.1:1","zone":"a","state":"odd"}',
+        encode_entry(service=7),
+        encode_entry(state="odd"),
+        encode_entry(address="nowhere"),
+        encode_entry(address="127.0.0.1:99999"),
+        encode_entry(address="127.0.0.1:" + "9" * 5_000),
+        encode_entry(address="127.0.0.1:²"),
+        encode_entry(address="h" * 300 + ":80"),
+        encode_entry(address="a..b:80"),
+        encode_entry(slots=HUGE),
+        nest("models"),
+        nest("models", is_closed=False),
     ],
+    ids=lambda data: repr(data[:90]),
 )
 async def test_an_entry_of_a_stranger_names_no_target_and_harms_none(desk, data):
+    """Some ended the reading of the list, or had calls answered with 500."""
     desk.run.list_stranger("i-stranger", data)
     await wait_until(
         lambda: any("target_entry_unreadable" in line for line in desk.run.lines),
         what="the entry is reported",
     )
     assert {(await desk.call())[0] for _ in range(5)} == {200}
+    await desk.replace_orders()
+    assert {(await desk.call())[0] for _ in range(5)} == {200}
+    assert not any("event=task_failed" in line for line in desk.run.lines)
+
+
+async def test_a_gateway_that_starts_beside_strange_entries_finds_the_targets(desk):
+    """A gateway that started beside a nested entry refused all calls."""
+    desk.run.signal(signal.SIGKILL)
+    await desk.run.wait_ended()
+    for number, data in enumerate(odd_entries().values()):
+        desk.run.list_stranger(f"a-{number}", data)
+        desk.run.list_stranger(f"z-{number}", data)
+    await desk.run.restart()
+
+    async def is_served():
+        return (await desk.call())[0] == 200
+
+    await wait_until(is_served, what="the targets are found")
+    assert {(await desk.call())[0] for _ in range(20)} == {200}
+    await desk.replace_orders()
+    assert {(await desk.call())[0] for _ in range(20)} == {200}
 
 
 async def test_a_leaving_target_gets_nothing_more(desk):
--- a/carobroute/utils/__init__.py
+++ b/carobroute/utils/__init__.py
@@ -4,6 +4,17 @@
 from carobroute.utils._bounded import BoundedDict
 from carobroute.utils._clock import Clock, ManualClock
 from carobroute.utils._event_loop import forbid_io_uring, run_event_loop
+from carobroute.utils._foreign_data import (
+    Address,
+    Count,
+    DatagramAddress,
+    Duration,
+    Integer,
+    Name,
+    Number,
+    Size,
+    decode_foreign,
+)
 from carobroute.utils._identity import (
     content_hash,
     is_public_key,
@@ -16,12 +27,21 @@
 from carobroute.utils._tasks import TaskSet, gather_few
 
 __all__ = [
+    "Address",
     "BoundedDict",
     "Clock",
+    "Count",
+    "DatagramAddress",
+    "Duration",
+    "Integer",
     "ManualClock",
+    "Name",
+    "Number",
     "Registry",
+    "Size",
     "TaskSet",
     "content_hash",
+    "decode_foreign",
     "forbid_io_uring",
     "gather_few",
     "is_public_key",
