Decode answers of the store and of targets through one boundary

What callers saw: a load header with the digit '²' or with thousands of digits raised ValueError in the exchange; deep nesting in a configuration, a settings file, an answer of the store or a rank's report raised RecursionError, which ends the task that asked; and one row with an unreadable value hid all rows beside it. A prompt part whose name is not UTF-8 was taken over, and then no digest could be encoded.

All decoders of `carobroute.platform` now go through `decode_foreign`, with the ranges of its types. A row whose value is unreadable is kept with its key and version and an empty value, so that its reader reports it; the store itself writes the rest, so an answer in which that is odd stays a fault as a whole. The numbers of settings are bounded only widely: a settings file that was accepted so far is to start the process.

--- a/carobroute/platform/_call_headers.py
+++ b/carobroute/platform/_call_headers.py
@@ -235,8 +235,13 @@
 
 
 def _decode_count(text: str) -> int:
+    return _parse_count(text) or 0
+
+
+def _parse_count(text: str) -> int | None:
     text = text.strip()
-    return int(text) if _is_count(text) else 0
+    is_count = text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_LENGTH
+    return int(text) if is_count else None
 
 
 def _decode_shared_parts(text: str) -> tuple[str, ...]:
@@ -246,10 +251,16 @@
     """
     entries = text.split(",")[:-1]
     names = (entry.partition(":")[0].strip().lower() for entry in entries)
-    valid = (name for name in names if 0 < len(name) <= MAX_PART_NAME_LENGTH)
+    valid = (name for name in names if _is_part_name(name))
     return tuple(dict.fromkeys(valid))
 
 
+def _is_part_name(name: str) -> bool:
+    """Whether digests and rows of the store can carry a name."""
+    # Bytes that are not UTF-8 have been decoded to surrogates, which are not printable.
+    return name.isprintable() and 0 < len(name) <= MAX_PART_NAME_LENGTH
+
+
 def _decode_time_left(text: str) -> float | None:
     return _decode_decimal(text, MAX_TIME_LEFT_LENGTH)
 
@@ -264,12 +275,10 @@
 
 
 def _decode_load(text: str) -> ReportedLoad | None:
-    parts = text.split(",")
-    if len(parts) != 3 or not all(map(_is_count, parts)):
+    counts = [_parse_count(part) for part in text.split(",")]
+    if len(counts) != 3:
         return None
-    return ReportedLoad(*(int(part) for part in parts))
-
-
-def _is_count(text: str) -> bool:
-    text = text.strip()
-    return text.isascii() and text.isdigit() and len(text) <= MAX_COUNT_LENGTH
+    running, waiting, slots = counts
+    if running is None or waiting is None or slots is None:
+        return None
+    return ReportedLoad(running, waiting, slots)
--- a/carobroute/platform/_process_settings.py
+++ b/carobroute/platform/_process_settings.py
@@ -1,11 +1,14 @@
 """Settings file that the platform writes for each process."""
 
 from pathlib import Path
+from typing import Annotated
 
 import msgspec
-from returns.result import Result, Success
+from msgspec import Meta
+from returns.result import Result
 
 from carobroute.errors import ErrorKind, Fault, fail
+from carobroute.utils import DECODING_ERRORS, Number, decode_foreign
 
 SETTINGS_VARIABLE = "CAROBROUTE_NODE_FILE"
 
@@ -80,16 +83,20 @@
     bounds: PlatformDeadlines
 
 
+# 0 if the platform names no ports.
+_Port = Annotated[int, Meta(ge=0, le=65_535)]
+
+
 class _WireBounds(msgspec.Struct, rename="camel"):
-    drain_ms: float = 2_000
-    grace_s: float = 8
-    config_apply_ms: float = 2_000
+    drain_ms: Number = 2_000
+    grace_s: Number = 8
+    config_apply_ms: Number = 2_000
     strict_revoke: bool = False
-    revoke_ms: float = 0
-    retry_budget_ratio: float = 0.1
-    retry_budget_slack: float = 10
-    budget_window_s: float = 10
-    stall_ms: float = msgspec.field(default=1_500.0, name="stall_ms")
+    revoke_ms: Number = 0
+    retry_budget_ratio: Number = 0.1
+    retry_budget_slack: Number = 10
+    budget_window_s: Number = 10
+    stall_ms: Number = msgspec.field(default=1_500.0, name="stall_ms")
 
 
 class _WireListen(msgspec.Struct):
@@ -98,7 +105,7 @@
 
 
 class _WireCapacity(msgspec.Struct, rename="camel"):
-    link_mbps: float = 0.0
+    link_mbps: Number = 0.0
 
 
 class _WirePlatform(msgspec.Struct):
@@ -114,46 +121,52 @@
     listen: _WireListen
     platform: _WirePlatform
     zones: dict[str, str] = {}
-    port_range: tuple[int, int] = (0, 0)
-    heartbeat_ms: float = 1_200
+    port_range: tuple[_Port, _Port] = (0, 0)
+    heartbeat_ms: Number = 1_200
     limits: _WireCapacity = msgspec.field(default_factory=_WireCapacity)
     bounds: _WireBounds = msgspec.field(default_factory=_WireBounds)
 
 
+_settings_decoder = msgspec.json.Decoder(_WireSettings)
+
+
 def decode_settings(data: bytes) -> Result[ProcessSettings, Fault]:
     """Decode settings, or return an `INVALID_TICKET` fault that gives the reason.
 
     Unknown fields are ignored.
     """
-    try:
-        wire = msgspec.json.decode(data, type=_WireSettings)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return fail(ErrorKind.INVALID_TICKET, f"settings cannot be decoded: {error}")
+    return decode_foreign(
+        lambda content: _build_settings(_settings_decoder.decode(content)),
+        data,
+        kind=ErrorKind.INVALID_TICKET,
+        what="settings",
+    )
+
+
+def _build_settings(wire: _WireSettings) -> ProcessSettings:
     bounds = wire.bounds
-    return Success(
-        ProcessSettings(
-            name=wire.node,
-            data_centre=wire.zone,
-            region=wire.region,
-            ip=wire.ip,
-            data_centres=wire.zones,
-            caller_address=wire.listen.front,
-            ready_address=wire.listen.ready,
-            peer_ports=wire.port_range,
-            store_address=wire.platform.address,
-            heartbeat_ms=wire.heartbeat_ms,
-            link_mbps=wire.limits.link_mbps,
-            bounds=PlatformDeadlines(
-                drain_ms=bounds.drain_ms,
-                stop_ms=bounds.grace_s * 1_000,
-                configuration_ms=bounds.config_apply_ms,
-                revoke_ms=bounds.revoke_ms if bounds.strict_revoke else 0.0,
-                retry_share=bounds.retry_budget_ratio,
-                retry_slack=bounds.retry_budget_slack,
-                retry_window_ms=bounds.budget_window_s * 1_000,
-                stall_ms=bounds.stall_ms,
-            ),
-        )
+    return ProcessSettings(
+        name=wire.node,
+        data_centre=wire.zone,
+        region=wire.region,
+        ip=wire.ip,
+        data_centres=wire.zones,
+        caller_address=wire.listen.front,
+        ready_address=wire.listen.ready,
+        peer_ports=wire.port_range,
+        store_address=wire.platform.address,
+        heartbeat_ms=wire.heartbeat_ms,
+        link_mbps=wire.limits.link_mbps,
+        bounds=PlatformDeadlines(
+            drain_ms=bounds.drain_ms,
+            stop_ms=bounds.grace_s * 1_000,
+            configuration_ms=bounds.config_apply_ms,
+            revoke_ms=bounds.revoke_ms if bounds.strict_revoke else 0.0,
+            retry_share=bounds.retry_budget_ratio,
+            retry_slack=bounds.retry_budget_slack,
+            retry_window_ms=bounds.budget_window_s * 1_000,
+            stall_ms=bounds.stall_ms,
+        ),
     )
 
 
@@ -169,7 +182,7 @@
     """
     try:
         fields = msgspec.json.decode(data, type=dict[str, msgspec.Raw])
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
+    except DECODING_ERRORS as error:
         return [f"not a JSON object: {error}"]
     faults = []
     for field in msgspec.structs.fields(_WireSettings):
@@ -180,7 +193,7 @@
             continue
         try:
             msgspec.json.decode(value, type=field.type)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        except DECODING_ERRORS as error:
             faults.append(f"{field.encode_name}: {error}")
     return faults
 
--- a/carobroute/platform/_rank_client.py
+++ b/carobroute/platform/_rank_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import enum
+from typing import TypeVar
 
 import aiohttp
 import msgspec
@@ -14,6 +15,7 @@
     REQUEST_ID_HEADER,
     SEAL_HEADER,
 )
+from carobroute.utils import Count, Duration, Integer, decode_foreign
 
 REPORT_PATH = "/api/report"
 COUNTS_PATH = "/api/picked"
@@ -26,6 +28,8 @@
 BEGUN_STATUS = 202
 REFUSED_STATUSES = frozenset({400, 409, 412, 421})
 
+T = TypeVar("T")
+
 
 class ArmedSwitch(msgspec.Struct, frozen=True):
     """A switch that a rank makes at a given pass without a further order.
@@ -38,8 +42,8 @@
         Number of the first pass that uses that map.
     """
 
-    version: int
-    step: int
+    version: Count
+    step: Count
 
 
 class RankReport(msgspec.Struct, frozen=True, kw_only=True):
@@ -170,40 +174,40 @@
 
 
 class _WireGroup(msgspec.Struct):
-    epoch: int = 0
+    epoch: Count = 0
     state: str = "open"
 
 
 class _WireReport(msgspec.Struct):
     group: _WireGroup
     # Counts orders, not reports.
-    seq: int
-    step: int = 0
-    map: int = 0
-    running: int = 0
-    queued: int = 0
-    pace: float = 1.0
-    prepared: int | None = None
+    seq: Count
+    step: Integer = 0
+    map: Count = 0
+    running: Count = 0
+    queued: Count = 0
+    pace: Duration = 1.0
+    prepared: Count | None = None
     armed: ArmedSwitch | None = None
     # Number of the pass that is held back, not a count.
-    held: int | None = None
+    held: Count | None = None
     # Time of the start, not an age.
-    born: int | None = None
+    born: Count | None = None
 
 
 class _WireCounts(msgspec.Struct):
-    step: int
-    epoch: int
-    counts: list[int]
+    step: Count
+    epoch: Count
+    counts: list[Count]
 
 
 class _WireMap(msgspec.Struct):
-    version: int
-    experts: list[list[int]]
+    version: Count
+    experts: list[list[Count]]
 
 
 class _WireHeld(msgspec.Struct):
-    epoch: int
+    epoch: Count
     map: _WireMap
 
 
@@ -344,14 +348,8 @@
 
 def decode_rank_report(data: bytes) -> Result[RankReport, Fault]:
     """Decode a rank's report, or return a `TARGET_FAILED` fault."""
-    try:
-        wire = _report_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return fail(
-            ErrorKind.TARGET_FAILED, f"a rank's report cannot be decoded: {error}"
-        )
-    return Success(
-        RankReport(
+    return _decode(_report_decoder, data, "a rank's report").map(
+        lambda wire: RankReport(
             epoch=wire.group.epoch,
             is_group_open=wire.group.state == "open",
             slowdown=wire.pace,
@@ -369,24 +367,20 @@
 
 
 def _decode_counts(data: bytes) -> Result[ExpertCounts, Fault]:
-    try:
-        wire = _counts_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return fail(
-            ErrorKind.TARGET_FAILED, f"a rank's counts cannot be decoded: {error}"
-        )
-    return Success(ExpertCounts(epoch=wire.epoch, step=wire.step, counts=wire.counts))
+    return _decode(_counts_decoder, data, "a rank's counts").map(
+        lambda wire: ExpertCounts(epoch=wire.epoch, step=wire.step, counts=wire.counts)
+    )
 
 
 def _decode_held(data: bytes) -> Result[HeldExperts, Fault]:
-    try:
-        wire = _held_decoder.decode(data)
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return fail(
-            ErrorKind.TARGET_FAILED, f"a rank's experts cannot be decoded: {error}"
-        )
-    return Success(
-        HeldExperts(
+    return _decode(_held_decoder, data, "a rank's experts").map(
+        lambda wire: HeldExperts(
             epoch=wire.epoch, version=wire.map.version, experts_by_set=wire.map.experts
         )
     )
+
+
+def _decode(
+    decoder: msgspec.json.Decoder[T], data: bytes, what: str
+) -> Result[T, Fault]:
+    return decode_foreign(decoder.decode, data, kind=ErrorKind.TARGET_FAILED, what=what)
--- a/carobroute/platform/_row_store.py
+++ b/carobroute/platform/_row_store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store of table rows and objects."""
 
 from collections.abc import Callable
+from typing import TypeVar
 from urllib.parse import quote, urlencode
 
 import msgspec
@@ -8,6 +9,7 @@
 
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.platform._http_channel import ChannelAnswer, HttpChannel
+from carobroute.utils import DECODING_ERRORS, Count, Number, decode_foreign
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -32,6 +34,8 @@
 GONE_STATUS = 410
 PRECONDITION_FAILED_STATUS = 412
 
+T = TypeVar("T")
+
 
 class StoredRow(msgspec.Struct, frozen=True):
     """One row, as of the store's version in the answer that contains it.
@@ -52,7 +56,7 @@
 
     table: str = ""
     key: str = ""
-    version: int = msgspec.field(default=0, name="ver")
+    version: Count = msgspec.field(default=0, name="ver")
     # Encoded as base64 in JSON.
     value: bytes = b""
     part: str = ""
@@ -76,8 +80,8 @@
         Era of the store, from a header; versions of different eras can't be compared.
     """
 
-    version: int = msgspec.field(default=0, name="ver")
-    store_ms: float = msgspec.field(default=0.0, name="nowMs")
+    version: Count = msgspec.field(default=0, name="ver")
+    store_ms: Number = msgspec.field(default=0.0, name="nowMs")
     rows: list[StoredRow] = []
     has_more: bool = msgspec.field(default=False, name="hasMore")
     era: int = 0
@@ -156,7 +160,27 @@
     has_more: bool = msgspec.field(default=False, name="hasMore")
 
 
+class _RowHead(msgspec.Struct):
+    """What the store itself says of a row, without the value of its writer."""
+
+    table: str = ""
+    key: str = ""
+    version: Count = msgspec.field(default=0, name="ver")
+    part: str = ""
+    removed: bool = False
+
+
+class _RawRowsAnswer(msgspec.Struct):
+    version: Count = msgspec.field(default=0, name="ver")
+    store_ms: Number = msgspec.field(default=0.0, name="nowMs")
+    rows: list[msgspec.Raw] = []
+    has_more: bool = msgspec.field(default=False, name="hasMore")
+
+
 _rows_decoder = msgspec.json.Decoder(RowsAnswer)
+_raw_rows_decoder = msgspec.json.Decoder(_RawRowsAnswer)
+_row_decoder = msgspec.json.Decoder(StoredRow)
+_head_decoder = msgspec.json.Decoder(_RowHead)
 _parts_decoder = msgspec.json.Decoder(PartitionNames)
 _names_decoder = msgspec.json.Decoder(ObjectNames)
 
@@ -410,21 +434,49 @@
 
 
 def _decode_answer(answer: ChannelAnswer, decoder: msgspec.json.Decoder) -> Result:
+    return _check_status(answer).bind(lambda data: _decode(decoder.decode, data))
+
+
+def _decode(decode: Callable[[bytes], T], data: bytes) -> Result[T, Fault]:
+    return decode_foreign(
+        decode, data, kind=ErrorKind.STORE_UNAVAILABLE, what="the store's answer"
+    )
+
+
+def _decode_rows_answer(answer: ChannelAnswer) -> Result[RowsAnswer, Fault]:
     checked = _check_status(answer)
-    if isinstance(checked, Failure):
-        return checked
+    return checked.bind(lambda data: _decode(_decode_rows, data)).map(
+        lambda rows: msgspec.structs.replace(rows, era=answer.era)
+    )
+
+
+def _decode_rows(data: bytes) -> RowsAnswer:
+    """Decode rows; one with an unreadable value is empty and hides no others."""
     try:
-        return Success(decoder.decode(answer.data))
-    except (msgspec.DecodeError, UnicodeDecodeError) as error:
-        return fail(
-            ErrorKind.STORE_UNAVAILABLE,
-            f"the store's answer cannot be decoded: {error}",
-        )
+        return _rows_decoder.decode(data)
+    except DECODING_ERRORS:
+        raw = _raw_rows_decoder.decode(data)
+    return RowsAnswer(
+        version=raw.version,
+        store_ms=raw.store_ms,
+        rows=[_decode_row(row) for row in raw.rows],
+        has_more=raw.has_more,
+    )
 
 
-def _decode_rows_answer(answer: ChannelAnswer) -> Result[RowsAnswer, Fault]:
-    decoded: Result[RowsAnswer, Fault] = _decode_answer(answer, _rows_decoder)
-    return decoded.map(lambda rows: msgspec.structs.replace(rows, era=answer.era))
+def _decode_row(data: msgspec.Raw) -> StoredRow:
+    try:
+        return _row_decoder.decode(data)
+    except DECODING_ERRORS:
+        head = _head_decoder.decode(data)
+    # The reader of the table reports that there is nothing that it can read.
+    return StoredRow(
+        table=head.table,
+        key=head.key,
+        version=head.version,
+        part=head.part,
+        removed=head.removed,
+    )
 
 
 def _decode_write_answer(answer: ChannelAnswer) -> Result[WriteAnswer, Fault]:
@@ -432,8 +484,7 @@
     if not committed:
         # The answer has the current rows of the conditions, in the usual format.
         answer = ChannelAnswer(status=OK_STATUS, data=answer.data)
-    decoded: Result[RowsAnswer, Fault] = _decode_answer(answer, _rows_decoder)
-    return decoded.map(
+    return _decode_rows_answer(answer).map(
         lambda rows: WriteAnswer(
             committed=committed,
             version=rows.version,
--- a/carobroute/utils/__init__.py
+++ b/carobroute/utils/__init__.py
@@ -5,6 +5,7 @@
 from carobroute.utils._clock import Clock, ManualClock
 from carobroute.utils._event_loop import forbid_io_uring, run_event_loop
 from carobroute.utils._foreign_data import (
+    DECODING_ERRORS,
     Address,
     Count,
     DatagramAddress,
@@ -31,6 +32,9 @@
     "BoundedDict",
     "Clock",
     "Count",
+    "DECODING_ERRORS",
+    "DatagramAddress",
+    "Duration",
     "DatagramAddress",
     "Duration",
     "Integer",
--- a/carobroute/utils/_foreign_data.py
+++ b/carobroute/utils/_foreign_data.py
@@ -48,7 +48,7 @@
 DatagramAddress = Annotated[str, Meta(pattern=rf"\A{_IPV4}:{_PORT}\Z")]
 
 # What decoders raise for input of any kind. Nesting exhausts the stack.
-_DECODING_ERRORS = (
+DECODING_ERRORS = (
     msgspec.MsgspecError,
     ArithmeticError,
     LookupError,
@@ -90,6 +90,6 @@
     """
     try:
         return Success(decode(data))
-    except _DECODING_ERRORS as error:
+    except DECODING_ERRORS as error:
         why = repr(error)[:MAX_DETAIL_LENGTH]
         return fail(kind, f"{what} cannot be decoded: {why}")
