--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -80,11 +80,10 @@
         Times and bounds.
     """
 
-    __slots__ = ("_address", "_base", "_fresh", "_parameters", "_pooled")
+    __slots__ = ("_address", "_fresh", "_parameters", "_pooled")
 
     def __init__(self, *, address: str, parameters: EngineParameters):
         self._address = address.rstrip("/")
-        self._base = URL(self._address, encoded=True)
         self._parameters = parameters
         self._pooled: aiohttp.ClientSession | None = None
         self._fresh: aiohttp.ClientSession | None = None
@@ -252,10 +251,11 @@
 
         A URL with a query of its own would lose an empty one, and any fragment.
         """
+        base = URL(self._address, encoded=True)
         return URL.build(
-            scheme=self._base.scheme,
-            authority=self._base.raw_authority,
-            path=self._base.raw_path.rstrip("/") + path,
+            scheme=base.scheme,
+            authority=base.raw_authority,
+            path=base.raw_path.rstrip("/") + path,
             encoded=True,
         )
 
