Don't believe early ends only because many ends were confirmed

Cause: after 6 confirmed ends in a row, every orderly end in the service was believed, whatever it looked like, and no target was asked any more.

Now the last events of complete streams are learned by service: lines that the last events of 6 streams in a row had, and no earlier event has, such as data: [DONE] or the identifier of a fixed last event. An end with these lines is believed without a question. One that lacks them is confirmed, or broken off if no retry is left. Where nothing tells the last event, the target is asked while half of the retry budget is left for failures and no call waits, and its end is believed otherwise, unless it has broken off in order before. In a service with a record, an orderly resumption that brings nothing confirms the end, also one that the caller asked for, so callers don't resume for ever.

What is left: where all streams of a service lack a framing and nothing tells the last event, a first early end is noticed only if it is among those that are asked about. The bytes are those of a whole stream, and the retry budget allows a repeat of about one call in seven; breaking off all others would cut most whole streams of such a service, with nothing amiss.

--- a/carobroute/gateway/_end_history.py
+++ b/carobroute/gateway/_end_history.py
@@ -20,11 +20,19 @@
     >>> history.note_proof(found_events=True)
     >>> history.is_proven
     False
+    >>> history.has_broken_off
+    True
     """
 
-    __slots__ = ("_is_resumption_unframed", "_proven_count", "framing")
+    __slots__ = (
+        "_has_broken_off",
+        "_is_resumption_unframed",
+        "_proven_count",
+        "framing",
+    )
 
     def __init__(self) -> None:
+        self._has_broken_off = False
         self._proven_count = 0
         self._is_resumption_unframed = False
         # Framing of the last stream; None before the first.
@@ -35,6 +43,11 @@
         """Whether its last streams without a framing were proven complete."""
         return self._proven_count >= MIN_PROVEN_ENDS
 
+    @property
+    def has_broken_off(self) -> bool:
+        """Whether a stream that it ended in order was found to lack events."""
+        return self._has_broken_off
+
     @property
     def is_resumption_unframed(self) -> bool:
         """Whether its last resumed stream had neither a length nor chunks."""
@@ -55,3 +68,4 @@
             Whether the answer brought events, so that the stream had broken off.
         """
         self._proven_count = 0 if found_events else self._proven_count + 1
+        self._has_broken_off = self._has_broken_off or found_events
--- a/carobroute/gateway/_event_framing.py
+++ b/carobroute/gateway/_event_framing.py
@@ -31,6 +31,7 @@
         "_buffer",
         "_can_resume",
         "_has_event",
+        "_identified_events",
         "_repeats_events",
         "_resumed_id",
         "last_event_id",
@@ -40,6 +41,8 @@
         self._buffer = b""
         self._can_resume = True
         self._has_event = False
+        # The last data that has an identifier.
+        self._identified_events = b""
         self._repeats_events = False
         # Event after which the current stream should go on, until its first one.
         self._resumed_id = ""
@@ -55,6 +58,30 @@
         """Whether the current stream has had an event, and not comments alone."""
         return self._has_event
 
+    @property
+    def identified_events(self) -> bytes:
+        """Events that were completed at once, the last ones with an identifier."""
+        return self._identified_events
+
+    @property
+    def last_event(self) -> bytes:
+        """Bytes of the last event with an identifier, and of all after it."""
+        return self._identified_events[self._last_event_offset :]
+
+    @property
+    def events_before_last(self) -> bytes:
+        """Those of `identified_events` that come before `last_event`."""
+        return self._identified_events[: self._last_event_offset]
+
+    @property
+    def _last_event_offset(self) -> int:
+        events, offset = self._identified_events, 0
+        for match in _EVENT_END.finditer(events):
+            if not _EVENT_ID.search(events, match.end()):
+                break
+            offset = match.end()
+        return offset
+
     @property
     def can_resume(self) -> bool:
         """Whether another stream can go on after the last event, by its identifier."""
@@ -90,6 +117,7 @@
             self._repeats_events = not _is_after(first_id, self._resumed_id)
             self._resumed_id = ""
         self.last_event_id = ids[-1][1].decode("latin-1")
+        self._identified_events = events
         end = _EVENT_END.search(events, ids[-1].end())
         self._can_resume = end is None or not _EVENT_DATA.search(events, end.end())
 
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -72,6 +72,7 @@
         "_call",
         "_context",
         "_excluded_targets",
+        "_is_end_noted",
         "_may_have_run",
         "_parts",
         "_record",
@@ -95,6 +96,8 @@
         self._sent_count = 0
         self._excluded_targets: set[str] = set()
         self._may_have_run = False
+        # Whether the last event of the stream has been noted as such.
+        self._is_end_noted = False
         self._unproven_end: UnprovenEnd | None = None
         # Event after which the caller resumes a stream of an earlier call.
         self._resumed_event_id = ""
@@ -651,11 +654,12 @@
             is_resumption=is_resumption,
             on_events=self._parts.note_events,
         )
-        self._note_proof(response)
+        self._note_proof(target, response)
         verdict = await self._context.stream_ends.judge(
             target,
             response.framing,
-            is_resumable=self._can_resume and self._should_confirm(target),
+            is_resumable=self._can_resume
+            and self._should_confirm(target, is_resumption=is_resumption),
         )
         if verdict is EndVerdict.BROKEN:
             raise aiohttp.ClientPayloadError("the target has crashed")
@@ -672,26 +676,53 @@
         caller_response = await self._relay.finish(response)
         return Attempt(outcome=AttemptOutcome.ANSWERED, response=caller_response)
 
-    def _note_proof(self, response: WatchedResponse) -> None:
-        """Note what a resumption proves of the stream that it goes on with."""
+    def _note_proof(self, target: Target, response: WatchedResponse) -> None:
+        """Note what an answer that has ended proves of its stream, and of one before.
+
+        An answer that brings nothing confirms the end of the stream before it. Without
+        a framing, that is no proof, but it counts as one for the last event.
+        """
         end = self._unproven_end
-        if end is None:
-            return
         found_events = self._relay.has_events
-        if found_events or response.framing is not Framing.CONNECTION:
+        is_framed = response.framing is not Framing.CONNECTION
+        if end is not None and (found_events or is_framed):
             end.target.stream_ends.note_proof(found_events=found_events)
+        is_confirmed = end is not None and not found_events
+        if not self._is_end_noted and (is_framed or is_confirmed):
+            self._is_end_noted = True
+            self._relay.note_final_event(target.entry.service)
 
-    def _should_confirm(self, target: Target) -> bool:
-        """Whether an end of a target's stream without a framing needs a proof.
+    def _should_confirm(self, target: Target, *, is_resumption: bool) -> bool:
+        """Whether the end of a stream without a framing has to be confirmed.
 
-        One of a trusted target gets it only where that takes nothing from others.
+        It need not be if its last event is known to be the last one, or if an answer to
+        a resumption brought no events. Otherwise, the end of a trusted target is
+        confirmed where that takes nothing from other calls, and an unusual one always.
         """
-        if not self._context.stream_ends.is_trusted(target):
-            return True
+        judge, budget = self._context.stream_ends, self._context.retry_budget
         service = self._call.service.name
-        return self._context.retry_budget.has_spare(
-            service
-        ) and not self._context.dispatcher.queue_length(service)
+        final_event = judge.final_event(service)
+        if final_event.is_final(self._relay.last_event):
+            return False
+        if is_resumption and not self._relay.has_events and judge.has_record(target):
+            return (
+                target.stream_ends.has_broken_off
+                and budget.remaining(service) >= 1.0
+                and self._has_other_target(target)
+            )
+        if final_event.is_known or not judge.is_trusted(target):
+            return True
+        is_busy = self._context.dispatcher.queue_length(service) > 0
+        return budget.has_spare(service) and not is_busy
+
+    def _has_other_target(self, target: Target) -> bool:
+        """Whether a target other than `target` may be asked for the rest."""
+        return self._can_fail_over and any(
+            other.is_usable
+            and other is not target
+            and other.incarnation not in self._excluded_targets
+            for other in self._context.directory.targets(target.entry.service)
+        )
 
     async def _believe_end(self) -> web.StreamResponse | None:
         """End the caller's response, if a trusted target's end could not be confirmed.
@@ -699,13 +730,15 @@
         Returns
         -------
         response : web.StreamResponse or None
-            None if the target isn't trusted or has crashed, or if events came later.
+            None if the target isn't trusted or has crashed, if events came later, or if
+            the last event of the service's streams is known to be another one.
         """
         end = self._unproven_end
         if end is None or end.last_event_id != self._relay.last_event_id:
             return None
         judge = self._context.stream_ends
-        if not judge.is_trusted(end.target):
+        is_unusual = judge.final_event(self._call.service.name).is_known
+        if is_unusual or not judge.is_trusted(end.target):
             return None
         verdict = await judge.judge(
             end.target, end.response.framing, is_resumable=False
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -87,6 +87,11 @@
         """Whether the current target's stream has had an event."""
         return self._framer.has_event
 
+    @property
+    def last_event(self) -> bytes:
+        """Last event that was relayed, if events have identifiers."""
+        return self._framer.last_event
+
     @property
     def partial_event_bytes(self) -> int:
         """Size of the event that the current target has begun and not completed."""
@@ -162,6 +167,12 @@
         ):
             raise aiohttp.ClientPayloadError("the stream ended before its first event")
 
+    def note_final_event(self, service: str) -> None:
+        """Note that the stream is complete with the events that were relayed."""
+        final_event = self._context.stream_ends.final_event(service)
+        final_event.note_passed(self._framer.events_before_last)
+        final_event.note_final(self._framer.last_event)
+
     async def finish(self, response: WatchedResponse) -> web.StreamResponse:
         """End the caller's response as complete, and return it.
 
@@ -202,8 +213,12 @@
     ) -> None:
         pass_time_estimator = self._context.pass_time_estimators.get(target.group)
         breaker = self._context.dispatcher.circuit_breaker(target)
+        final_event = self._context.stream_ends.final_event(target.entry.service)
         while data := await response.content.readany():
+            earlier_events = self._framer.identified_events
             events = self._framer.feed(data)
+            if self._framer.identified_events is not earlier_events:
+                final_event.note_passed(earlier_events)
             self._check_partial_event()
             if self._framer.repeats_events:
                 raise aiohttp.ClientPayloadError("the resumption repeats events")
--- a/carobroute/gateway/_stream_ends.py
+++ b/carobroute/gateway/_stream_ends.py
@@ -5,6 +5,7 @@
 
 from carobroute.engines import Framing
 from carobroute.gateway._crash_detector import CrashDetector
+from carobroute.gateway._final_events import FinalEventLines
 from carobroute.gateway._targets import Target
 
 # Ends of streams without a length or chunks, confirmed one after the other, after which
@@ -54,13 +55,21 @@
     False
     """
 
-    __slots__ = ("_confirmed", "_detector")
+    __slots__ = ("_confirmed", "_detector", "_final_events")
 
     def __init__(self, *, detector: CrashDetector):
         self._detector = detector
         # Ends without framing that were confirmed since the last stream with one, or
         # the last end that was not, by service.
         self._confirmed: dict[str, int] = {}
+        self._final_events: dict[str, FinalEventLines] = {}
+
+    def final_event(self, service: str) -> FinalEventLines:
+        """Return what tells the last event of a service's streams from the others."""
+        lines = self._final_events.get(service)
+        if lines is None:
+            lines = self._final_events[service] = FinalEventLines()
+        return lines
 
     def note_framing(self, service: str, framing: Framing) -> None:
         """Note the framing of a service's stream."""
@@ -77,8 +86,10 @@
         found_events : bool
             Whether it brought events, so that the first stream had broken off.
         """
-        confirmed = self._confirmed.get(service, 0)
-        self._confirmed[service] = 0 if found_events else confirmed + 1
+        if not found_events:
+            self._confirmed[service] = self._confirmed.get(service, 0) + 1
+        elif not self.is_usually_unframed(service):
+            self._confirmed[service] = 0
 
     def is_usually_unframed(self, service: str) -> bool:
         """Return whether the service's streams have neither a length nor chunks.
@@ -88,7 +99,14 @@
         return self._confirmed.get(service, 0) >= UNFRAMED_STREAK
 
     def is_trusted(self, target: Target) -> bool:
-        """Return whether ends of a target's streams may be believed without a proof."""
+        """Return whether ends of a target's streams may be believed unconfirmed."""
+        return not target.stream_ends.has_broken_off and self.has_record(target)
+
+    def has_record(self, target: Target) -> bool:
+        """Return whether ends of the target's or service's streams were confirmed.
+
+        Then an orderly answer without events confirms an end, also without a framing.
+        """
         return target.stream_ends.is_proven or self.is_usually_unframed(
             target.entry.service
         )
@@ -135,7 +153,7 @@
         """
         if framing is not Framing.CONNECTION:
             return EndVerdict.COMPLETE
-        if is_resumable and not self.is_usually_unframed(target.entry.service):
+        if is_resumable:
             return EndVerdict.UNPROVEN
         has_crashed = await self._detector.refuses_connections(target)
         return EndVerdict.BROKEN if has_crashed else EndVerdict.COMPLETE
