Accept keys throughout after a restored store whose copy is current

Callers saw: after the store came back from a copy that held the active configuration, without an outage, three gateways refused all keyed calls for 3.2 s.

Cause: an answer proves nothing in the two seconds in which the operator may write again, and the next proof came only from a watch sent after them, at its end. In the worst case two watches (one across the eras, which proves nothing) and the two seconds lie between two proofs: 2 x 1.8 s + 2 s, more than the 4.6 s for which a proof is valid.

Now what is sent in the two seconds ends with them, and a read follows, which is answered at once. A watch lasts 1.15 s at most, so two of them and the two seconds fit: 4.3 s. That was the length for gateways with followers already, so that case needs no rule of its own.

--- a/carobroute/gateway/_parameters.py
+++ b/carobroute/gateway/_parameters.py
@@ -13,7 +13,8 @@
     ----------
     max_watch_ms : float
         Maximum duration of one watch of the configuration. It exceeds the second for
-        which the store may withhold changes.
+        which the store may withhold changes. Two watches, and the time in which the
+        operator writes again after a restored store, fit into the validity of a proof.
     watch_ratio : float
         Maximum duration of a watch as a part of the validity of a proof, so that two
         watches fit into it.
@@ -66,7 +67,7 @@
         Longest time for which a target gets no calls because it has asked for that.
     """
 
-    max_watch_ms: float = 1_800.0
+    max_watch_ms: float = 1_150.0
     watch_ratio: float = 0.4
     target_poll_ratio: float = 0.4
     store_retry_min_ms: float = 100.0
@@ -131,7 +132,7 @@
         --------
         >>> parameters = GatewayParameters()
         >>> parameters.watch_timeout_ms(5_000), parameters.watch_timeout_ms(0)
-        (1800.0, 1800.0)
+        (1150.0, 1150.0)
         >>> parameters.watch_timeout_ms(2_000)
         640.0
         """
--- a/carobroute/gateway/_shared_reads.py
+++ b/carobroute/gateway/_shared_reads.py
@@ -184,11 +184,6 @@
         self.is_configuration_outdated = False
         self.is_target_list_outdated = False
 
-    @property
-    def has_followers(self) -> bool:
-        """Whether there are more gateways than readers."""
-        return len(self._peers()) >= READER_COUNT
-
     @property
     def newest_peer_version(self) -> int:
         """Newest version of the configuration that a live peer knows; -1 for none."""
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -35,9 +35,6 @@
 FIRST_DIGESTS_MS = 700.0
 # Interval at which a gateway that follows its peers checks whether it must read.
 FOLLOW_CHECK_INTERVAL_MS = 40.0
-# Longest watch of a gateway whose proofs others use. It exceeds the second for which
-# the store may withhold changes.
-MAX_FOLLOWED_WATCH_MS = 1_150.0
 
 
 class Backoff:
@@ -301,8 +298,12 @@
         The operator may have replaced the configuration of the copy, and not have
         written again yet.
         """
-        is_settled = self._was_rewritten or sent_ms >= self._restored_ms + REWRITE_MS
-        if self._configuration.table is not None and is_settled:
+        settled_ms = self._restored_ms + REWRITE_MS
+        if not self._was_rewritten and sent_ms < settled_ms:
+            if self._clock.boot_time_ms() >= settled_ms:
+                # A read gives a newer proof than a watch would.
+                self._version = None
+        elif self._configuration.table is not None:
             self._configuration.confirm_current(sent_ms, store_ms)
 
     async def _read_or_watch(self) -> Result[RowsAnswer, Fault]:
@@ -313,8 +314,11 @@
                 end=CONFIGURATION_KEY + "\0",
             )
         wait_ms = self._wait_ms
-        if self._shared and self._shared.has_followers:
-            wait_ms = min(wait_ms, MAX_FOLLOWED_WATCH_MS)
+        if not self._was_rewritten:
+            # What is sent before the end of this time proves nothing.
+            remaining_ms = self._restored_ms + REWRITE_MS - self._clock.boot_time_ms()
+            if remaining_ms > 0:
+                wait_ms = min(wait_ms, remaining_ms)
         return await self._store.watch(
             CONFIGURATION_TABLE, after=self._version, wait_ms=wait_ms
         )
--- a/carobroute/gateway/tests/test_restored_store.py
+++ b/carobroute/gateway/tests/test_restored_store.py
@@ -101,7 +101,6 @@
 
 
 # Guards against seconds in which all keyed calls are refused, though nothing was lost.
-@pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 34")
 async def test_keys_are_accepted_all_the_time_if_the_copy_is_current(scenario):
     configure(scenario, 4)
     await poll_for(scenario, 2_000)
@@ -140,6 +139,29 @@
     run_virtual(main(), loop)
 
 
+# Guards against seconds in which a whole fleet refuses keyed calls after a restore.
+@pytest.mark.parametrize("size", [3, 14])
+@pytest.mark.parametrize("restored_after_ms", [3_000.0, 3_450.0, 3_900.0])
+def test_a_fleet_accepts_keys_all_the_time_if_the_copy_is_current(
+    size, restored_after_ms
+):
+    refusing = []
+
+    async def scenario(fleet):
+        await fleet.clock.sleep_ms(restored_after_ms)
+        fleet.store.restore(fleet.store.copy())
+        for _ in range(200):
+            await fleet.clock.sleep_ms(50.0)
+            refusing.extend(
+                gateway.name
+                for gateway in fleet.gateways
+                if not gateway.configuration.accepts_keys
+            )
+
+    run_fleet(scenario, size=size)
+    assert refusing == []
+
+
 # Guards against a new gateway that serves what the store of its peers had replaced.
 @pytest.mark.parametrize("hears_peers", [True, False])
 def test_a_gateway_that_starts_takes_no_configuration_older_than_its_peers(hears_peers):
--- a/carobroute/testing/shared_reads_data.py
+++ b/carobroute/testing/shared_reads_data.py
@@ -230,15 +230,18 @@
             clock=self.clock, store_outage_ms=1_500.0, lapsed_grace_ms=2_200.0
         )
         self.changes: list[DirectoryChange] = []
+        parameters = GatewayParameters()
         shared: dict[str, Any] = {
             "store": self.store,
-            "parameters": GatewayParameters(),
+            "parameters": parameters,
             "events": EventLog(name="t", stream=self.log, clock=self.clock),
             "clock": self.clock,
             "random": random.Random(1),
         }
         self.watcher = ConfigurationWatcher(
-            configuration=self.active, wait_ms=1_800.0, **shared
+            configuration=self.active,
+            wait_ms=parameters.watch_timeout_ms(REVOKE_MS),
+            **shared,
         )
         self.poller = TargetListPoller(
             directory=self.directory,
