Draw the ports of a gateway in tests so that none comes twice

Seen once: a gateway of the tests did not start, "address already in use" on a port of its own. Cause: the harness drew three ports one after the other, freed each at once, and the store took any free one afterwards; peers use the port after theirs as well. Of 100,000 draws 21 had a port twice, or one right before another.

Now all probes are held until three ports and the ones after them are bound, and the store has its port before. A port can still be taken by another program between the drawing and the start of the process: the address is one that hardly anybody else uses.

--- a/carobroute/testing/_gateway_run.py
+++ b/carobroute/testing/_gateway_run.py
@@ -1,6 +1,7 @@
 """A gateway as a process of its own, on a platform stand-in in this process."""
 
 import asyncio
+import contextlib
 import os
 import random
 import socket
@@ -28,6 +29,8 @@
 from carobroute.web import WebSite
 
 STOP_TIMEOUT_S = 20.0
+# For callers, for the readiness check and for peers.
+PORT_COUNT = 3
 # The users' platform kills a process 8 s after the signal to stop.
 STOP_MS = 8_000.0
 RUN_GATEWAY = (
@@ -73,7 +76,7 @@
         # The metrics port is fixed, so each process has a loopback address of its own.
         numbers = random.SystemRandom()
         self._ip = "127." + ".".join(str(numbers.randint(2, 250)) for _ in range(3))
-        self._ports = (_free_port(self._ip), _free_port(self._ip), _free_port(self._ip))
+        self._ports: tuple[int, int, int]
         self._site = WebSite(
             application=self.platform.application(), bind=f"{self._ip}:0"
         )
@@ -118,7 +121,9 @@
 
     async def start(self) -> "GatewayRun":
         """Start the store and the process, and wait until it is ready."""
+        # The store takes its port first, so it is none of those that are drawn.
         address = await self._site.start()
+        self._ports = draw_ports(self._ip)
         data = encode_settings(
             name=self._name,
             data_centre="a",
@@ -183,7 +188,23 @@
             self.lines.append(line.decode(errors="replace").rstrip())
 
 
-def _free_port(ip: str) -> int:
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def draw_ports(ip: str) -> tuple[int, int, int]:
+    """Return three free ports of an address, each with the next one free.
+
+    They and the next ones are all different: peers use two ports in a row.
+    """
+    with contextlib.ExitStack() as held:
+        ports: list[int] = []
+        while len(ports) < PORT_COUNT:
+            # A probe is held until all ports are drawn, so that none comes twice.
+            probe, following = (
+                held.enter_context(socket.socket()),
+                held.enter_context(socket.socket()),
+            )
+            probe.bind((ip, 0))
+            port = probe.getsockname()[1]
+            with contextlib.suppress(OSError, OverflowError):
+                following.bind((ip, port + 1))
+                ports.append(port)
+        callers, ready, peers = ports
+        return callers, ready, peers
