Keep the proof of tests with long runs of streams from expiring

Traced: the harness proves its configuration once, at its start, and keys are refused 4.6 s later; the length of the body is that of this refusal (shown by a call 4.7 s after the proof), and a starved process takes longer for its 120 streams. The limit is a parameter of the harness now, with the value that it had, and the two tests that send many streams have none; their checks are as before.

--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -45,6 +45,9 @@
         Active configuration; None for one route to the service `orders`.
     parameters : GatewayParameters, default=None
         Timeouts and limits.
+    revoke_ms : float, default=5000.0
+        Time after which a revoked key must not be accepted, so that the configuration
+        is proved no more; 0 for no limit.
     """
 
     def __init__(
@@ -52,6 +55,7 @@
         *,
         configuration: RoutingConfiguration | None = None,
         parameters: GatewayParameters | None = None,
+        revoke_ms: float = 5_000.0,
     ):
         self.clock = Clock()
         self.log = io.StringIO()
@@ -59,7 +63,7 @@
             connect_timeout_ms=CONNECT_TIMEOUT_MS
         )
         self.configuration = ActiveConfiguration(
-            clock=self.clock, revoke_ms=5_000.0, margin_ms=400.0
+            clock=self.clock, revoke_ms=revoke_ms, margin_ms=400.0
         )
         self.configuration.apply(configuration or make_configuration())
         self.configuration.confirm_current(self.clock.boot_time_ms())
--- a/carobroute/gateway/tests/test_early_ends.py
+++ b/carobroute/gateway/tests/test_early_ends.py
@@ -44,7 +44,10 @@
         self.last_data = last_data or data
         self.framed_targets = framed_targets
         self.runs = []
-        self.harness = GatewayHarness(configuration=make_configuration(routes=[ROUTE]))
+        # Without a limit on the age of the configuration's proof, which nothing renews.
+        self.harness = GatewayHarness(
+            configuration=make_configuration(routes=[ROUTE]), revoke_ms=0.0
+        )
         self.harness.context.retry_budget = self.budget = RetryBudget(
             clock=self.harness.clock, window_ms=60_000.0, share=0.2, slack=slack
         )
--- a/carobroute/gateway/tests/test_mixed_framings.py
+++ b/carobroute/gateway/tests/test_mixed_framings.py
@@ -102,7 +102,10 @@
 ):
     runs = []
     scripts = [make_target(number < framed_count, runs) for number in range(TARGETS)]
-    harness = GatewayHarness(configuration=make_configuration(routes=[ROUTE]))
+    # Without a limit on the age of the configuration's proof, which nothing renews.
+    harness = GatewayHarness(
+        configuration=make_configuration(routes=[ROUTE]), revoke_ms=0.0
+    )
     harness.context.retry_budget = RetryBudget(
         clock=harness.clock, window_ms=10_000.0, share=0.2, slack=BUDGET_SLACK
     )
