--- a/carobroute/web/tests/test_site.py
+++ b/carobroute/web/tests/test_site.py
@@ -279,3 +279,62 @@
         assert 0 < sum(timeouts) <= 0.05
         assert await end_of(reader) == b""
         writer.close()
+
+
+class Held:
+    """A site whose handler waits, and notes what it knows when it is cancelled."""
+
+    def __init__(self, **options):
+        self.lost = []
+        self.cuts = []
+        self.begun = asyncio.Event()
+        application = web.Application()
+        application.router.add_get("/", self._hold)
+        self.site = WebSite(
+            application=application,
+            bind="127.0.0.1:0",
+            on_cut=lambda reason, connection: self.cuts.append(reason),
+            **options,
+        )
+
+    async def _hold(self, request):
+        self.begun.set()
+        try:
+            await asyncio.Event().wait()
+        except asyncio.CancelledError:
+            self.lost.append(request.protocol.is_lost)
+            raise
+
+    async def connect(self):
+        host, _, port = (await self.site.start()).rpartition(":")
+        return await asyncio.open_connection(host, int(port))
+
+
+@pytest.mark.parametrize("by_caller", [True, False])
+async def test_a_handler_that_is_cancelled_knows_whether_its_client_has_left(by_caller):
+    held = Held(stop_timeout_ms=200.0)
+    _, writer = await held.connect()
+    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    await held.begun.wait()
+    if by_caller:
+        writer.close()
+        await wait_until(lambda: held.lost, what="the handler is cancelled")
+    await held.site.stop()
+    await wait_until(lambda: held.lost, what="the handler is cancelled")
+    assert held.lost == [by_caller]
+    assert held.cuts == []
+    writer.close()
+
+
+async def test_connections_that_end_before_a_request_are_told_with_a_reason():
+    held = Held(header_timeout_ms=50.0, max_connections=1, stop_timeout_ms=200.0)
+    reader, writer = await held.connect()
+    writer.write(b"GET / HTTP/1.1\r\nHost: ")
+    host, port = writer.get_extra_info("peername")
+    refused, second = await asyncio.open_connection(host, port)
+    await end_of(refused)
+    await end_of(reader)
+    assert held.cuts == ["connection_limit", "header_timer"]
+    for one in (writer, second):
+        one.close()
+    await held.site.stop()
