Answer 502 where a plain answer cannot be written

A plain answer was written by the HTTP server after the handler had returned. Where the server's library refused it, the caller's kept connection was closed without an answer, and nothing in the gateway's log told it. Control characters in headers were one case; any other refusal had the same end.

The exchange writes the answer itself now, as it does for streams. If it is refused before a byte has left, the caller gets a 502 on the same connection, and answer_unwritable names the request, the target and the error. A caller that has left by then is told by connection_cut. The server takes a short answer whole, so a caller that leaves while the kernel still sends it is not seen; a test of that was tried and dropped.

A test with a refusal seeded in the process: IncompleteReadError after 0 bytes before, a 502 and an open connection now.

--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -268,6 +268,16 @@
             **call,
         )
 
+    def note_unwritable(self, record: CallRecord, error: str) -> None:
+        """Log that the HTTP library refuses to write an answer."""
+        self._events.event(
+            "answer_unwritable",
+            level="error",
+            request=record.request_id,
+            target=record.last_target,
+            error=error,
+        )
+
     def observe_wait(self, service: str, waited_ms: float) -> None:
         """Observe the time that a call waited for a target."""
         self._waits.labels(service).observe(waited_ms)
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -110,8 +110,7 @@
             response, outcome = await self._serve()
             status = response.status
         except asyncio.CancelledError:
-            is_lost = self._connection.is_lost
-            self._note_cut("caller_left" if is_lost else "stop")
+            self._note_cancelled()
             raise
         except Exception as error:
             response, outcome = self._answer_unexpected(error)
@@ -122,8 +121,36 @@
             )
         if self._context.should_close_connections and not response.prepared:
             response.force_close()
+        return await self._deliver(response)
+
+    async def _deliver(self, response: web.StreamResponse) -> web.StreamResponse:
+        """Write a response that has not been begun, and return what was written."""
+        if response.prepared:
+            return response
+        try:
+            await response.prepare(self._request)
+            await response.write_eof()
+        except asyncio.CancelledError:
+            self._note_cancelled()
+            raise
+        except ConnectionError as error:
+            self._note_cut("caller_left", f"cannot write the answer: {error!r}")
+        except Exception as error:
+            if self._request.writer.output_size:
+                self._note_cut("exception", repr(error))
+                raise
+            # Nothing was written, so the server can write another answer.
+            fault = Fault(
+                kind=ErrorKind.TARGET_FAILED,
+                detail=f"the answer cannot be written: {type(error).__name__}",
+            )
+            self._context.recorder.note_unwritable(self._record, repr(error))
+            return error_response(fault, self._record.request_id)
         return response
 
+    def _note_cancelled(self) -> None:
+        self._note_cut("caller_left" if self._connection.is_lost else "stop")
+
     @property
     def _connection(self) -> ClientConnection:
         connection = self._request.protocol
--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -489,6 +489,38 @@
     assert "seeded" in cut["detail"]
 
 
+REFUSE = """
+from aiohttp import web
+
+prepare = web.Response.prepare
+
+async def refuse(self, request):
+    if "X-Refused" in self.headers:
+        raise ValueError("seeded")
+    return await prepare(self, request)
+
+web.Response.prepare = refuse
+"""
+
+
+@pytest.mark.parametrize("patch", [REFUSE])
+async def test_an_answer_that_cannot_be_written_is_a_502(desk):
+    """The server closed the connection without an answer."""
+
+    async def answer(call):
+        await call.answer(body=b"1 bell", X_Refused="1")
+
+    desk.order_script = answer
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        answered = await caller.ask("r-1", "/once/1", method="POST")
+        assert answered.status == 502 and b'"outcome":"unknown"' in answered.body
+        await warm_up(caller)
+    await wait_until(
+        lambda: desk.events("answer_unwritable"), what="the refusal is told"
+    )
+
+
 async def caller_left_alone(desk):
     """Return the lines about connections, after one that is expected."""
 
