Find the last event where several arrive at once

Where the last data of a stream held several events, the lines of the last but one were learned as lines of the last event, too. The search for an identifier began right after the end of an event, and so missed the line ending before the identifier.

An event that was not the last one was never taken for it, since all learned lines have to be there; whole streams might be asked about needlessly.

The search also takes time in proportion to the data now. Before, many events without an identifier ahead of one with it took its square.

--- a/carobroute/gateway/_event_framing.py
+++ b/carobroute/gateway/_event_framing.py
@@ -25,6 +25,8 @@
     b''
     >>> framer.feed(b"\\nid: 9\\rdata: c\\r\\r")
     b'id: 8\\ndata: b\\r\\n\\r\\nid: 9\\rdata: c\\r\\r'
+    >>> framer.last_event
+    b'id: 9\\rdata: c\\r\\r'
     """
 
     __slots__ = (
@@ -32,6 +34,7 @@
         "_can_resume",
         "_has_event",
         "_identified_events",
+        "_last_id_offset",
         "_repeats_events",
         "_resumed_id",
         "last_event_id",
@@ -43,6 +46,7 @@
         self._has_event = False
         # The last data that has an identifier.
         self._identified_events = b""
+        self._last_id_offset = 0
         self._repeats_events = False
         # Event after which the current stream should go on, until its first one.
         self._resumed_id = ""
@@ -76,9 +80,7 @@
     @property
     def _last_event_offset(self) -> int:
         events, offset = self._identified_events, 0
-        for match in _EVENT_END.finditer(events):
-            if not _EVENT_ID.search(events, match.end()):
-                break
+        for match in _EVENT_END.finditer(events, 0, self._last_id_offset):
             offset = match.end()
         return offset
 
@@ -118,6 +120,7 @@
             self._resumed_id = ""
         self.last_event_id = ids[-1][1].decode("latin-1")
         self._identified_events = events
+        self._last_id_offset = ids[-1].start(1)
         end = _EVENT_END.search(events, ids[-1].end())
         self._can_resume = end is None or not _EVENT_DATA.search(events, end.end())
 
--- a/carobroute/gateway/tests/test_early_ends.py
+++ b/carobroute/gateway/tests/test_early_ends.py
@@ -188,6 +188,21 @@
     assert len(caller.runs) == 10
 
 
+# Guards against lines of an earlier event that are taken for those of the last one,
+# where a stream arrives at once.
+async def test_no_event_before_the_last_is_taken_for_it():
+    caller = Caller(slack=BUDGET_SLACK, last_data="[DONE]")
+
+    async def use():
+        await caller.build_record(COUNT)
+        final_event = caller.harness.context.stream_ends.final_event("orders")
+        last = f"id: {COUNT}\ndata: [DONE]\n\n".encode()
+        with_earlier = f"id: {COUNT - 1}\n".encode() + last
+        return final_event.is_final(last), final_event.is_final(with_earlier)
+
+    assert await play(caller, use) == (True, True)
+
+
 # Guards against the same where nothing tells the last event, and retries are left.
 @pytest.mark.parametrize("framed_targets", [(), (0,), (0, 1)])
 async def test_an_early_end_is_resumed_while_retries_are_to_spare(framed_targets):
