Log why an unproven end of a stream is believed

A stream that was taken for complete without a proof left the same line as a proven one. `end_believed` names the target, the reason and the last event; like all decisions about a call, it is logged where the call fails or is sampled.

--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -685,7 +685,8 @@
         verdict = await self._context.stream_ends.judge(
             target,
             response.framing,
-            is_resumable=self._can_resume
+            is_resumable=response.framing is Framing.CONNECTION
+            and self._can_resume
             and self._should_confirm(target, is_resumption=is_resumption),
         )
         if verdict is EndVerdict.BROKEN:
@@ -730,17 +731,32 @@
         service = self._call.service.name
         final_event = judge.final_event(service)
         if final_event.is_final(self._relay.last_event):
+            self._note_believed(target, "final_event")
             return False
         if is_resumption and not self._relay.has_events and judge.has_record(target):
-            return (
+            if (
                 target.stream_ends.has_broken_off
                 and budget.remaining(service) >= 1.0
                 and self._has_other_target(target)
-            )
+            ):
+                return True
+            self._note_believed(target, "nothing_resumed")
+            return False
         if final_event.is_known or not judge.is_trusted(target):
             return True
         is_busy = self._context.dispatcher.queue_length(service) > 0
-        return budget.has_spare(service) and not is_busy
+        if budget.has_spare(service) and not is_busy:
+            return True
+        self._note_believed(target, "record")
+        return False
+
+    def _note_believed(self, target: Target, reason: str) -> None:
+        self._record.note(
+            "end_believed",
+            target=target.incarnation,
+            reason=reason,
+            last_event=self._relay.last_event_id,
+        )
 
     def _has_other_target(self, target: Target) -> bool:
         """Whether a target other than `target` may be asked for the rest."""
@@ -772,6 +788,7 @@
         )
         if verdict is not EndVerdict.COMPLETE:
             return None
+        self._note_believed(end.target, "unconfirmed")
         self._parts.note_answered()
         return await self._relay.finish(end.response)
 
