Read prompts and answers of engines through the boundary as well

A caller's body that nests some thousand levels deep raised RecursionError in `prompt_text`, and an engine's answer did in the decoding of its load and its events. Both go through `decode_foreign`: such a body has no prompt that could be matched, and such an answer is a fault of the target.

--- a/carobroute/engines/_openai.py
+++ b/carobroute/engines/_openai.py
@@ -22,7 +22,7 @@
 from carobroute.engines._stream import ResumingStream
 from carobroute.engines._watched import WatchedResponse
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.utils import Clock
+from carobroute.utils import Clock, decode_foreign
 
 PRIORITY_HEADER = "X-Priority"
 REQUEST_ID_HEADER = "X-Request-Id"
@@ -209,8 +209,9 @@
 def _decoded(answer: Result[bytes, Fault], kind: type[T]) -> Result[T, Fault]:
     if isinstance(answer, Failure):
         return answer
-    data = answer.unwrap()
-    try:
-        return Success(msgspec.json.decode(data, type=kind))
-    except msgspec.DecodeError as error:
-        return fail(ErrorKind.TARGET_FAILED, f"unreadable {kind.__name__}: {error}")
+    return decode_foreign(
+        lambda data: msgspec.json.decode(data, type=kind),
+        answer.unwrap(),
+        kind=ErrorKind.TARGET_FAILED,
+        what=kind.__name__,
+    )
--- a/carobroute/engines/_prompt.py
+++ b/carobroute/engines/_prompt.py
@@ -3,6 +3,9 @@
 import msgspec
 import xxhash
 
+from carobroute.errors import ErrorKind
+from carobroute.utils import decode_foreign
+
 BLOCK_CHARS = 64
 MAX_BLOCKS = 256
 CHARS_PER_TOKEN = 4
@@ -33,10 +36,14 @@
     >>> prompt_text(b"no JSON")
     ''
     """
-    try:
-        request = _decoder.decode(body)
-    except msgspec.DecodeError:
-        return ""
+    # A body without a prompt that can be read has no blocks that a cache may hold.
+    return decode_foreign(
+        _read_text, body, kind=ErrorKind.BAD_REQUEST, what="a prompt"
+    ).value_or("")
+
+
+def _read_text(body: bytes) -> str:
+    request = _decoder.decode(body)
     if request.messages:
         return "".join(f"{t.role}: {_flat(t.content)}\n" for t in request.messages)
     return _flat(request.prompt)
