Send nothing in a stop that cannot end in time, and end calls before the kill

Cause: nothing looked at the time left. A call was sent, sent once more, resumed, confirmed, or taken from a queue whatever time it needed; its deadline and the one that its target got went on past the kill; listener_close_delay_ms was longer than a grace of 2 s; and the HTTP server's double wait left no time to tell callers anything.

`Shutdown` knows from the signal on when the listener closes, when calls must have ended, and when the process is killed, as parts of the grace. Each send asks it: before a target is looked for, while the call waits for one, before a retry is paid for, and right before the first byte, so that "not run" is true. A call goes if its own deadline lies before the end of calls. A stream that may be resumed and declares its size may also go by an estimate: its largest size at the mean pace of recent streams. That counts only while the listener is open, because a refusal costs the caller a retry there, and for the rest of a stream that has begun, which a refusal would break off. All else is refused at once: 503, Retry-After, Connection: close. A call that waits is refused at the signal, not at its deadline.

Calls in flight, and each target that is sent one later, get the end of calls as their deadline. A plain call is told 504 or 503 then, a stream is broken off after a whole event; each leaves `call_stopped` with its id and the time it had left. Leaving peers and the store has a limit, so a store that is away does not lead to the kill either. A further signal or new settings change nothing.

The listener is closed 2.9 s after the signal, was 3.2 s: the balancer asks each second and sends nothing after two misses, and the platform excuses no call sent later than 3 s. A longer time in which calls are refused cost more than a connection that is refused.

Before, 8 of the 9 tests at the real process fail: with graces of 2 and 8 s no call is refused or calls get no answer, the process is killed in 7 of them, calls in flight get no answer at all, retries and queued calls go on to the kill, and of 6 orders sent in one go some are read and closed.

--- a/carobroute/gateway/_call.py
+++ b/carobroute/gateway/_call.py
@@ -1,7 +1,5 @@
 """Reading and authorization of a caller's request."""
 
-import asyncio
-
 import msgspec
 from aiohttp import web
 from returns.result import Failure, Result, Success
@@ -15,7 +13,6 @@
 from carobroute.platform import CallHeaders
 from carobroute.utils import Clock
 
-MS_PER_S = 1_000
 UNAVAILABLE_RETRY_MS = 500.0
 
 
@@ -182,9 +179,9 @@
         self, max_body_bytes: int, expires_ms: float
     ) -> Result[bytes, Fault]:
         chunks, size = [], 0
-        remaining_ms = max(0.0, expires_ms - self._context.clock.now_ms())
+        shutdown = self._context.shutdown
         try:
-            async with asyncio.timeout(remaining_ms / MS_PER_S):
+            async with shutdown.timeout(lambda: shutdown.deadline_ms(expires_ms)):
                 async for chunk in self._request.content.iter_any():
                     size += len(chunk)
                     if size > max_body_bytes:
@@ -192,6 +189,8 @@
                         return fail(ErrorKind.TOO_LARGE, detail)
                     chunks.append(chunk)
         except TimeoutError:
+            if shutdown.cuts(expires_ms):
+                return Failure(stopping_fault(self._context))
             return fail(
                 ErrorKind.DEADLINE, "the body did not arrive before the deadline"
             )
@@ -229,6 +228,16 @@
     )
 
 
+def stopping_fault(context: GatewayContext) -> Fault:
+    """Return the reason that a stopping gateway does not send a call."""
+    left_ms = context.shutdown.calls_end_ms - context.clock.now_ms()
+    return Fault(
+        kind=ErrorKind.SHUTTING_DOWN,
+        detail=f"the gateway stops in {left_ms:.0f} ms; the call may take longer",
+        retry_after_ms=context.parameters.stop_retry_ms,
+    )
+
+
 def _requested_host(request: web.Request) -> str:
     """Return the host name of a request, in lower case and without a port."""
     name, colon, port = request.headers.get("Host", "").rpartition(":")
--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -47,6 +47,8 @@
         "_last_target",
         "_max_gap_ms",
         "_received_ms",
+        "gap_count",
+        "gap_sum_ms",
         "request_id",
         "route",
         "service",
@@ -61,6 +63,8 @@
         self._max_gap_ms = 0.0
         self._last_target = ""
         self._event_count = 0
+        # Sum and number of the times between two events of the stream.
+        self.gap_sum_ms, self.gap_count = 0.0, 0
         # Identifier in the caller's Request-Id header.
         self.request_id = ""
         self.route = ""
@@ -117,6 +121,8 @@
     def note_gap(self, gap_ms: float) -> None:
         """Record the time between two events of the stream."""
         self._max_gap_ms = max(self._max_gap_ms, gap_ms)
+        self.gap_sum_ms += gap_ms
+        self.gap_count += 1
 
     def note(self, name: str, /, **fields: Any) -> None:
         """Add a decision."""
--- a/carobroute/gateway/_context.py
+++ b/carobroute/gateway/_context.py
@@ -12,7 +12,9 @@
 from carobroute.gateway._rank_groups import PassTimeEstimators
 from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._retry_budget import RetryBudget
+from carobroute.gateway._shutdown import Shutdown
 from carobroute.gateway._stream_ends import StreamEndJudge
+from carobroute.gateway._stream_pace import StreamPaces
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._target_pool import TargetPool
@@ -65,7 +67,6 @@
         "crash_detector",
         "directory",
         "dispatcher",
-        "is_stopping",
         "limits",
         "on_leaving",
         "parameters",
@@ -75,7 +76,9 @@
         "random",
         "recorder",
         "retry_budget",
+        "shutdown",
         "stream_ends",
+        "stream_paces",
         "stuck_calls",
         "suspects",
     )
@@ -116,10 +119,16 @@
         self.crash_detector = crash_detector
         self.pass_time_estimators = pass_time_estimators
         self.recorder = recorder
-        self.is_stopping = False
+        self.shutdown = Shutdown(clock=clock, parameters=parameters)
+        self.stream_paces = StreamPaces(clock=clock)
         # Called when a target has said that it leaves.
         self.on_leaving: Callable[[], None] = lambda: None
 
+    @property
+    def is_stopping(self) -> bool:
+        """Whether the stop signal has come."""
+        return self.shutdown.is_stopping
+
     def note_leaving(self, run_id: str, *, is_first_hand: bool) -> None:
         """Send no new calls to a run of a target that has said that it leaves.
 
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -20,6 +20,7 @@
     Call,
     CallReader,
     stale_proof_fault,
+    stopping_fault,
 )
 from carobroute.gateway._call_parts import CallParts
 from carobroute.gateway._call_records import CallRecord
@@ -40,7 +41,7 @@
     decode_call_headers,
     is_replaced_header,
 )
-from carobroute.web import ClientConnection
+from carobroute.web import ClientConnection, has_next_request
 
 MS_PER_S = 1_000
 # Status of a server that is not the target incarnation that the call is meant for; it
@@ -53,7 +54,9 @@
 SendResult = Result[WatchedResponse, Fault]
 
 # Faults of an attempt that do not count against the target's health.
-HEALTH_NEUTRAL_FAULTS = frozenset({ErrorKind.STORE_UNAVAILABLE, ErrorKind.LEAVING})
+HEALTH_NEUTRAL_FAULTS = frozenset(
+    {ErrorKind.STORE_UNAVAILABLE, ErrorKind.LEAVING, ErrorKind.SHUTTING_DOWN}
+)
 HEALTH_NEUTRAL_OUTCOMES = frozenset({AttemptOutcome.NOT_RUN, AttemptOutcome.UNPROVEN})
 
 
@@ -119,7 +122,11 @@
             self._context.recorder.finish_call(
                 self._record, status=status, outcome=outcome
             )
-        if self._context.should_close_connections and not response.prepared:
+        if (
+            self._context.should_close_connections
+            and not response.prepared
+            and not has_next_request(self._request)
+        ):
             response.force_close()
         return await self._deliver(response)
 
@@ -187,8 +194,9 @@
             service=self._call.service.name,
             parts=head.shared_parts,
         )
+        shutdown, expires_ms = self._context.shutdown, self._call.expires_ms
         try:
-            async with asyncio.timeout(self._remaining_ms / MS_PER_S):
+            async with shutdown.timeout(lambda: shutdown.deadline_ms(expires_ms)):
                 return await self._run_attempts()
         except TimeoutError:
             return self._time_out()
@@ -200,7 +208,36 @@
 
     @property
     def _remaining_ms(self) -> float:
-        return self._call.remaining_ms(self._context.clock)
+        """Time until the call must have ended, also because this gateway stops."""
+        shutdown, clock = self._context.shutdown, self._context.clock
+        return shutdown.deadline_ms(self._call.expires_ms) - clock.now_ms()
+
+    @property
+    def _is_too_late(self) -> bool:
+        """Whether this gateway stops, and the call may not end before that."""
+        return self._context.clock.now_ms() > self._latest_send_ms()
+
+    @property
+    def _expected_ms(self) -> float | None:
+        """Time to expect of a stream that may be resumed; None for other calls."""
+        if not (self._call.route.streaming and self._call.route.resumable):
+            return None
+        return self._context.stream_paces.longest_duration_ms(
+            self._call.service, self._call.head.output_tokens
+        )
+
+    def _latest_send_ms(self) -> float:
+        """Return the monotonic time until which the call may be sent to a target.
+
+        It is infinite unless this gateway stops.
+        """
+        if not self._context.shutdown.is_stopping:
+            return float("inf")
+        return self._context.shutdown.latest_send_ms(
+            self._call.expires_ms,
+            self._expected_ms,
+            has_begun=self._relay.caller_response is not None,
+        )
 
     # Attempts.
 
@@ -208,7 +245,7 @@
         """Try targets until one answers, and return the response and its outcome."""
         target_error: web.StreamResponse | None = None
         while True:
-            granted = await self._acquire_target()
+            granted = await self._acquire_target_in_time()
             if isinstance(granted, Failure):
                 believed = await self._believe_end()
                 if believed is not None:
@@ -230,6 +267,30 @@
                     return believed, "done"
                 return self._fail_call(attempt, target_error)
 
+    async def _acquire_target_in_time(self) -> Result[Grant, Fault]:
+        """Acquire a target, unless the call could not end before this gateway stops."""
+        if self._is_too_late:
+            return Failure(self._note_stopping())
+        try:
+            async with self._context.shutdown.timeout(self._latest_send_ms) as limit:
+                return await self._acquire_target()
+        except TimeoutError:
+            if not limit.expired():
+                raise
+            return Failure(self._note_stopping())
+
+    def _note_stopping(self) -> Fault:
+        """Log that the call is not sent because this gateway stops."""
+        fault = stopping_fault(self._context)
+        expected_ms = self._expected_ms
+        self._record.note(
+            "call_withheld",
+            expected_ms=None if expected_ms is None else round(expected_ms),
+            detail=fault.detail,
+            remaining_ms=round(self._call.remaining_ms(self._context.clock)),
+        )
+        return fault
+
     async def _acquire_target(self) -> Result[Grant, Fault]:
         service = self._call.service.name
         refusal = await self._parts.admit(
@@ -461,6 +522,8 @@
         if not target.is_usable:
             detail = f"target {target.incarnation} is leaving or takes no calls now"
             return Fault(kind=ErrorKind.LEAVING, detail=detail)
+        if self._is_too_late:
+            return self._note_stopping()
         obstacle = self._parts.find_obstacle()
         if obstacle is None:
             self._record.note_passed_on(target.incarnation)
@@ -701,6 +764,12 @@
             )
             return Attempt(outcome=AttemptOutcome.UNPROVEN, fault=fault)
         self._parts.note_answered()
+        self._context.stream_paces.note(
+            target.entry.service,
+            first_ms=self._record.first_byte_ms,
+            gap_sum_ms=self._record.gap_sum_ms,
+            gap_count=self._record.gap_count,
+        )
         caller_response = await self._relay.finish(response)
         return Attempt(outcome=AttemptOutcome.ANSWERED, response=caller_response)
 
@@ -814,6 +883,8 @@
         is_unsent = attempt.outcome is AttemptOutcome.NOT_SENT
         if self._remaining_ms < self._context.parameters.min_remaining_ms:
             return self._note_retry_decision(False, "deadline")
+        if self._is_too_late:
+            return self._note_retry_decision(False, "stopping")
         if attempt.fault and attempt.fault.kind is ErrorKind.STORE_UNAVAILABLE:
             return self._note_retry_decision(False, "proof")
         if not is_unsent and not self._context.retry_budget.try_spend(
@@ -871,6 +942,8 @@
         return self._refuse_call(fault)
 
     def _time_out(self) -> tuple[web.StreamResponse, str]:
+        if self._context.shutdown.cuts(self._call.expires_ms):
+            return self._stop_call()
         if self._relay.caller_response is not None:
             fault = Fault(
                 kind=ErrorKind.TIMEOUT, detail="the deadline passed during the answer"
@@ -881,6 +954,25 @@
             Fault(kind=kind, detail="no answer before the deadline")
         )
 
+    def _stop_call(self) -> tuple[web.StreamResponse, str]:
+        """End a call before its deadline, because this gateway stops."""
+        remaining_ms = self._call.remaining_ms(self._context.clock)
+        self._record.note(
+            "call_stopped",
+            remaining_ms=round(remaining_ms),
+            may_have_run=self._may_have_run,
+            last_event=self._relay.last_event_id,
+        )
+        if self._relay.caller_response is not None:
+            detail = "the gateway stops during the answer"
+            return self._abort_stream(
+                Fault(kind=ErrorKind.SHUTTING_DOWN, detail=detail)
+            )
+        if not self._may_have_run:
+            return self._refuse_call(stopping_fault(self._context))
+        detail = "no answer before the gateway stops"
+        return self._refuse_call(Fault(kind=ErrorKind.TIMEOUT, detail=detail))
+
     def _refuse_call(self, fault: Fault) -> tuple[web.StreamResponse, str]:
         if self._may_have_run and fault.not_run:
             # This fault would tell the caller that the call did not run, but an earlier
--- a/carobroute/gateway/_parameters.py
+++ b/carobroute/gateway/_parameters.py
@@ -49,11 +49,21 @@
         seconds for which callers wait.
     min_remaining_ms : float
         Minimum time before the deadline at which a call is still sent.
-    listener_close_delay_ms : float
-        Delay from the stop signal to the closing of the listener, in which the
-        balancer checks readiness three times.
-    stop_margin_ms : float
-        Time before the process is killed at which the last calls are aborted.
+    listener_close_delay_ms, listener_close_ratio : float
+        Delay from the stop signal to the closing of the listener, and its largest part
+        of the time until the process is killed. The balancer asks each second, and
+        sends nothing after two misses. It is below the 3 s after which the platform
+        excuses no call that is cut.
+    stop_margin_ms, stop_margin_ratio : float
+        Time before the process is killed at which the last calls are ended, and its
+        largest part of the time from the stop signal. It is below a sixth, so that a
+        call that is ended has had all of the grace that callers may count on.
+    stop_close_ms : float
+        Longest time that a stopping gateway takes to leave its peers and the store,
+        which may be away; several calls to a store that is slow.
+    stop_retry_ms : float
+        Retry delay of callers that a stopping gateway refuses. The balancer sends
+        their retries to other gateways.
     max_connections : int
         Maximum number of open connections from callers; half of the file descriptors
         of a small instance.
@@ -81,13 +91,49 @@
     first_event_timeout_ms: float = 1_200.0
     stuck_after_ms: float = 700.0
     min_remaining_ms: float = 15.0
-    listener_close_delay_ms: float = 3_200.0
+    listener_close_delay_ms: float = 2_900.0
+    listener_close_ratio: float = 0.4
     stop_margin_ms: float = 600.0
+    stop_margin_ratio: float = 0.125
+    stop_close_ms: float = 1_000.0
+    stop_retry_ms: float = 50.0
     max_connections: int = 2_000
     body_buffer_bytes: int = 1 << 20
     crash_limit: int = 2
     max_pause_ms: float = 3_600_000.0
 
+    def listener_close_after_ms(self, stop_ms: float) -> float:
+        """Return the delay from the stop signal to the closing of the listener.
+
+        Parameters
+        ----------
+        stop_ms : float
+            Time from the stop signal until the process is killed, in milliseconds.
+
+        Examples
+        --------
+        >>> parameters = GatewayParameters()
+        >>> [parameters.listener_close_after_ms(ms) for ms in (2_000, 8_000, 30_000)]
+        [800.0, 2900.0, 2900.0]
+        """
+        return min(self.listener_close_delay_ms, self.listener_close_ratio * stop_ms)
+
+    def stop_margin_for(self, stop_ms: float) -> float:
+        """Return the time from the end of the last calls to the kill.
+
+        Parameters
+        ----------
+        stop_ms : float
+            Time from the stop signal until the process is killed, in milliseconds.
+
+        Examples
+        --------
+        >>> parameters = GatewayParameters()
+        >>> [parameters.stop_margin_for(ms) for ms in (2_000, 8_000, 30_000)]
+        [250.0, 600.0, 600.0]
+        """
+        return min(self.stop_margin_ms, self.stop_margin_ratio * stop_ms)
+
     def target_poll_interval_ms(self, drain_ms: float) -> float:
         """Return the interval between two readings of the list of targets.
 
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -64,6 +64,10 @@
 FIRST_HEADERS_TIMEOUT_MS = 10_000.0
 MAX_EVENTS_PER_S = 200.0
 MS_PER_S = 1_000
+# Parts of the time between the end of the last calls and the kill, for writing their
+# answers, and for leaving peers and the store. The rest is for the end of the process.
+ANSWERS_RATIO = 0.25
+CLOSE_RATIO = 0.25
 # Heartbeats of a target after which the store has removed its entry, with one to spare.
 EXPIRED_HEARTBEATS = 4
 
@@ -322,8 +326,8 @@
     async def run(self) -> None:
         """Serve until a stop signal."""
         loop = asyncio.get_running_loop()
-        loop.add_signal_handler(signal.SIGTERM, self._stop.set)
-        loop.add_signal_handler(signal.SIGINT, self._stop.set)
+        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
+        loop.add_signal_handler(signal.SIGINT, self._begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
         self._line_buffer.start(loop)
         self._events.event(
@@ -465,7 +469,6 @@
             bind=self._settings.caller_address,
             max_connections=self._parameters.max_connections,
             header_timeout_ms=FIRST_HEADERS_TIMEOUT_MS,
-            stop_timeout_ms=self._stop_timeout_ms,
             options=options,
             on_cut=self._note_cut,
         )
@@ -480,14 +483,6 @@
             await site.start()
         return caller_site
 
-    @property
-    def _stop_timeout_ms(self) -> float:
-        """Time that calls have to end after the listener is closed."""
-        remaining_ms = (
-            self._settings.bounds.stop_ms - self._parameters.listener_close_delay_ms
-        )
-        return max(0.0, remaining_ms - self._parameters.stop_margin_ms)
-
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         return await Exchange(context=self._context, request=request).answer()
 
@@ -505,13 +500,39 @@
         self._settings = loaded.unwrap()
         self._events.event("reloaded", changed=changed)
 
+    def _begin_stop(self) -> None:
+        """Leave the balancer's rotation; later signals change nothing."""
+        if self._context.is_stopping:
+            return
+        stop_ms = self._settings.bounds.stop_ms
+        self._context.shutdown.begin(stop_ms)
+        self._events.event("stopping", killed_in_ms=round(stop_ms))
+        self._stop.set()
+
     async def _shut_down(self, callers: WebSite) -> None:
-        """Leave the balancer's rotation, then close the listener and drain calls."""
-        self._context.is_stopping = True
-        self._events.event("stopping")
-        await self._clock.sleep_ms(self._parameters.listener_close_delay_ms)
-        await callers.stop_accepting()
-        await callers.stop()
+        """Close the listener once callers are sent elsewhere, and let calls end."""
+        shutdown, clock = self._context.shutdown, self._clock
+        margin_ms = shutdown.kill_ms - shutdown.calls_end_ms
+        await clock.sleep_ms(shutdown.listener_close_ms - clock.now_ms())
+        answers_end_ms = shutdown.calls_end_ms + ANSWERS_RATIO * margin_ms
+        close_end_ms = answers_end_ms + CLOSE_RATIO * margin_ms
+        await callers.stop(timeout_ms=max(0.0, answers_end_ms - clock.now_ms()))
+        remaining_ms = max(0.0, close_end_ms - clock.now_ms())
+        close_ms = min(remaining_ms, self._parameters.stop_close_ms)
+        try:
+            async with asyncio.timeout(close_ms / MS_PER_S):
+                await self._close()
+        except TimeoutError:
+            self._events.event("stop_incomplete", level="warning")
+        self._events.event(
+            "stopped",
+            cut=callers.counts["cut_connections"],
+            remaining_ms=round(shutdown.kill_ms - clock.now_ms()),
+        )
+        self._line_buffer.close()
+
+    async def _close(self) -> None:
+        """Close everything but the site of the callers."""
         await self._tasks.close()
         await self._peers.stop()
         self._token_exchange.stop()
@@ -519,8 +540,6 @@
             await site.stop()
         await self._pool.close()
         await self._store.close()
-        self._events.event("stopped")
-        self._line_buffer.close()
 
     def _note_cut(self, reason: str, connection: ClientConnection | None) -> None:
         self._context.recorder.note_cut(
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -13,6 +13,7 @@
 from carobroute.gateway._context import GatewayContext
 from carobroute.gateway._event_framing import EventFramer
 from carobroute.gateway._targets import Target
+from carobroute.web import has_next_request
 
 MS_PER_S = 1_000
 # A caller that does not read an event for this long counts as lost.
@@ -277,7 +278,9 @@
         caller_response = web.StreamResponse(
             status=response.status, headers=end_to_end(response.headers)
         )
-        if self._context.should_close_connections:
+        if self._context.should_close_connections and not has_next_request(
+            self._request
+        ):
             caller_response.force_close()
         self._caller_response = caller_response
         self._context.recorder.observe_first_byte(self._record)
--- /dev/null
+++ b/carobroute/gateway/_stream_pace.py
@@ -0,0 +1,90 @@
+"""Pace of the streams of each service, to estimate how long one takes."""
+
+import math
+from collections import deque
+
+import msgspec
+
+from carobroute.domain import ServiceProfile
+from carobroute.utils import Clock
+
+# Time for which the pace of a stream counts, in milliseconds: some seconds of load.
+WINDOW_MS = 10_000.0
+MAX_STREAMS = 256
+# Gaps between events below which the pace is not known.
+MIN_GAPS = 10
+# Factor on the mean pace, for a stream that is slower; few are as long as they may be.
+DURATION_MARGIN = 1.1
+
+
+class _Stream(msgspec.Struct, frozen=True):
+    """Times of one stream, in milliseconds."""
+
+    at_ms: float
+    first_ms: float
+    gap_sum_ms: float
+    gap_count: int
+
+
+class StreamPaces:
+    """Recent streams of each service, and the duration to expect of a longest one.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_clock", "_streams")
+
+    def __init__(self, *, clock: Clock):
+        self._clock = clock
+        self._streams: dict[str, deque[_Stream]] = {}
+
+    def note(
+        self, service: str, *, first_ms: float, gap_sum_ms: float, gap_count: int
+    ) -> None:
+        """Note a complete stream.
+
+        Parameters
+        ----------
+        service : str
+            Service that was called.
+        first_ms : float
+            Time to the first event, in milliseconds.
+        gap_sum_ms, gap_count : float and int
+            Times between its events, in milliseconds, and their number.
+        """
+        streams = self._streams.setdefault(service, deque(maxlen=MAX_STREAMS))
+        stream = _Stream(self._clock.now_ms(), first_ms, gap_sum_ms, gap_count)
+        streams.append(stream)
+
+    def longest_duration_ms(
+        self, service: ServiceProfile, output_tokens: int
+    ) -> float | None:
+        """Return the time to expect of a stream of the size that it may have.
+
+        It is None if it is not known. An event has the tokens of one pass of an
+        engine, and at least one token elsewhere.
+
+        Parameters
+        ----------
+        service : ServiceProfile
+            Service that is called.
+        output_tokens : int
+            Largest size of the answer; 0 if unknown.
+        """
+        oldest_ms = self._clock.now_ms() - WINDOW_MS
+        recent = [
+            stream
+            for stream in self._streams.get(service.name, ())
+            if stream.at_ms >= oldest_ms
+        ]
+        gap_count = sum(stream.gap_count for stream in recent)
+        if gap_count < MIN_GAPS or not output_tokens:
+            return None
+        tokens_per_event = service.engine.steps_per_pass if service.engine else 1
+        event_count = math.ceil(output_tokens / max(1, tokens_per_event))
+        first_ms = sum(stream.first_ms for stream in recent) / len(recent)
+        gap_ms = sum(stream.gap_sum_ms for stream in recent) / gap_count
+        return DURATION_MARGIN * (first_ms + event_count * gap_ms)
--- a/carobroute/testing/_gateway_run.py
+++ b/carobroute/testing/_gateway_run.py
@@ -53,6 +53,9 @@
         Name of the process's instance.
     platform : PlatformStandIn, default=None
         Store that it shares with other gateways; None for one of its own.
+    stop_ms : float, default=8000.0
+        Time from the stop signal to the kill that the process is told, in
+        milliseconds.
     patch : str, default=""
         Code that the process runs before it starts, to seed a mistake.
     """
@@ -65,11 +68,13 @@
         revoke_ms: float = 5_000.0,
         name: str = "gateway-1",
         platform: PlatformStandIn | None = None,
+        stop_ms: float = STOP_MS,
         patch: str = "",
     ):
         self.platform = platform or PlatformStandIn(clock=Clock())
         self._name = name
         self._patch = patch
+        self._stop_ms = stop_ms
         self.configure(configuration)
         self._revoke_ms = revoke_ms
         self._settings_file = directory / f"{name}.json"
@@ -95,6 +100,11 @@
         """Whether the process has been started and has not ended."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def address(self) -> tuple[str, int]:
+        """Host and port where callers connect."""
+        return self._ip, self._ports[0]
+
     @property
     def pid(self) -> int:
         """Process id."""
@@ -131,7 +141,7 @@
             ports=self._ports,
             store_address=address,
             revoke_ms=self._revoke_ms,
-            stop_ms=STOP_MS,
+            stop_ms=self._stop_ms,
         )
         self._settings_file.write_bytes(data)
         self.session = aiohttp.ClientSession(auto_decompress=False)
