Decode digests, token messages and rows of gateways within their ranges

Deep nesting in a row of evidence or of a crashing request raised RecursionError, which ended the task that stores them (shown by the tests); in a digest, beyond the fields that are known, it is raised inside the socket's callback. A digest with an address that is no `host:port` was kept, and the next digest to it ends the task that sends them. Numbers that are not finite went into rates and times.

They all go through `decode_foreign` now. Digests are sent to IPv4 addresses only, since a datagram's host is not looked up.

--- a/carobroute/gateway/_digests.py
+++ b/carobroute/gateway/_digests.py
@@ -5,7 +5,7 @@
 from carobroute.gateway._part_evidence import EvidenceReport
 from carobroute.gateway._rate_limits import LimitReport
 from carobroute.gateway._shared_reads import StoreKnowledge
-from carobroute.utils import Clock
+from carobroute.utils import Clock, Count, DatagramAddress, Duration
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
@@ -49,16 +49,16 @@
     """
 
     incarnation: str
-    address: str
-    number: int
-    calls: dict[str, int]
+    address: DatagramAddress
+    number: Count
+    calls: dict[str, Count]
     crashes_by_request: dict[str, list[str]]
-    calls_per_s: float = 0.0
+    calls_per_s: Duration = 0.0
     knowledge: StoreKnowledge = StoreKnowledge()
     duties: list[str] = []
-    capacity: float = 0.0
+    capacity: Duration = 0.0
     data_centre: str = ""
-    slowdowns: dict[str, float] = {}
+    slowdowns: dict[str, Duration] = {}
     part_evidence: dict[str, EvidenceReport] = {}
     trials: dict[str, bool] = {}
     is_evidence_complete: bool = False
--- a/carobroute/gateway/_evidence_store.py
+++ b/carobroute/gateway/_evidence_store.py
@@ -5,13 +5,14 @@
 import msgspec
 from returns.result import Failure
 
+from carobroute.errors import ErrorKind
 from carobroute.gateway._part_evidence import EvidenceReport
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._store_keeper import StoreKeeper
 from carobroute.gateway._store_watch import Backoff
 from carobroute.platform import RowCondition, RowsAnswer, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock
+from carobroute.utils import Clock, Number, decode_foreign
 
 EVIDENCE_TABLE = "prompt_parts"
 # Answers clear the parts of a crash one after the other, so that is stored together.
@@ -29,10 +30,13 @@
         What was known then.
     """
 
-    store_ms: float
+    store_ms: Number
     report: EvidenceReport
 
 
+_row_decoder = msgspec.json.Decoder(StoredEvidence)
+
+
 class EvidenceStore(StoreKeeper):
     """Keeps the evidence of all gateways in the store, one row for each service.
 
@@ -157,17 +161,22 @@
 
     def _apply(self, row: StoredRow, answer: RowsAnswer) -> None:
         """Merge a row into the evidence of this gateway."""
-        try:
-            stored = msgspec.json.decode(row.value, type=StoredEvidence)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decoded = decode_foreign(
+            _row_decoder.decode,
+            row.value,
+            kind=ErrorKind.BAD_REQUEST,
+            what="evidence on prompt parts",
+        )
+        if isinstance(decoded, Failure):
             self._events.event(
                 "part_evidence_unreadable",
                 level="warning",
                 service=row.key,
                 version=row.version,
-                why=str(error),
+                why=decoded.failure().detail,
             )
             return
+        stored = decoded.unwrap()
         age_ms = max(0.0, answer.store_ms - stored.store_ms)
         report = stored.report.aged(age_ms)
         known = self._quarantine.open_suspicions(row.key)
--- a/carobroute/gateway/_part_evidence.py
+++ b/carobroute/gateway/_part_evidence.py
@@ -18,7 +18,7 @@
     find_candidates,
     judge,
 )
-from carobroute.utils import Clock
+from carobroute.utils import Clock, Number
 
 # Most crashes that are kept, and most parts of each.
 MAX_CRASHES = 32
@@ -50,7 +50,7 @@
     """
 
     crash: str
-    age_ms: float
+    age_ms: Number
     parts: list[str]
     tried: list[str] = []
     reporter: str = ""
@@ -68,7 +68,7 @@
     """
 
     crashes: list[CrashReport]
-    begun_ages_ms: dict[str, float]
+    begun_ages_ms: dict[str, Number]
 
     def aged(self, age_ms: float) -> "EvidenceReport":
         """Return the report as of `age_ms` milliseconds later."""
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure
 
+from carobroute.errors import ErrorKind
 from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rate_limits import RateLimits
@@ -16,7 +17,13 @@
 from carobroute.gateway._targets import SLOW_TARGET_SLOWDOWN, TargetDirectory
 from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock, TaskSet, split_host_port
+from carobroute.utils import (
+    Clock,
+    DatagramAddress,
+    TaskSet,
+    decode_foreign,
+    split_host_port,
+)
 
 GATEWAY_TABLE = "gateways"
 MAX_DIGEST_BYTES = 32 * 1024
@@ -55,7 +62,11 @@
 class GatewayRow(msgspec.Struct, frozen=True):
     """Row of a gateway, with the address on which it receives digests."""
 
-    address: str
+    address: DatagramAddress
+
+
+_digest_decoder = msgspec.msgpack.Decoder(Digest)
+_row_decoder = msgspec.json.Decoder(GatewayRow)
 
 
 class PeerProtocol(asyncio.DatagramProtocol):
@@ -225,13 +236,21 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Apply a peer's digest."""
-        try:
-            digest = msgspec.msgpack.decode(data, type=Digest)
-        except msgspec.DecodeError as error:
+        decoded = decode_foreign(
+            _digest_decoder.decode,
+            data,
+            kind=ErrorKind.BAD_REQUEST,
+            what="a digest",
+        )
+        if isinstance(decoded, Failure):
             self._events.event(
-                "digest_unreadable", level="warning", sender=addr[0], why=str(error)
+                "digest_unreadable",
+                level="warning",
+                sender=addr[0],
+                why=decoded.failure().detail,
             )
             return
+        digest = decoded.unwrap()
         if digest.incarnation == self._incarnation:
             return
         is_new = not self._peer_state.is_known(digest.incarnation)
@@ -363,17 +382,20 @@
     def _update_listed(self, rows: list[StoredRow]) -> None:
         addresses = set()
         for row in rows:
-            try:
-                address = msgspec.json.decode(row.value, type=GatewayRow).address
-                split_host_port(address)
-            except (msgspec.DecodeError, UnicodeDecodeError, ValueError) as error:
+            decoded = decode_foreign(
+                _row_decoder.decode,
+                row.value,
+                kind=ErrorKind.BAD_REQUEST,
+                what="a gateway's entry",
+            )
+            if isinstance(decoded, Failure):
                 self._events.event(
                     "gateway_entry_unreadable",
                     level="warning",
                     key=row.key,
                     version=row.version,
-                    why=str(error),
+                    why=decoded.failure().detail,
                 )
                 continue
-            addresses.add(address)
+            addresses.add(decoded.unwrap().address)
         self._listed_addresses = addresses
--- a/carobroute/gateway/_rate_limits.py
+++ b/carobroute/gateway/_rate_limits.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from carobroute.utils import Clock
+from carobroute.utils import Clock, Duration, Number
 
 # Time for which peers are told that a target no longer names a limit.
 LIFTED_REPORT_MS = 5_000.0
@@ -29,8 +29,8 @@
         Time since the answer in which the target said so.
     """
 
-    per_s: float | None
-    age_ms: float
+    per_s: Duration | None
+    age_ms: Number
 
 
 class _NamedLimit:
--- a/carobroute/gateway/_rate_tokens.py
+++ b/carobroute/gateway/_rate_tokens.py
@@ -8,7 +8,7 @@
 
 from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._targets import Target
-from carobroute.utils import Clock
+from carobroute.utils import Clock, Duration, Number
 
 MS_PER_S = 1_000.0
 # Calls that may follow each other at once at a target that was idle.
@@ -51,8 +51,8 @@
 
     sender: str
     target: str
-    per_s: float
-    max_wait_ms: float
+    per_s: Duration
+    max_wait_ms: Number
     is_for_call: bool
 
 
@@ -73,8 +73,8 @@
 
     target: str
     is_granted: bool
-    wait_ms: float
-    return_ms: float = 0.0
+    wait_ms: Number
+    return_ms: Number = 0.0
 
 
 TokenMessage = TokenRequest | TokenReply
--- a/carobroute/gateway/_shared_reads.py
+++ b/carobroute/gateway/_shared_reads.py
@@ -13,7 +13,7 @@
 
 from carobroute.gateway._configuration import ActiveConfiguration
 from carobroute.gateway._targets import TargetDirectory
-from carobroute.utils import Clock
+from carobroute.utils import Clock, Integer, Number
 
 # Gateways that read the store all the time; the others follow while one of them works.
 READER_COUNT = 3
@@ -56,10 +56,10 @@
     """
 
     reaches_store: bool = False
-    configuration_version: int = -1
-    configuration_ms: float = 0.0
+    configuration_version: Integer = -1
+    configuration_ms: Number = 0.0
     targets_hash: int = 0
-    targets_ms: float = 0.0
+    targets_ms: Number = 0.0
 
 
 class StoreClock:
--- a/carobroute/gateway/_stored_duty.py
+++ b/carobroute/gateway/_stored_duty.py
@@ -17,7 +17,7 @@
     WriteAnswer,
 )
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock
+from carobroute.utils import Clock, Number, decode_foreign
 
 DUTY_TABLE = "duties"
 # Long enough for several switches of a map; also the longest time that a successor
@@ -37,7 +37,10 @@
     """Holder of a duty, and the end of its term by the store's clock."""
 
     holder: str
-    until_ms: float
+    until_ms: Number
+
+
+_row_decoder = msgspec.json.Decoder(DutyRow)
 
 
 class StoredDuty(CoordinatorDuty):
@@ -281,15 +284,20 @@
         return False
 
     def _decode(self, row: StoredRow) -> DutyRow | None:
-        try:
-            return msgspec.json.decode(row.value, type=DutyRow)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decoded = decode_foreign(
+            _row_decoder.decode,
+            row.value,
+            kind=ErrorKind.BAD_REQUEST,
+            what="a duty's row",
+        )
+        if isinstance(decoded, Failure):
             # An unreadable row names no holder, so the duty is free.
             self._events.event(
                 "duty_unreadable",
                 level="warning",
                 duty=self._name,
                 version=row.version,
-                why=str(error),
+                why=decoded.failure().detail,
             )
             return None
+        return decoded.unwrap()
--- a/carobroute/gateway/_suspect_store.py
+++ b/carobroute/gateway/_suspect_store.py
@@ -5,12 +5,13 @@
 import msgspec
 from returns.result import Failure
 
+from carobroute.errors import ErrorKind
 from carobroute.gateway._store_keeper import StoreKeeper
 from carobroute.gateway._store_watch import Backoff
 from carobroute.gateway._suspect_requests import CRASH_RETENTION_MS, SuspectRequests
 from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock
+from carobroute.utils import Clock, Number, decode_foreign
 
 SUSPECT_TABLE = "crashing_requests"
 # Rows that one transaction writes or removes at most.
@@ -28,10 +29,13 @@
         Target incarnations that crashed with the request in flight.
     """
 
-    store_ms: float
+    store_ms: Number
     crashes: list[str]
 
 
+_row_decoder = msgspec.json.Decoder(StoredSuspect)
+
+
 class SuspectStore(StoreKeeper):
     """Keeps the requests that are refused for crashes in the store.
 
@@ -133,18 +137,23 @@
     def _apply(self, row: StoredRow, store_ms: float) -> None:
         """Add the crashes of a row, which counts as stored."""
         self._stored.add(row.key)
-        try:
-            suspect = msgspec.json.decode(row.value, type=StoredSuspect)
-        except (msgspec.DecodeError, UnicodeDecodeError) as error:
+        decoded = decode_foreign(
+            _row_decoder.decode,
+            row.value,
+            kind=ErrorKind.BAD_REQUEST,
+            what="a crashing request",
+        )
+        if isinstance(decoded, Failure):
             # The next write removes it.
             self._events.event(
                 "crashing_request_unreadable",
                 level="warning",
                 request=row.key,
                 version=row.version,
-                why=str(error),
+                why=decoded.failure().detail,
             )
             return
+        suspect = decoded.unwrap()
         age_ms = max(0.0, store_ms - suspect.store_ms)
         if age_ms < CRASH_RETENTION_MS:
             for incarnation in suspect.crashes:
--- a/carobroute/gateway/_token_exchange.py
+++ b/carobroute/gateway/_token_exchange.py
@@ -5,10 +5,12 @@
 from typing import cast
 
 import msgspec
+from returns.result import Failure
 
+from carobroute.errors import ErrorKind
 from carobroute.gateway._rate_tokens import TokenMessage, TokenReply, TokenRequest
 from carobroute.telemetry import EventLog
-from carobroute.utils import split_host_port
+from carobroute.utils import decode_foreign, split_host_port
 
 
 class TokenExchange(asyncio.DatagramProtocol):
@@ -69,17 +71,21 @@
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
         """Pass a peer's message on."""
-        try:
-            message = self._decoder.decode(data)
-        except msgspec.DecodeError as error:
+        decoded = decode_foreign(
+            self._decoder.decode,
+            data,
+            kind=ErrorKind.BAD_REQUEST,
+            what="a message on tokens",
+        )
+        if isinstance(decoded, Failure):
             self._events.event(
                 "token_message_unreadable",
                 level="warning",
                 sender=addr[0],
-                why=str(error),
+                why=decoded.failure().detail,
             )
             return
-        self._on_message(message)
+        self._on_message(decoded.unwrap())
 
     def error_received(self, exc: Exception) -> None:
         """Log that a peer is unreachable; its silence is detected by its digests."""
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -19,6 +19,7 @@
 from carobroute.gateway._targets import TargetDirectory
 from carobroute.telemetry import EventLog
 from carobroute.testing import wait_until
+from carobroute.testing.foreign_data import nest
 from carobroute.testing.gateway_data import make_target_entry
 from carobroute.testing.row_store_data import MemoryRowStore
 from carobroute.utils import Clock, ManualClock, TaskSet
@@ -249,7 +250,19 @@
     assert store.calls > calls
 
 
-@pytest.mark.parametrize("value", [b"\xff\xfe", b"{", b'{"holder": 7}', b"[]"])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"{",
+        b'{"holder": 7}',
+        b"[]",
+        b'{"holder": "b", "until_ms": 1e308}',
+        nest("holder"),
+        nest("until_ms", is_closed=False),
+    ],
+    ids=lambda value: repr(value[:40]),
+)
 async def test_a_duty_with_an_unreadable_row_is_free_and_logged(value):
     clock, lines = ManualClock(), io.StringIO()
     store = MemoryRowStore(clock=clock)
@@ -266,7 +279,18 @@
     assert "duty_unreadable" in lines.getvalue()
 
 
-@pytest.mark.parametrize("value", [b"\xff\xfe", b"{", b'{"address": "nowhere"}'])
+@pytest.mark.parametrize(
+    "value",
+    [
+        b"\xff\xfe",
+        b"{",
+        b'{"address": "nowhere"}',
+        b'{"address": "127.0.0.1:99999"}',
+        b'{"address": "peer:80"}',
+        nest("address"),
+    ],
+    ids=lambda value: repr(value[:40]),
+)
 async def test_an_unreadable_row_of_a_gateway_is_logged_and_affects_no_other(value):
     clock, lines = Clock(), io.StringIO()
     store = MemoryRowStore(clock=clock)
