Run the tasks that a gateway can't do without again after an exception

An exception that no `except` beside it named ended "watch targets" or "watch configuration" for good: it was logged once, and the gateway stayed ready without following the list. `TaskSet.keep_running` logs it, the gateway counts it (`failed_tasks`, by task), and the task starts again after a backoff; so do the tasks of the digests, the queues, the groups and the stored evidence.

Readiness is left as it is: one row fails the same task in all gateways at the same time, and a fleet of which none is ready serves less than one that goes on with the targets it knows.

--- a/carobroute/gateway/_evidence_store.py
+++ b/carobroute/gateway/_evidence_store.py
@@ -9,10 +9,9 @@
 from carobroute.gateway._part_evidence import EvidenceReport
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._store_keeper import StoreKeeper
-from carobroute.gateway._store_watch import Backoff
 from carobroute.platform import RowCondition, RowsAnswer, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock, Number, decode_foreign
+from carobroute.utils import Backoff, Clock, Number, decode_foreign
 
 EVIDENCE_TABLE = "prompt_parts"
 # Answers clear the parts of a crash one after the other, so that is stored together.
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -18,6 +18,7 @@
 from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
 from carobroute.utils import (
+    Backoff,
     Clock,
     DatagramAddress,
     TaskSet,
@@ -180,8 +181,16 @@
         await loop.create_datagram_endpoint(
             lambda: self, local_addr=split_host_port(self._bind)
         )
-        self._tasks.spawn(self._send_periodically(), name="send digests")
-        self._tasks.spawn(self._poll_gateways(), name="look up gateways")
+        for name, run in (
+            ("send digests", self._send_periodically),
+            ("look up gateways", self._poll_gateways),
+        ):
+            backoff = Backoff(
+                random=self._random,
+                min_ms=self._parameters.max_interval_ms,
+                max_ms=self._parameters.lookup_interval_ms / 10,
+            )
+            self._tasks.keep_running(run, name=name, backoff=backoff, clock=self._clock)
 
     async def stop(self) -> None:
         """Close the socket, and remove this gateway from the table."""
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -32,7 +32,6 @@
 from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._slot_shares import SlotShares
 from carobroute.gateway._store_watch import (
-    Backoff,
     ConfigurationWatcher,
     TargetListPoller,
 )
@@ -51,7 +50,7 @@
     read_settings,
 )
 from carobroute.telemetry import EventLog, LineBuffer, Metrics
-from carobroute.utils import Clock, TaskSet, new_incarnation
+from carobroute.utils import Backoff, Clock, TaskSet, new_incarnation
 from carobroute.web import ClientConnection, WebSite
 
 METRICS_PORT = 9464
@@ -94,6 +93,7 @@
         "_directory",
         "_dispatcher",
         "_events",
+        "_failed_tasks",
         "_groups",
         "_incarnation",
         "_limits",
@@ -142,6 +142,9 @@
             clock=self._clock,
         )
         self._metrics = Metrics()
+        self._failed_tasks = self._metrics.counter(
+            "failed_tasks", "Background tasks that ended by an exception.", ["task"]
+        )
         self._tasks = TaskSet(on_failure=self._note_failed_task)
         self._sites: list[WebSite] = []
         self._stop = asyncio.Event()
@@ -384,12 +387,17 @@
             clock=self._clock,
             backoff=self._make_backoff(),
         )
-        self._tasks.spawn(evidence.run(), name="store prompt parts")
-        self._tasks.spawn(suspects.run(), name="store crashing requests")
-        self._tasks.spawn(self._groups.run(), name="rebalance groups")
-        self._tasks.spawn(configuration.run(), name="watch configuration")
-        self._tasks.spawn(targets.run(), name="watch targets")
-        self._tasks.spawn(self._dispatch_periodically(), name="dispatch queued calls")
+        for name, run in (
+            ("store prompt parts", evidence.run),
+            ("store crashing requests", suspects.run),
+            ("rebalance groups", self._groups.run),
+            ("watch configuration", configuration.run),
+            ("watch targets", targets.run),
+            ("dispatch queued calls", self._dispatch_periodically),
+        ):
+            self._tasks.keep_running(
+                run, name=name, backoff=self._make_backoff(), clock=self._clock
+            )
 
     def _make_backoff(self) -> Backoff:
         """Return the delays after failed calls to the store."""
@@ -547,6 +555,7 @@
         )
 
     def _note_failed_task(self, name: str, error: BaseException) -> None:
+        self._failed_tasks.labels(name).inc()
         self._events.event("task_failed", level="error", task=name, error=repr(error))
 
 
--- a/carobroute/gateway/_store_keeper.py
+++ b/carobroute/gateway/_store_keeper.py
@@ -4,10 +4,10 @@
 from collections.abc import Callable
 
 from carobroute.errors import Fault
-from carobroute.gateway._store_watch import Backoff, DependencyMonitor
+from carobroute.gateway._store_watch import DependencyMonitor
 from carobroute.platform import RowStore
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock
+from carobroute.utils import Backoff, Clock
 
 # Interval at which knowledge is compared with what was stored. The crashes of a wave
 # mostly fall into one or two of them.
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -25,7 +25,7 @@
     decode_target_entry,
 )
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock
+from carobroute.utils import Backoff, Clock
 
 # Time in which the operator writes again what a store that came back from an older copy
 # has lost; targets take as long to write their entries.
@@ -37,36 +37,6 @@
 FOLLOW_CHECK_INTERVAL_MS = 40.0
 
 
-class Backoff:
-    """Exponential backoff with jitter.
-
-    Parameters
-    ----------
-    random : random.Random
-        Random number generator.
-    min_ms, max_ms : float
-        First and longest delay, before jitter.
-    """
-
-    __slots__ = ("_min_ms", "_max_ms", "_random", "_wait_ms")
-
-    def __init__(self, *, random: random.Random, min_ms: float, max_ms: float):
-        self._random = random
-        self._min_ms = min_ms
-        self._max_ms = max_ms
-        self._wait_ms = min_ms
-
-    def next_ms(self) -> float:
-        """Return the next delay, at random from half to all of the current one."""
-        wait_ms = self._wait_ms * self._random.uniform(0.5, 1.0)
-        self._wait_ms = min(self._max_ms, 2 * self._wait_ms)
-        return wait_ms
-
-    def reset(self) -> None:
-        """Return to the first delay, after a success."""
-        self._wait_ms = self._min_ms
-
-
 class DependencyMonitor:
     """Logs when a dependency of the gateway becomes unavailable and available again.
 
@@ -206,6 +176,8 @@
 
     async def run(self) -> None:
         """Watch until cancelled."""
+        # After an exception, a watch would bring the same change again.
+        self._version = None
         while True:
             idle_ms = self._clock.boot_time_ms() - self._last_call_ms
             if self._shared and not self._shared.should_read_configuration(idle_ms):
--- a/carobroute/gateway/_suspect_store.py
+++ b/carobroute/gateway/_suspect_store.py
@@ -7,11 +7,10 @@
 
 from carobroute.errors import ErrorKind
 from carobroute.gateway._store_keeper import StoreKeeper
-from carobroute.gateway._store_watch import Backoff
 from carobroute.gateway._suspect_requests import CRASH_RETENTION_MS, SuspectRequests
 from carobroute.platform import RowAddress, RowStore, RowWrite, StoredRow
 from carobroute.telemetry import EventLog
-from carobroute.utils import Clock, Number, decode_foreign
+from carobroute.utils import Backoff, Clock, Number, decode_foreign
 
 SUSPECT_TABLE = "crashing_requests"
 # Rows that one transaction writes or removes at most.
--- a/carobroute/gateway/tests/test_evidence_store.py
+++ b/carobroute/gateway/tests/test_evidence_store.py
@@ -19,10 +19,10 @@
 )
 from carobroute.gateway._part_verdicts import PartState
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
-from carobroute.gateway._store_watch import Backoff
 from carobroute.telemetry import EventLog
 from carobroute.testing.row_store_data import MemoryRowStore
 from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
+from carobroute.utils import Backoff
 
 
 class Gateway:
--- a/carobroute/gateway/tests/test_suspect_store.py
+++ b/carobroute/gateway/tests/test_suspect_store.py
@@ -11,12 +11,12 @@
 import pytest
 
 from carobroute.gateway import SuspectRequests
-from carobroute.gateway._store_watch import Backoff
 from carobroute.gateway._suspect_requests import CRASH_RETENTION_MS
 from carobroute.gateway._suspect_store import SUSPECT_TABLE, SuspectStore
 from carobroute.telemetry import EventLog
 from carobroute.testing.row_store_data import MemoryRowStore
 from carobroute.testing.virtual_time import VirtualClock, VirtualLoop, run_virtual
+from carobroute.utils import Backoff
 
 
 class Gateway:
--- a/carobroute/testing/poison_part_data.py
+++ b/carobroute/testing/poison_part_data.py
@@ -15,11 +15,10 @@
 from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._evidence_store import EvidenceStore
 from carobroute.gateway._prompt_quarantine import PromptQuarantine, Trial
-from carobroute.gateway._store_watch import Backoff
 from carobroute.platform import RowStore
 from carobroute.telemetry import EventLog
 from carobroute.testing.row_store_data import MemoryRowStore
-from carobroute.utils import Clock
+from carobroute.utils import Backoff, Clock
 
 SERVICE = "model"
 READ_MS = 180.0
--- a/carobroute/tests/test_gateway_process.py
+++ b/carobroute/tests/test_gateway_process.py
@@ -12,6 +12,7 @@
 from aiohttp import ClientOSError
 
 from carobroute.domain import CallClass, ListedTargetState, ServiceShare, TeamProfile
+from carobroute.platform import CONFIGURATION_KEY, CONFIGURATION_TABLE, TARGET_TABLE
 from carobroute.standins._faults import Faults
 from carobroute.testing import GatewayRun, wait_until
 from carobroute.testing.foreign_data import HUGE, encode_entry, nest, odd_entries
@@ -89,8 +90,13 @@
 
 
 @pytest.fixture
-async def desk(tmp_path):
-    run = GatewayRun(directory=tmp_path, configuration=CONFIGURATION, revoke_ms=2_000.0)
+async def desk(tmp_path, request):
+    run = GatewayRun(
+        directory=tmp_path,
+        configuration=CONFIGURATION,
+        revoke_ms=2_000.0,
+        patch=getattr(request, "param", ""),
+    )
 
     async def answer(call):
         await call.answer(body=b"1 bell")
@@ -383,6 +389,61 @@
     assert {(await desk.call())[0] for _ in range(20)} == {200}
 
 
+FAIL_FOR_A_ROW = """
+from carobroute.gateway import _store_watch
+def fail_for_a_row(decode):
+    def decode_or_fail(*row):
+        if b"seeded" in row[-1]:
+            raise RuntimeError("a seeded mistake")
+        return decode(*row)
+    return decode_or_fail
+for name in ("decode_target_entry", "decode_configuration"):
+    setattr(_store_watch, name, fail_for_a_row(getattr(_store_watch, name)))
+"""
+
+
+@pytest.mark.parametrize("desk", [FAIL_FOR_A_ROW], indirect=True, ids=["seeded"])
+async def test_the_list_is_followed_again_after_an_exception(desk):
+    """An exception ended the reading of the list for good."""
+
+    def count_failures():
+        return sum(
+            "event=task_failed" in line and "watch targets" in line
+            for line in desk.run.lines
+        )
+
+    desk.run.list_stranger("i-odd", b"seeded")
+    await wait_until(lambda: count_failures() > 1, what="the task has failed twice")
+    assert {(await desk.call())[0] for _ in range(5)} == {200}
+    async with desk.run.session.get(desk.run.metrics_url) as answer:
+        assert 'failed_tasks_total{task="watch targets"}' in await answer.text()
+    desk.run.platform.write(TARGET_TABLE, "i-odd", None)
+    await desk.replace_orders()
+    assert {(await desk.call())[0] for _ in range(5)} == {200}
+
+
+@pytest.mark.parametrize("desk", [FAIL_FOR_A_ROW], indirect=True, ids=["seeded"])
+async def test_the_configuration_is_followed_again_after_an_exception(desk):
+    """An exception ended the watch of the configuration for good."""
+    desk.run.platform.write(CONFIGURATION_TABLE, CONFIGURATION_KEY, b"seeded")
+    await wait_until(
+        lambda: any(
+            "event=task_failed" in line and "watch configuration" in line
+            for line in desk.run.lines
+        ),
+        what="the task has failed",
+    )
+    added = make_route(name="r-3", path_prefix="/stock/")
+    desk.run.configure(
+        msgspec.structs.replace(CONFIGURATION, version=9, routes=[added])
+    )
+
+    async def is_in_force():
+        return (await desk.call("/stock/1"))[0] == 200
+
+    await wait_until(is_in_force, what="the added route is served")
+
+
 async def test_a_leaving_target_gets_nothing_more(desk):
     entry = make_target_entry(
         incarnation="i-orders",
--- a/carobroute/utils/__init__.py
+++ b/carobroute/utils/__init__.py
@@ -1,6 +1,7 @@
 """Small helpers shared by every subpackage."""
 
 from carobroute.utils._addresses import split_host_port
+from carobroute.utils._backoff import Backoff
 from carobroute.utils._bounded import BoundedDict
 from carobroute.utils._clock import Clock, ManualClock
 from carobroute.utils._event_loop import forbid_io_uring, run_event_loop
@@ -29,6 +30,7 @@
 
 __all__ = [
     "Address",
+    "Backoff",
     "BoundedDict",
     "Clock",
     "Count",
--- a/carobroute/utils/_tasks.py
+++ b/carobroute/utils/_tasks.py
@@ -4,6 +4,9 @@
 from collections.abc import Awaitable, Callable, Coroutine, Iterable
 from typing import Any, TypeVar
 
+from carobroute.utils._backoff import Backoff
+from carobroute.utils._clock import Clock
+
 T = TypeVar("T")
 
 
@@ -54,6 +57,48 @@
         task.add_done_callback(self._finish)
         return task
 
+    def keep_running(
+        self,
+        run: Callable[[], Coroutine[Any, Any, Any]],
+        *,
+        name: str,
+        backoff: Backoff,
+        clock: Clock,
+    ) -> asyncio.Task:
+        """Run a task that the process can't do without, again after each failure.
+
+        Parameters
+        ----------
+        run : callable
+            Returns the coroutine to run; the task ends once one returns.
+        name : str
+            Name of the task.
+        backoff : Backoff
+            Delays between a failure and the next run.
+        clock : Clock
+            Source of time.
+        """
+        return self.spawn(self._run_again(run, name, backoff, clock), name=name)
+
+    async def _run_again(
+        self,
+        run: Callable[[], Coroutine[Any, Any, Any]],
+        name: str,
+        backoff: Backoff,
+        clock: Clock,
+    ) -> None:
+        while True:
+            began_ms = clock.now_ms()
+            try:
+                await run()
+            except Exception as error:
+                self._on_failure(name, error)
+            else:
+                return
+            if clock.now_ms() - began_ms > backoff.max_ms:
+                backoff.reset()
+            await clock.sleep_ms(backoff.next_ms())
+
     async def close(self) -> None:
         """Cancel what still runs and wait for it to end."""
         current = asyncio.current_task()
