Find a rank group beside odd entries with its name

An entry of another writer with the name of a real rank group stopped the changes of that group's map: a size, an epoch or a service of its own made the group incomplete, and a second entry for a rank took that rank's place.

A group is now the largest complete set of entries that agree on service, size and epoch, one for each rank; of two entries for a rank, the one that is known longer counts. A group that forms anew is none until all its ranks say so, as before, and orders carry the target's identifier and the epoch, so a wrong member refuses or leaves them unanswered and the map stays. Not covered: a second entry for a rank that is listed before the real one when a gateway starts. The entries stay in the directory: to drop a target would count as its crash.

--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -15,6 +15,7 @@
     RankGroup,
 )
 from carobroute.gateway._configuration import ActiveConfiguration
+from carobroute.gateway._group_members import find_members
 from carobroute.gateway._stored_duty import StoredDuty
 from carobroute.gateway._target_pool import TargetPool
 from carobroute.gateway._targets import Target, TargetDirectory
@@ -310,30 +311,29 @@
         configuration must describe the experts of its service.
         """
         table = self._configuration.table
-        entry = targets[0].entry
-        service = table.find_service(entry.service) if table else None
-        if table is None or service is None or service.engine is None:
+        members = find_members(target.entry for target in targets)
+        if table is None or not members:
+            return None
+        entry = members[0]
+        service = table.find_service(entry.service)
+        if service is None or service.engine is None:
             return None
         experts = service.engine.experts
-        ranks = {target.entry.rank: target for target in targets}
-        epochs = {target.entry.group_epoch for target in targets}
-        is_complete = (
-            sorted(ranks) == list(range(entry.group_size)) and len(epochs) == 1
-        )
-        is_open = all(target.entry.is_group_open for target in targets)
-        if experts is None or not is_complete or not is_open:
+        is_open = all(member.is_group_open for member in members)
+        if experts is None or not is_open:
             return None
+        by_incarnation = {target.incarnation: target for target in targets}
         return RankGroup(
             name=name,
             epoch=entry.group_epoch,
             ranks=[
                 TargetRank(
-                    target=ranks[rank],
+                    target=by_incarnation[member.incarnation],
                     pool=self._pool,
                     client=self._client,
                     events=self._events,
                 )
-                for rank in range(entry.group_size)
+                for member in members
             ],
             slots=max(1, entry.slots),
             experts=experts,
