Begin the stop also where a deadline passes in the turn of the signal

A stop signal moves the ends of all calls. Where one of them was just expiring, asyncio raised RuntimeError out of the signal's handler: the process counted as stopping, but the listener stayed open and the calls after it kept their own ends, until the kill cut them (LOST).

An expiring deadline is left alone, and the process begins its shutdown before the ends are moved. The test has the signal come right behind a deadline; without the condition it fails, with the RuntimeError and a call that keeps waiting.

--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -513,9 +513,9 @@
         if self._context.is_stopping:
             return
         stop_ms = self._settings.bounds.stop_ms
+        self._stop.set()
         self._context.shutdown.begin(stop_ms)
         self._events.event("stopping", killed_in_ms=round(stop_ms))
-        self._stop.set()
 
     async def _shut_down(self, callers: WebSite) -> None:
         """Close the listener once callers are sent elsewhere, and let calls end."""
--- a/carobroute/gateway/_shutdown.py
+++ b/carobroute/gateway/_shutdown.py
@@ -156,7 +156,9 @@
             return loop.time() + max(0.0, left_ms) / MS_PER_S
 
         def move_end() -> None:
-            timeout.reschedule(find_end_s())
+            # One that is expiring in this turn of the event loop can't be moved.
+            if not timeout.expired():
+                timeout.reschedule(find_end_s())
 
         async with asyncio.timeout_at(find_end_s()) as timeout:
             self._on_begin.add(move_end)
--- a/carobroute/gateway/tests/test_shutdown.py
+++ b/carobroute/gateway/tests/test_shutdown.py
@@ -112,6 +112,35 @@
         await asyncio.wait_for(task, 20)
 
 
+# Guards against a stop that never begins: a deadline passes in the turn of the signal.
+async def test_signal_in_the_turn_of_a_deadline_begins_the_stop():
+    clock = Clock()
+    shutdown = Shutdown(clock=clock, parameters=GatewayParameters())
+    loop = asyncio.get_running_loop()
+    later = asyncio.Event()
+
+    async def expire():
+        async with shutdown.timeout(lambda: clock.now_ms() + 5.0) as timeout:
+            # Right behind the deadline, before the task has noticed it.
+            loop.call_at(timeout.when(), shutdown.begin, 0.0)
+            await asyncio.Event().wait()
+
+    async def wait():
+        async with shutdown.timeout(lambda: shutdown.deadline_ms(float("inf"))):
+            later.set()
+            await asyncio.Event().wait()
+
+    waiting = asyncio.create_task(wait())
+    await later.wait()
+    errors = []
+    loop.set_exception_handler(lambda loop, context: errors.append(context))
+    with pytest.raises(TimeoutError):
+        await expire()
+    with pytest.raises(TimeoutError):
+        await asyncio.wait_for(waiting, 20)
+    assert shutdown.is_stopping and not errors
+
+
 SERVICE = make_service(name="model", engine=make_engine(steps_per_pass=5))
 
 
