Refuse and break off in a stop only what would be cut

A plain call gets an answer at the end of calls in any case, so twice the longest of the recent ones of its service is enough to take it. The rest of a stream that has begun may be asked for until calls end. A stream that may be resumed is still taken by its estimate and only while the listener is open, and one that may not be needs its whole time.

The seeded mistake of a stalled stream that never ends has to ignore the end of calls as well, since deadlines are kept there now: it did not fail without.

--- a/carobroute/gateway/_stream_pace.py
+++ b/carobroute/gateway/_call_durations.py
@@ -1,4 +1,4 @@
-"""Pace of the streams of each service, to estimate how long one takes."""
+"""Durations of the calls of each service, to estimate how long one takes."""
 
 import math
 from collections import deque
@@ -8,13 +8,18 @@
 from carobroute.domain import ServiceProfile
 from carobroute.utils import Clock
 
-# Time for which the pace of a stream counts, in milliseconds: some seconds of load.
+# Time for which a call counts, in milliseconds: some seconds of load.
 WINDOW_MS = 10_000.0
 MAX_STREAMS = 256
 # Gaps between events below which the pace is not known.
 MIN_GAPS = 10
 # Factor on the mean pace, for a stream that is slower; few are as long as they may be.
 DURATION_MARGIN = 1.1
+MAX_PLAIN_CALLS = 256
+# Plain calls below which their duration is not known.
+MIN_PLAIN_CALLS = 10
+# Factor on the longest plain call, for one that is slower.
+PLAIN_MARGIN = 2.0
 
 
 class _Stream(msgspec.Struct, frozen=True):
@@ -88,3 +93,37 @@
         first_ms = sum(stream.first_ms for stream in recent) / len(recent)
         gap_ms = sum(stream.gap_sum_ms for stream in recent) / gap_count
         return DURATION_MARGIN * (first_ms + event_count * gap_ms)
+
+
+class PlainCallDurations:
+    """Recent plain calls of each service, and the duration to expect of one.
+
+    Parameters
+    ----------
+    clock : Clock
+        Source of time.
+    """
+
+    __slots__ = ("_calls", "_clock")
+
+    def __init__(self, *, clock: Clock):
+        self._clock = clock
+        # Times of the answers, and durations, in milliseconds.
+        self._calls: dict[str, deque[tuple[float, float]]] = {}
+
+    def note(self, service: str, duration_ms: float) -> None:
+        """Note an answered call, with its duration from its arrival at this gateway."""
+        calls = self._calls.setdefault(service, deque(maxlen=MAX_PLAIN_CALLS))
+        calls.append((self._clock.now_ms(), duration_ms))
+
+    def longest_ms(self, service: str) -> float | None:
+        """Return the time in which a call most probably ends; None if not known."""
+        oldest_ms = self._clock.now_ms() - WINDOW_MS
+        recent = [
+            duration_ms
+            for at_ms, duration_ms in self._calls.get(service, ())
+            if at_ms >= oldest_ms
+        ]
+        if len(recent) < MIN_PLAIN_CALLS:
+            return None
+        return PLAIN_MARGIN * max(recent)
--- a/carobroute/gateway/_context.py
+++ b/carobroute/gateway/_context.py
@@ -3,6 +3,7 @@
 import random
 from collections.abc import Callable
 
+from carobroute.gateway._call_durations import PlainCallDurations, StreamPaces
 from carobroute.gateway._call_records import CallRecorder
 from carobroute.gateway._configuration import ActiveConfiguration
 from carobroute.gateway._crash_detector import CrashDetector
@@ -14,7 +15,6 @@
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._shutdown import Shutdown
 from carobroute.gateway._stream_ends import StreamEndJudge
-from carobroute.gateway._stream_pace import StreamPaces
 from carobroute.gateway._stuck_calls import StuckCallDetector
 from carobroute.gateway._suspect_requests import SuspectRequests
 from carobroute.gateway._target_pool import TargetPool
@@ -71,6 +71,7 @@
         "on_leaving",
         "parameters",
         "pass_time_estimators",
+        "plain_durations",
         "pool",
         "quarantine",
         "random",
@@ -121,6 +122,7 @@
         self.recorder = recorder
         self.shutdown = Shutdown(clock=clock, parameters=parameters)
         self.stream_paces = StreamPaces(clock=clock)
+        self.plain_durations = PlainCallDurations(clock=clock)
         # Called when a target has said that it leaves.
         self.on_leaving: Callable[[], None] = lambda: None
 
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -219,8 +219,13 @@
 
     @property
     def _expected_ms(self) -> float | None:
-        """Time to expect of a stream that may be resumed; None for other calls."""
-        if not (self._call.route.streaming and self._call.route.resumable):
+        """Time to expect of the call; None if it is not known.
+
+        That of a stream counts only if its caller may resume it.
+        """
+        if not self._call.route.streaming:
+            return self._context.plain_durations.longest_ms(self._call.service.name)
+        if not self._call.route.resumable:
             return None
         return self._context.stream_paces.longest_duration_ms(
             self._call.service, self._call.head.output_tokens
@@ -236,6 +241,7 @@
         return self._context.shutdown.latest_send_ms(
             self._call.expires_ms,
             self._expected_ms,
+            is_streaming=self._call.route.streaming,
             has_begun=self._relay.caller_response is not None,
         )
 
@@ -709,6 +715,8 @@
         )
         if response.status < 300:
             self._parts.note_answered()
+            service = self._call.service.name
+            self._context.plain_durations.note(service, self._record.age_ms)
         if response.status < 500:
             return Attempt(outcome=AttemptOutcome.ANSWERED, response=answer)
         fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=f"status {response.status}")
--- a/carobroute/gateway/_shutdown.py
+++ b/carobroute/gateway/_shutdown.py
@@ -15,9 +15,11 @@
     """Times of a planned stop, from the stop signal on.
 
     A call may be sent if it certainly ends in time, which is if its deadline lies
-    before the end of calls. While the listener is open, and for streams that have
-    begun, an estimate of the remaining duration is enough, if the call has one:
-    refusing each of them would cost its caller a retry.
+    before the end of calls. An estimate of the duration is enough for plain calls,
+    which get an answer at the end of calls in any case, and for streams while the
+    listener is open: refusing each of them would cost its caller a retry. The rest of a
+    stream that has begun may always be asked for, since its caller's answer would be
+    broken off at once otherwise.
 
     Parameters
     ----------
@@ -93,11 +95,17 @@
         return min(expires_ms, self._calls_end_ms)
 
     def latest_send_ms(
-        self, expires_ms: float, duration_ms: float | None, *, has_begun: bool
+        self,
+        expires_ms: float,
+        duration_ms: float | None,
+        *,
+        is_streaming: bool,
+        has_begun: bool,
     ) -> float:
         """Return the monotonic time until which a call may be sent to a target.
 
-        It is infinite for a call whose own deadline is early enough.
+        It is infinite for a call whose own deadline is early enough, and for one whose
+        answer has begun.
 
         Parameters
         ----------
@@ -105,6 +113,8 @@
             Monotonic time of the call's own deadline.
         duration_ms : float or None
             Estimate of how long the call takes; None if there is none.
+        is_streaming : bool
+            Whether the answer is a stream.
         has_begun : bool
             Whether the caller has received the beginning of the answer.
 
@@ -115,21 +125,30 @@
         >>> from carobroute.utils import ManualClock
         >>> shutdown = Shutdown(clock=ManualClock(), parameters=GatewayParameters())
         >>> shutdown.begin(8_000.0)
-        >>> shutdown.latest_send_ms(7_000.0, None, has_begun=False)
+        >>> def latest_ms(expires_ms, duration_ms, *, is_streaming, has_begun=False):
+        ...     return shutdown.latest_send_ms(
+        ...         expires_ms,
+        ...         duration_ms,
+        ...         is_streaming=is_streaming,
+        ...         has_begun=has_begun,
+        ...     )
+        >>> latest_ms(7_000.0, None, is_streaming=True)
         inf
-        >>> shutdown.latest_send_ms(9_000.0, None, has_begun=False)
+        >>> latest_ms(9_000.0, None, is_streaming=False)
         -inf
-        >>> shutdown.latest_send_ms(9_000.0, 3_000.0, has_begun=False)
-        2900.0
-        >>> shutdown.latest_send_ms(9_000.0, 3_000.0, has_begun=True)
+        >>> latest_ms(9_000.0, 3_000.0, is_streaming=False)
         4400.0
+        >>> latest_ms(9_000.0, 3_000.0, is_streaming=True)
+        2900.0
+        >>> latest_ms(9_000.0, None, is_streaming=True, has_begun=True)
+        inf
         """
-        if expires_ms <= self._calls_end_ms:
+        if has_begun or expires_ms <= self._calls_end_ms:
             return NEVER_MS
         if duration_ms is None:
             return -NEVER_MS
         latest_ms = self._calls_end_ms - duration_ms
-        return latest_ms if has_begun else min(latest_ms, self._listener_close_ms)
+        return min(latest_ms, self._listener_close_ms) if is_streaming else latest_ms
 
     @asynccontextmanager
     async def timeout(
--- a/carobroute/tests/test_operators_reports.py
+++ b/carobroute/tests/test_operators_reports.py
@@ -85,7 +85,9 @@
 """
 IGNORE_DEADLINES = """
 from carobroute.gateway import Exchange
+from carobroute.gateway._shutdown import Shutdown
 Exchange._remaining_ms = property(lambda self: 60_000.0)
+Shutdown.deadline_ms = lambda self, expires_ms: float("inf")
 """
 KEEP_TARGETS_AND_KEYS = """
 from carobroute.domain import ListedTargetState
