Bound the slots of a target that are used

A well-formed entry of another writer with 65,536 slots was a target like others, and each gateway works out its share of a service slot by slot: beside 128 sound targets, the first call blocked the event loop for 205 ms with one such entry and for 2,577 ms with ten, and again at each change of the usable targets (found by the review; a script, one run).

At most 1,024 slots of a target are used now: 7 and 146 ms by the same script (one run). A target with more is still called, and its queue is its own affair.

--- a/carobroute/platform/_configuration_decoding.py
+++ b/carobroute/platform/_configuration_decoding.py
@@ -41,6 +41,8 @@
     "draining": ListedTargetState.LEAVING,
 }
 _OPEN_GROUP_STATE = "open"
+# Slots of a target that are used at most: shares of them are worked out slot by slot.
+MAX_SLOTS = 1_024
 _MAX_RANK = (1 << 16) - 1
 # Identifiers of targets are sent to them in a header.
 _INCARNATION = Annotated[str, Meta(pattern=r"\A[!-~]{1,200}\Z")]
@@ -190,7 +192,7 @@
         service=wire.service,
         address=wire.address,
         data_centre=wire.zone,
-        slots=max(1, wire.slots),
+        slots=min(max(1, wire.slots), MAX_SLOTS),
         condition=_CONDITION_BY_STATE[wire.state],
         slow_start_ms=max(0.0, wire.cold_remaining_ms),
         group=group.name,
--- a/carobroute/platform/tests/test_foreign_entries.py
+++ b/carobroute/platform/tests/test_foreign_entries.py
@@ -62,7 +62,7 @@
     if isinstance(decoded, Failure):
         return
     entry = decoded.unwrap()
-    assert 1 <= entry.slots <= 1 << 16
+    assert 1 <= entry.slots <= 1_024
     assert 0 <= entry.slow_start_ms < math.inf
     assert 0 <= entry.started_ms < 1 << 53
     assert 0 <= entry.group_epoch < 1 << 53
@@ -70,6 +70,12 @@
     assert not entry.group_size or entry.rank < entry.group_size
 
 
+# Guards against one entry that blocks each call while shares of slots are worked out.
+def test_slots_of_a_target_are_bounded():
+    entry = decode_target_entry("i-1", encode_entry(slots=1 << 16)).unwrap()
+    assert entry.slots == 1_024
+
+
 @given(
     st.one_of(
         st.ip_addresses(v=4).map(str),
