Refuse headers that cannot be passed on as they came

The HTTP server reads such bytes as surrogates, and the client leaves these out when it writes.

A request with such a header is refused with 400 before it is sent, and such a field of a target's answer is left out whole, as one with control characters is. Two cases at the real process failed before, with the id as i1 at the target, and pass now. The answers' side has no test of its own: the scripted targets write UTF-8.

--- a/carobroute/engines/__init__.py
+++ b/carobroute/engines/__init__.py
@@ -1,7 +1,7 @@
 """Adapters to what a local process stands beside: model engines and plain services."""
 
 from carobroute.engines._connector import CleanConnector
-from carobroute.engines._http import HttpTransport, end_to_end
+from carobroute.engines._http import HttpTransport, end_to_end, is_writable
 from carobroute.engines._interface import (
     CacheEvent,
     CacheEvents,
@@ -49,5 +49,6 @@
     "count_tokens",
     "end_to_end",
     "engine_adapters",
+    "is_writable",
     "prompt_text",
 ]
--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -41,14 +41,20 @@
     }
 )
 
-# Characters that the HTTP library reads in a target's header and refuses to write.
-_UNWRITABLE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f]")
+# Characters that the HTTP library reads in a header and refuses to write or leaves out:
+# control characters, and the surrogates of bytes that are no UTF-8.
+_UNWRITABLE = re.compile(r"[\x00-\x08\x0a-\x1f\x7f\ud800-\udfff]")
+
+
+def is_writable(value: str) -> bool:
+    """Whether a header's value can be passed on as it came."""
+    return _UNWRITABLE.search(value) is None
 
 
 def end_to_end(headers: Mapping[str, str]) -> CIMultiDict[str]:
     """Return the headers that go on to the next hop, repeated ones included.
 
-    Fields with control characters are left out, since they cannot be written.
+    Fields that cannot be written as they came are left out.
 
     Examples
     --------
@@ -64,7 +70,7 @@
     }
     for name, value in headers.items():
         is_hop = name.lower() in HOP_HEADERS or name.lower() in named
-        if not is_hop and not _UNWRITABLE.search(value):
+        if not is_hop and is_writable(value):
             kept.add(name, value)
     return kept
 
--- a/carobroute/gateway/_call.py
+++ b/carobroute/gateway/_call.py
@@ -5,6 +5,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.domain import Route, ServiceProfile
+from carobroute.engines import is_writable
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.gateway._call_records import CallRecord
 from carobroute.gateway._configuration import RoutingTable, choose_service
@@ -111,6 +112,10 @@
         authorized = self._authorize(table)
         if isinstance(authorized, Failure):
             return authorized
+        for name, value in self._request.headers.items():
+            if not is_writable(value):
+                detail = f"header {name} has bytes that cannot be passed on"
+                return fail(ErrorKind.BAD_REQUEST, detail)
         authorization = authorized.unwrap()
         route = authorization.route
         service = table.find_service(choose_service(route, self._context.random))
--- a/carobroute/gateway/tests/test_callers_connections.py
+++ b/carobroute/gateway/tests/test_callers_connections.py
@@ -399,6 +399,19 @@
     assert all(set(rest) <= {ord("x")} for rest in desk.early.rests)
 
 
+# Guards against calls that reach a target under an id that their caller never sent.
+@pytest.mark.parametrize("name", ["request_id", "Prompt_Prefix"])
+async def test_headers_that_are_not_utf_8_are_refused_and_not_shortened(desk, name):
+    fields = {"Prompt_Prefix": "ab\xe9:3,x:1"} if name == "Prompt_Prefix" else {}
+    async with desk.caller() as caller:
+        await warm_up(caller)
+        before = len(desk.orders.calls)
+        request_id = "i\xff1" if name == "request_id" else "r-1"
+        assert (await caller.ask(request_id, **fields)).status == 400
+        assert len(desk.orders.calls) == before
+        await warm_up(caller)
+
+
 @pytest.mark.parametrize("path", ["/nowhere", "/orders/1"])
 async def test_a_refusal_names_a_request_whose_id_is_not_utf_8(desk, path):
     """It became a 500 that closed the connection, since JSON has no such text."""
