--- a/carobroute/gateway/tests/test_foreign_messages.py
+++ b/carobroute/gateway/tests/test_foreign_messages.py
@@ -97,7 +97,7 @@
 
 @pytest.mark.parametrize("data", odd_digests().values(), ids=odd_digests())
 def test_an_odd_datagram_is_reported_and_the_digests_go_on(data):
-    """Nesting closed the socket; an odd address ended the task that sends digests."""
+    """Nesting raised an error; an odd address ended the task that sends digests."""
     uvloop.run(check_digests_go_on(data))
 
 
