Take no foreign entry over that of a leaving target for a new run

What callers saw: after one row of another program over the entry of a target that leaves, orders went to that target again, later than drainMs after the store had accepted that it drains (rule DRAIN).

The leaving run was dropped and the "new" one was ready, under the same identifier, so the target took its calls.

Now an entry must have each field that every target writes, and one that lacks the start that its run has named is no entry of a target, also for a minute after that run is gone. Targets that never name a start are used as before.

The builder of shared_reads_data wrote entries without these fields; it writes them now.

Ruled out: an entry that cannot be read at all, over that of a leaving target, held before.

--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -182,10 +182,10 @@
         Those that are gone without having said that they leave.
     """
 
-    joined: list[str]
-    leaving: list[str]
-    gone: list[str]
-    lost: list[Target]
+    joined: list[str] = []
+    leaving: list[str] = []
+    gone: list[str] = []
+    lost: list[Target] = []
 
 
 class TargetDirectory:
@@ -363,7 +363,7 @@
         Parameters
         ----------
         entries : list of TargetEntry
-            All entries.
+            All entries that are readable.
         store_ms : float, default=0.0
             Time by the store's clock at which it held them.
         """
@@ -377,13 +377,14 @@
             self._grace_until_ms = now_ms + self._lapsed_grace_ms
         self._last_read_ms = now_ms
         self._forget_gone(now_ms)
-        change = DirectoryChange(joined=[], leaving=[], gone=[], lost=[])
-        listed = {entry.incarnation: entry for entry in entries}
+        change = DirectoryChange()
+        listed = set()
         for entry in entries:
-            if self._is_outdated(entry):
+            if self._names_no_run(entry) or self._is_outdated(entry):
                 # No peer can confirm this list, so it is read again.
                 self._list_hash = 0
             else:
+                listed.add(entry.incarnation)
                 self._apply_entry(entry, change)
         if now_ms >= self._grace_until_ms:
             for incarnation in [name for name in self._targets if name not in listed]:
@@ -393,6 +394,17 @@
             self._targets_by_service.setdefault(target.entry.service, []).append(target)
         return change
 
+    def _names_no_run(self, entry: TargetEntry) -> bool:
+        """Whether an entry lacks the start that its target has named before.
+
+        Another program has written it, perhaps over the entry of a target that leaves.
+        """
+        known = self._targets.get(entry.incarnation)
+        if known is not None:
+            return bool(known.entry.started_ms) and not entry.started_ms
+        gone_run = self._gone.get(entry.incarnation)
+        return gone_run is not None and bool(gone_run[0]) and not entry.started_ms
+
     def _note_gone(self, target: Target, change: DirectoryChange) -> None:
         target.is_gone = True
         started_ms = target.entry.started_ms
--- a/carobroute/gateway/tests/test_targets.py
+++ b/carobroute/gateway/tests/test_targets.py
@@ -1,5 +1,7 @@
 """Usability of targets that leave, whose entries lapse, or that restart."""
 
+import pytest
+
 from carobroute.domain import ListedTargetState
 from carobroute.gateway import GatewayParameters, TargetDirectory
 from carobroute.platform import ReportedLoad
@@ -100,3 +102,30 @@
     directory.update([make_target_entry(), make_target_entry(incarnation="i-2")])
     clock.advance_ms(interval_ms)
     assert directory.update([make_target_entry()]).gone == ["i-2"]
+
+
+# Guards against orders to a target that leaves (DRAIN): the entry of another program
+# over its own, without a start, was taken for that of a new run.
+@pytest.mark.parametrize("is_listed", [True, False], ids=["draining", "removed"])
+def test_an_entry_without_a_start_makes_no_leaving_target_ready(is_listed):
+    clock = ManualClock()
+    directory = _directory(clock)
+    directory.update([make_target_entry()])
+    leaving = make_target_entry(condition=ListedTargetState.LEAVING)
+    directory.update([leaving] if is_listed else [])
+    for _ in range(8):
+        clock.advance_ms(800)
+        directory.update([make_target_entry(started_ms=0)])
+        assert _usable_targets(directory) == []
+        assert not directory.list_hash
+
+
+def test_a_target_that_never_names_its_start_is_used():
+    directory = _directory(ManualClock())
+    entry = make_target_entry(started_ms=0)
+    for _ in range(2):
+        directory.update([entry])
+        assert _usable_targets(directory) == ["i-1"]
+    directory.update([])
+    directory.update([entry])
+    assert _usable_targets(directory) == ["i-1"]
--- a/carobroute/platform/_configuration_decoding.py
+++ b/carobroute/platform/_configuration_decoding.py
@@ -136,11 +136,14 @@
     service: Annotated[Name, Meta(min_length=1)]
     address: Address
     zone: Name
+    # Version of the target's software; like `seq` not used, but each entry has it.
+    version: str
     state: str
-    slots: Size = 1
+    slots: Size
     # Remaining time of the slow start, not an age.
-    cold_remaining_ms: Number = 0.0
-    # Wall-clock time of the start.
+    cold_remaining_ms: Number
+    seq: Count
+    # Wall-clock time of the start; not every target names it.
     born: Count = 0
     group: _WireGroup | None = None
     # Ranks of the group, not of the target.
--- a/carobroute/testing/foreign_data.py
+++ b/carobroute/testing/foreign_data.py
@@ -77,6 +77,11 @@
         "nested service": nest("service"),
         "nested group": nest("group", opening=b'{"a":'),
         "odd state": encode_entry(state="odd"),
+        **{
+            f"without {field}": encode_entry(without=field)
+            for field in ENTRY
+            if field != "born"
+        },
         "no service": encode_entry(service=""),
         "long service": encode_entry(service="s" * 201),
         "service of another type": encode_entry(service=7),
--- a/carobroute/testing/shared_reads_data.py
+++ b/carobroute/testing/shared_reads_data.py
@@ -46,8 +46,11 @@
         "service": "one",
         "address": "10.0.0.1:80",
         "zone": "a",
-        "state": "ready",
+        "version": "v1",
         "slots": 2,
+        "state": "ready",
+        "coldRemainingMs": 0,
+        "seq": 1,
     }
     return json.dumps({**fields, **changes}).encode()
 
--- a/carobroute/tests/test_gateway_process.py
+++ b/carobroute/tests/test_gateway_process.py
@@ -460,6 +460,46 @@
     assert len(desk.orders.calls) == before
 
 
+# What another program may write over the entry of a target, ready by its words.
+OVERWRITING = {
+    "no start": lambda address: encode_entry(without="born", address=address),
+    "no sequence": lambda address: encode_entry(without="seq", address=address),
+    "no text": lambda address: b"\xff",
+}
+
+
+async def overwrite_orders(desk, data):
+    """Write over the entry of the orders' target; return once the gateway has read."""
+    desk.run.list_stranger("i-orders", data)
+    name = f"i-{len(desk.run.lines)}"
+    sentinel = make_target_entry(incarnation=name, service="none")
+    desk.run.list_target(sentinel)
+    await wait_until(
+        lambda: any(f"target={name} " in line for line in desk.run.lines),
+        what="the gateway has read the list",
+    )
+
+
+# Guards against orders to a leaving target (DRAIN) after one row of another program.
+@pytest.mark.parametrize("overwriting", OVERWRITING.values(), ids=OVERWRITING)
+async def test_a_leaving_target_whose_entry_is_overwritten_gets_nothing(
+    desk, overwriting
+):
+    address = desk.orders.address
+    leaving = make_target_entry(
+        incarnation="i-orders", address=address, condition=ListedTargetState.LEAVING
+    )
+    desk.run.list_target(leaving)
+    await overwrite_orders(desk, overwriting(address))
+    for _ in range(5):
+        assert (await desk.call(deadline=300))[0] == 503
+    assert desk.orders.calls == []
+    desk.run.list_target(leaving)
+    await overwrite_orders(desk, overwriting(address))
+    assert (await desk.call(deadline=300))[0] == 503
+    assert desk.orders.calls == []
+
+
 async def test_a_kill_and_a_new_start_lose_no_configuration(desk):
     desk.run.signal(signal.SIGKILL)
     assert await desk.run.wait_ended() == -signal.SIGKILL
