Keep a target whose entry another program has written over

What is seen: one odd row over the entry of a living target counted as its crash. The target was gone, its calls in flight were noted as those at a target that crashed (evidence against their prompt parts), its load and its connections were forgotten, and it joined as a new one with its next heartbeat.

Now such a target is suspended: it gets no calls, its calls go on, and it is used again once it has renewed its entry. The log tells target_suspended and target_renewed.

Evidence: on test_a_call_in_flight_outlives_the_overwriting_of_its_targets_entry fails in 3 of 3 cases (target_gone in the log); 3 pass now. Ruled out: that the calls in flight are refused later as requests that crash targets; without the line on target_gone the test passes before.

--- a/carobroute/gateway/__init__.py
+++ b/carobroute/gateway/__init__.py
@@ -22,11 +22,12 @@
 )
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._suspect_requests import SuspectRequests, request_fingerprint
-from carobroute.gateway._targets import Target, TargetDirectory
+from carobroute.gateway._targets import DirectoryChange, Target, TargetDirectory
 
 __all__ = [
     "ActiveConfiguration",
     "Caller",
+    "DirectoryChange",
     "DispatchParameters",
     "DispatchRequest",
     "Dispatcher",
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -462,7 +462,8 @@
         self._era = answer.era
         store_ms = answer.store_ms - (self._clock.boot_time_ms() - sent_ms)
         is_first = math.isinf(self._directory.age_ms)
-        change = self._directory.update(self._decode(answer.rows), store_ms)
+        entries = self._decode(answer.rows)
+        change = self._directory.update(entries, store_ms, self._unreadable_keys)
         joined = change.joined
         if is_first:
             self._events.event("targets_listed", count=len(joined))
@@ -471,6 +472,8 @@
             ("target_joined", joined),
             ("target_leaving", change.leaving),
             ("target_gone", change.gone),
+            ("target_suspended", change.suspended),
+            ("target_renewed", change.renewed),
         ):
             for incarnation in incarnations:
                 self._events.event(
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -1,6 +1,6 @@
 """Targets in the store's list, with the load that this gateway sees there."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from typing import NamedTuple
 
 import msgspec
@@ -62,6 +62,7 @@
         "in_flight",
         "is_gone",
         "last_event_ms",
+        "overwritten_ms",
         "stream_ends",
     )
 
@@ -88,6 +89,8 @@
         self.health = TargetHealth(clock=clock, parameters=health)
         self.in_flight = 0
         self.is_gone = False
+        # Boot time from which on its entry is another program's; None if it is its own.
+        self.overwritten_ms: float | None = None
         # Monotonic time of the last event of any stream from this target.
         self.last_event_ms = 0.0
         self.stream_ends = StreamEndHistory()
@@ -111,8 +114,9 @@
     def is_usable(self) -> bool:
         """Whether new calls may be sent to the target."""
         ready = self.entry.condition is ListedTargetState.READY
-        is_listed = ready and not self.is_gone and self.entry.is_group_open
-        return is_listed and not self.pause_remaining_ms
+        is_listed = not self.is_gone and self.overwritten_ms is None
+        is_open = ready and self.entry.is_group_open
+        return is_listed and is_open and not self.pause_remaining_ms
 
     @property
     def pause_remaining_ms(self) -> float:
@@ -180,12 +184,17 @@
         Incarnations that are new, that have begun to leave, and that are gone.
     lost : list of Target
         Those that are gone without having said that they leave.
+    suspended, renewed : list of str
+        Incarnations whose entries another program has overwritten, and that have
+        renewed them since.
     """
 
     joined: list[str] = []
     leaving: list[str] = []
     gone: list[str] = []
     lost: list[Target] = []
+    suspended: list[str] = []
+    renewed: list[str] = []
 
 
 class TargetDirectory:
@@ -205,7 +214,8 @@
     lapsed_grace_ms : float
         Grace period in which lapsed entries may be renewed.
     entry_expiry_ms : float, default=5000.0
-        Time after which the store has removed the entry of a target that is gone.
+        Time after which the store has removed the entry of a target that is gone, and
+        in which a living one has renewed an entry that was overwritten.
     health : HealthParameters, default=None
         Limits of ejection and slow start.
     peer_calls : callable, default=None
@@ -356,7 +366,10 @@
         self._expiry_until_ms = now_ms + self._entry_expiry_ms
 
     def update(
-        self, entries: list[TargetEntry], store_ms: float = 0.0
+        self,
+        entries: list[TargetEntry],
+        store_ms: float = 0.0,
+        unreadable: Collection[str] = (),
     ) -> DirectoryChange:
         """Apply a complete reading of the list, and return the changes.
 
@@ -366,6 +379,9 @@
             All entries that are readable.
         store_ms : float, default=0.0
             Time by the store's clock at which it held them.
+        unreadable : collection of str, default=()
+            Incarnations whose entries are not: another program may have overwritten
+            them, and their targets get no calls until they have renewed them.
         """
         self._list_hash = hash_entries(entries)
         self._list_store_ms = store_ms
@@ -378,16 +394,20 @@
         self._last_read_ms = now_ms
         self._forget_gone(now_ms)
         change = DirectoryChange()
-        listed = set()
+        overwritten = set(unreadable)
         for entry in entries:
-            if self._names_no_run(entry) or self._is_outdated(entry):
-                # No peer can confirm this list, so it is read again.
-                self._list_hash = 0
-            else:
-                listed.add(entry.incarnation)
+            if self._names_no_run(entry):
+                overwritten.add(entry.incarnation)
+            elif not self._is_outdated(entry):
                 self._apply_entry(entry, change)
-        if now_ms >= self._grace_until_ms:
-            for incarnation in [name for name in self._targets if name not in listed]:
+                continue
+            # No peer can confirm this list, so it is read again.
+            self._list_hash = 0
+        self._suspend(overwritten, change)
+        listed = {entry.incarnation for entry in entries} | overwritten
+        for incarnation, target in list(self._targets.items()):
+            is_missing = incarnation not in listed and now_ms >= self._grace_until_ms
+            if is_missing or self._has_expired(target, now_ms):
                 self._note_gone(self._targets.pop(incarnation), change)
         self._targets_by_service = {}
         for target in self._targets.values():
@@ -405,6 +425,20 @@
         gone_run = self._gone.get(entry.incarnation)
         return gone_run is not None and bool(gone_run[0]) and not entry.started_ms
 
+    def _suspend(self, overwritten: Collection[str], change: DirectoryChange) -> None:
+        """Send no calls to targets whose entries another program has overwritten."""
+        for incarnation in overwritten:
+            target = self._targets.get(incarnation)
+            if target is not None and target.overwritten_ms is None:
+                target.overwritten_ms = self._clock.boot_time_ms()
+                change.suspended.append(incarnation)
+
+    def _has_expired(self, target: Target, now_ms: float) -> bool:
+        """Whether a target has not renewed an entry that was overwritten."""
+        if target.overwritten_ms is None:
+            return False
+        return now_ms - target.overwritten_ms >= self._entry_expiry_ms
+
     def _note_gone(self, target: Target, change: DirectoryChange) -> None:
         target.is_gone = True
         started_ms = target.entry.started_ms
@@ -436,6 +470,9 @@
     def _apply_entry(self, entry: TargetEntry, change: DirectoryChange) -> None:
         known = self._targets.get(entry.incarnation)
         if known is not None and known.entry.started_ms == entry.started_ms:
+            if known.overwritten_ms is not None:
+                known.overwritten_ms = None
+                change.renewed.append(entry.incarnation)
             was_usable = known.is_usable or known.pause_remaining_ms > 0
             if known.entry.condition is ListedTargetState.LEAVING:
                 # A run that leaves does so for good, whatever an older list says.
--- a/carobroute/gateway/tests/test_targets.py
+++ b/carobroute/gateway/tests/test_targets.py
@@ -3,7 +3,7 @@
 import pytest
 
 from carobroute.domain import ListedTargetState
-from carobroute.gateway import GatewayParameters, TargetDirectory
+from carobroute.gateway import DirectoryChange, GatewayParameters, TargetDirectory
 from carobroute.platform import ReportedLoad
 from carobroute.testing.gateway_data import make_target_entry
 from carobroute.utils import ManualClock
@@ -129,3 +129,49 @@
     directory.update([])
     directory.update([entry])
     assert _usable_targets(directory) == ["i-1"]
+
+
+# Guards against a living target that counts as crashed, with the prompt parts in
+# flight there as suspects, because another program wrote over its entry.
+@pytest.mark.parametrize("is_readable", [True, False])
+def test_a_target_whose_entry_is_overwritten_is_not_gone(is_readable):
+    clock = ManualClock()
+    directory = _directory(clock)
+    directory.update([make_target_entry(started_ms=7)])
+    target = directory.find("i-1")
+    overwriting = [make_target_entry(started_ms=0)] if is_readable else []
+    clock.advance_ms(800)
+    change = directory.update(overwriting, unreadable=["i-1", "i-other"])
+    assert change == DirectoryChange(suspended=["i-1"])
+    assert _usable_targets(directory) == []
+    change = directory.update(overwriting, unreadable=["i-1"])
+    assert change == DirectoryChange()
+    clock.advance_ms(800)
+    change = directory.update([make_target_entry(started_ms=7)])
+    assert change == DirectoryChange(renewed=["i-1"])
+    assert directory.find("i-1") is target and target.is_usable
+
+
+def test_a_target_that_does_not_renew_an_overwritten_entry_is_gone():
+    clock = ManualClock()
+    directory = _directory(clock)
+    directory.update([make_target_entry()])
+    target = directory.find("i-1")
+    directory.update([], unreadable=["i-1"])
+    clock.advance_ms(4_900)
+    assert directory.update([], unreadable=["i-1"]).gone == []
+    clock.advance_ms(100)
+    change = directory.update([], unreadable=["i-1"])
+    assert (change.gone, change.lost) == (["i-1"], [target])
+
+
+def test_a_target_that_drains_while_its_entry_is_overwritten_stays_unusable():
+    clock = ManualClock()
+    directory = _directory(clock)
+    directory.update([make_target_entry()])
+    directory.update([], unreadable=["i-1"])
+    leaving = make_target_entry(condition=ListedTargetState.LEAVING)
+    assert directory.update([leaving]).leaving == ["i-1"]
+    directory.update([], unreadable=["i-1"])
+    directory.update([make_target_entry()])
+    assert _usable_targets(directory) == []
--- a/carobroute/tests/test_gateway_process.py
+++ b/carobroute/tests/test_gateway_process.py
@@ -500,6 +500,35 @@
     assert desk.orders.calls == []
 
 
+# Guards against a living target that counts as crashed while it runs calls.
+@pytest.mark.parametrize("overwriting", OVERWRITING.values(), ids=OVERWRITING)
+async def test_a_call_in_flight_outlives_the_overwriting_of_its_targets_entry(
+    desk, overwriting
+):
+    own = make_target_entry(incarnation="i-orders", address=desk.orders.address)
+    for number in range(1, 4):
+        streaming = asyncio.create_task(desk.call("/chat/1", method="POST"))
+        await wait_until(
+            lambda count=number: len(desk.model.calls) == count, what="it has begun"
+        )
+        entry = make_target_entry(
+            incarnation="i-model", service="model", address=desk.model.address
+        )
+        desk.run.list_stranger("i-model", overwriting(desk.model.address))
+        await overwrite_orders(desk, overwriting(desk.orders.address))
+        desk.go_on.set()
+        assert (await streaming)[0] == 200
+        desk.go_on.clear()
+        desk.run.list_target(entry)
+        desk.run.list_target(own)
+
+        async def is_served():
+            return (await desk.call(deadline=500))[0] == 200
+
+        await wait_until(is_served, what="the target is used again")
+    assert not any("event=target_gone" in line for line in desk.run.lines)
+
+
 async def test_a_kill_and_a_new_start_lose_no_configuration(desk):
     desk.run.signal(signal.SIGKILL)
     assert await desk.run.wait_ended() == -signal.SIGKILL
