Allow streams of the planned-stop test to pass their own deadlines

test_calls_that_come_during_a_stop_are_answered_or_truly_refused[2000.0] failed on one core shared with three busy processes also where the process ended by itself: 1 to 3 of about 370 calls, all of streams with a deadline of 448 or 548 ms, were incomplete.

Trace, three runs: each has a line connection_cut with reason stream_broken and "the deadline passed during the answer", none call_stopped, and the stop logs cut=0. On a starved core an answer of two events takes longer than its call's deadline, at any time.

The test now measures at the caller how long an answer took, and accepts an incomplete stream only if its own deadline had passed there. Plain calls, refusals and the end of the process are checked as before.

--- a/carobroute/tests/test_gateway_stop.py
+++ b/carobroute/tests/test_gateway_stop.py
@@ -70,6 +70,8 @@
     headers: dict[str, str] = {}
     body: bytes = b""
     is_complete: bool = False
+    # Time from the sending of the request to the end of the answer, at the caller.
+    took_ms: float = 0.0
 
 
 class Caller:
@@ -136,7 +138,10 @@
         return outcome
 
     async def call(self, kind, **options):
-        return await self.read(await self.send(kind, **options))
+        sent_s = asyncio.get_running_loop().time()
+        outcome = await self.read(await self.send(kind, **options))
+        outcome.took_ms = 1_000 * (asyncio.get_running_loop().time() - sent_s)
+        return outcome
 
 
 class Scene:
@@ -264,6 +269,9 @@
     # All of a long grace is not needed: the process ends once its calls have.
     grace_s = stop_ms / 1_000 if stop_ms <= 8_000.0 else 4.0
     outcomes = []
+    # Streams that break off because their own deadlines have passed, which an answer
+    # may, wherever it takes that long.
+    expired = set()
 
     async with Scene(tmp_path, stop_ms=stop_ms) as scene:
         cases = [
@@ -305,6 +313,8 @@
             except ConnectionError:
                 return
             outcomes.append((case, outcome))
+            if kind in STREAM_KINDS and outcome.took_ms >= options["deadline_ms"]:
+                expired.add(case)
 
         signalled_s = loop.time()
         scene.signal_stop()
@@ -318,7 +328,7 @@
             was_passed_on = outcome.request_id in scene.arrived
             assert scene.arrived.count(outcome.request_id) <= 1
             if was_passed_on:
-                assert outcome.is_complete, case
+                assert outcome.is_complete or case in expired, (case, outcome)
             if outcome.status in REFUSALS:
                 assert not was_passed_on, case
                 assert "retry-after" in outcome.headers
