Prefer ranks that have answered calls to other entries of their place

Where another program's entry names the place of a rank and is listed before the rank's own when a gateway starts, it was taken for the rank: orders went to its address and found nobody, so the group's map stayed as it was while the entry stood.

Of two entries for a place, the one whose target has streamed events under its identifier counts now, and the longest known one otherwise. A gateway that has not had an event of the rank still takes the first one; maps follow the demand of its own calls, so it soon has.

--- a/carobroute/gateway/_group_members.py
+++ b/carobroute/gateway/_group_members.py
@@ -16,7 +16,7 @@
     Parameters
     ----------
     entries : iterable of TargetEntry
-        Entries with the name of one group, those that are known longest first.
+        Entries with the name of one group; of two for a rank, the first one counts.
 
     Examples
     --------
--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -311,7 +311,10 @@
         configuration must describe the experts of its service.
         """
         table = self._configuration.table
-        members = find_members(target.entry for target in targets)
+        # A target that has answered calls under its identifier is the rank that its
+        # entry names; another program's entry may be older.
+        known_first = sorted(targets, key=lambda target: not target.last_event_ms)
+        members = find_members(target.entry for target in known_first)
         if table is None or not members:
             return None
         entry = members[0]
--- a/carobroute/gateway/tests/test_group_members.py
+++ b/carobroute/gateway/tests/test_group_members.py
@@ -88,16 +88,16 @@
     assert find_members(entries) == GROUP
 
 
-@pytest.mark.parametrize(
-    "changes",
-    [{"group_size": 65_536}, {"group_epoch": 1 << 50}, {"service": "unheard"}, {}],
-    ids=str,
-)
-@pytest.mark.parametrize("is_first", [False, True])
-def test_the_loop_finds_the_group_beside_an_odd_entry(changes, is_first):
-    """Such a group was not found, so that its map was never changed."""
-    odd = make_rank(**{"rank": 0, "incarnation": "odd", **changes})
-    entries = [odd, *GROUP] if is_first and changes else [*GROUP, odd]
+def find_ranks(entries, *, answering=()):
+    """Return the incarnations of the group's ranks that the loop finds.
+
+    Parameters
+    ----------
+    entries : list of TargetEntry
+        The list of targets.
+    answering : list of str
+        Incarnations of targets that have streamed events.
+    """
     clock = ManualClock()
     experts = ExpertProfile(
         layer_sets=1,
@@ -115,6 +115,8 @@
         clock=clock, store_outage_ms=1_500.0, lapsed_grace_ms=2_200.0
     )
     directory.update(entries)
+    for incarnation in answering:
+        directory.find(incarnation).last_event_ms = 1.0
     loop = RebalancingLoop(
         holder="a",
         store=None,
@@ -133,6 +135,30 @@
         tasks=TaskSet(on_failure=lambda name, error: None),
     )
     (group,) = loop._find_eligible_groups()
-    assert (group.name, group.epoch, len(group.ranks)) == ("g", 2, 4)
-    ranks = [rank._target.incarnation for rank in group.ranks]
-    assert ranks == ["i-0", "i-1", "i-2", "i-3"]
+    assert (group.name, group.epoch) == ("g", 2)
+    return [rank._target.incarnation for rank in group.ranks]
+
+
+RANKS = [entry.incarnation for entry in GROUP]
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [{"group_size": 65_536}, {"group_epoch": 1 << 50}, {"service": "unheard"}, {}],
+    ids=str,
+)
+@pytest.mark.parametrize("is_first", [False, True])
+def test_the_loop_finds_the_group_beside_an_odd_entry(changes, is_first):
+    """Such a group was not found, so that its map was never changed."""
+    odd = make_rank(**{"rank": 0, "incarnation": "odd", **changes})
+    entries = [odd, *GROUP] if is_first and changes else [*GROUP, odd]
+    assert find_ranks(entries) == RANKS
+
+
+# Guards against a group whose map stays as it is while another program's entry, listed
+# first when a gateway starts, takes the place of a rank.
+@pytest.mark.parametrize("rank", range(4))
+def test_a_rank_that_answers_calls_keeps_its_place_beside_an_earlier_entry(rank):
+    odd = make_rank(rank, incarnation="a-odd")
+    assert find_ranks([odd, *GROUP], answering=RANKS) == RANKS
+    assert find_ranks([odd, *GROUP], answering=[f"i-{rank}"]) == RANKS
