Number the requests for tokens, and take one reply to each

Cause: a reply named the target alone, and was applied whenever it came. Requests have numbers now, which replies repeat, and the first reply to each of the last eight requests counts. Both fields are the last ones of their messages and may be missing, so gateways of the version before understand them, and their replies count once for each request.

--- a/carobroute/gateway/_rate_tokens.py
+++ b/carobroute/gateway/_rate_tokens.py
@@ -1,6 +1,7 @@
 """Tokens for calls to targets that limit the rate of calls from all gateways."""
 
 import random
+from collections import deque
 from collections.abc import Callable, Collection
 
 import msgspec
@@ -8,7 +9,7 @@
 
 from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._targets import Target
-from carobroute.utils import Clock, Duration, Number
+from carobroute.utils import Clock, Count, Duration, Number
 
 MS_PER_S = 1_000.0
 # Calls that may follow each other at once at a target that was idle.
@@ -28,6 +29,10 @@
 MAX_STATES = 1_024
 # Time after which a schedule that is not used is dropped.
 SCHEDULE_RETENTION_MS = 60_000.0
+# Largest number of a request.
+MAX_NUMBER = 1 << 32
+# Requests of a target whose replies are still accepted.
+MAX_UNANSWERED = 8
 # Gateways that were denied a token come back at different times, up to this factor.
 MAX_DENIAL_SPREAD = 1.5
 
@@ -47,6 +52,8 @@
         Longest time until the token may be used.
     is_for_call : bool
         Whether a call waits for the token and is refused without it.
+    number : int
+        Number of the request, which the reply repeats; 0 from a sender that has none.
     """
 
     sender: str
@@ -54,6 +61,7 @@
     per_s: Duration
     max_wait_ms: Number
     is_for_call: bool
+    number: Count = 0
 
 
 class TokenReply(msgspec.Struct, frozen=True, array_like=True, tag="reply"):
@@ -69,12 +77,15 @@
         Time until the token may be used, or until a later request may be granted.
     return_ms : float
         Time until a call that is refused for want of the token should come back.
+    number : int
+        Number of the request; 0 from an issuer that does not repeat it.
     """
 
     target: str
     is_granted: bool
     wait_ms: Number
     return_ms: Number = 0.0
+    number: Count = 0
 
 
 TokenMessage = TokenRequest | TokenReply
@@ -169,9 +180,17 @@
 class _TokenState:
     """Token of one target at this gateway, or the wait for one, as boot times."""
 
-    __slots__ = ("denied_until_ms", "pending_until_ms", "return_ms", "usable_from_ms")
+    __slots__ = (
+        "denied_until_ms",
+        "pending_until_ms",
+        "return_ms",
+        "unanswered",
+        "usable_from_ms",
+    )
 
     def __init__(self) -> None:
+        # Numbers of the requests without a reply, oldest first.
+        self.unanswered: deque[int] = deque(maxlen=MAX_UNANSWERED)
         self.usable_from_ms: float | None = None
         self.pending_until_ms = 0.0
         self.denied_until_ms = 0.0
@@ -208,6 +227,7 @@
         "_clock",
         "_issuer",
         "_issuer_names",
+        "_last_number",
         "_limits",
         "_name",
         "_on_reply",
@@ -235,6 +255,8 @@
         self._peers = peers
         self._send = send
         self._on_reply = on_reply
+        # Replies to an earlier process on this address name other numbers.
+        self._last_number = random.randrange(MAX_NUMBER)
         self._issuer = TokenIssuer(clock=clock)
         # Issuer of the tokens of each target, and the time at which it was looked up.
         self._issuer_names: dict[str, tuple[float, str]] = {}
@@ -287,8 +309,15 @@
             self._apply(reply)
             return
         state.pending_until_ms = now_ms + REPLY_TIMEOUT_MS
+        self._last_number = self._last_number % MAX_NUMBER + 1
+        state.unanswered.append(self._last_number)
         request = TokenRequest(
-            self._name, target.run_id, limit, max_wait_ms, is_for_call
+            self._name,
+            target.run_id,
+            limit,
+            max_wait_ms,
+            is_for_call,
+            self._last_number,
         )
         self._send(issuer, request)
 
@@ -317,8 +346,9 @@
     def handle(self, message: TokenMessage) -> None:
         """Handle the message of a peer."""
         if isinstance(message, TokenReply):
-            self._apply(message)
-            self._on_reply()
+            if self._answers_request(message):
+                self._apply(message)
+                self._on_reply()
             return
         known = self._limits.limit(message.target)
         reply = self._issuer.issue(
@@ -327,8 +357,20 @@
             max_wait_ms=message.max_wait_ms,
             is_for_call=message.is_for_call,
         )
+        reply = msgspec.structs.replace(reply, number=message.number)
         self._send(message.sender, reply)
 
+    def _answers_request(self, reply: TokenReply) -> bool:
+        """Whether a reply is the first one to a request: datagrams may be doubled."""
+        state = self._states.get(reply.target)
+        if state is None or not state.unanswered:
+            return False
+        number = reply.number or state.unanswered[0]
+        if number not in state.unanswered:
+            return False
+        state.unanswered.remove(number)
+        return True
+
     def _drop_unlimited(self) -> None:
         for target in list(self._states):
             if self._limits.limit(target) is None:
