Don't take a rank's earlier report for its answer to a read

A coordinator that reads an old report may believe that no switch is under way, or hold the group for a pass that has begun.

The counts of orders and passes in a report only grow while a rank runs and its group stays as it is, so one that goes back is not an answer now: it is logged, and the read counts as unanswered.

Left: a copy that is equal to the newest report, which tells nothing that was not so at that time.

--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -106,9 +106,10 @@
         report = self._unwrap_or_log(
             await self._client.read_report(transport), "report"
         )
-        if report is not None:
-            self._target.note_slowdown(report.slowdown)
-        return report
+        if report is None or self._target.accept_report(report):
+            return report
+        self._note_unknown("report", f"older than before: step {report.step}")
+        return None
 
     async def read_counts(self) -> ExpertCounts | None:
         """Return how often each expert was chosen, or None without an answer."""
@@ -125,14 +126,17 @@
     def _unwrap_or_log(self, answer: Result[T, Fault], operation: str) -> T | None:
         if isinstance(answer, Success):
             return answer.unwrap()
+        self._note_unknown(operation, answer.failure().detail)
+        return None
+
+    def _note_unknown(self, operation: str, why: str) -> None:
         self._events.event(
             "rank_not_known",
             level="warning",
             target=self._target.incarnation,
             read=operation,
-            why=answer.failure().detail,
+            why=why,
         )
-        return None
 
 
 class RebalancingLoop:
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -9,7 +9,7 @@
 from carobroute.domain import ListedTargetState, TargetEntry
 from carobroute.gateway._end_history import StreamEndHistory
 from carobroute.health import HealthParameters, TargetHealth
-from carobroute.platform import ReportedLoad
+from carobroute.platform import RankReport, ReportedLoad
 from carobroute.utils import Clock
 
 # Age from which the load in a target's answer is ignored. Unlike the digests of other
@@ -49,6 +49,7 @@
 
     __slots__ = (
         "_clock",
+        "_last_report",
         "_load_reported_ms",
         "_own_slowdown",
         "_paused_until_ms",
@@ -78,6 +79,7 @@
         self._clock = clock
         self._peer_calls = peer_calls
         self._peer_slowdown = peer_slowdown or (lambda incarnation: 1.0)
+        self._last_report: RankReport | None = None
         self._own_slowdown = 1.0
         # Boot time up to which the target wants no calls from this gateway.
         self._paused_until_ms = 0.0
@@ -156,6 +158,28 @@
         until_ms = self._clock.boot_time_ms() + duration_ms
         self._paused_until_ms = max(self._paused_until_ms, until_ms)
 
+    def accept_report(self, report: RankReport) -> bool:
+        """Note a rank's report; return False for one that is older than the last.
+
+        A second copy of an earlier answer may come in place of the answer to a read.
+        The counts of orders and of passes only grow while a rank runs and its group
+        stays as it is.
+        """
+        last = self._last_report
+        if (
+            last is not None
+            and last.started_ms is not None
+            and last.started_ms == report.started_ms
+        ):
+            is_older = (
+                report.epoch < last.epoch or report.order_count < last.order_count
+            )
+            if is_older or (report.epoch == last.epoch and report.step < last.step):
+                return False
+        self._last_report = report
+        self.note_slowdown(report.slowdown)
+        return True
+
     def note_slowdown(self, slowdown: float) -> None:
         """Record the step time, relative to the published one, that a rank reports."""
         self._own_slowdown = slowdown
