Take a row whose decoding raises anything for an unreadable one

Since the reading begins again after an exception of any kind, but it met the same row each time, so the list was not followed while the row stood.

decode_foreign, through which each row, report, message and answer is decoded by itself, now turns every exception into a fault. The other rows hold, and the row is reported as unreadable.

Evidence: test_the_list_is_followed_beside_a_row_that_raises_anything, with a mistake seeded in the decoding of one row, fails on the commit before (the new target has no call while the row stands) and passes now. No row is known that raises anything but the kinds that were caught.

--- a/carobroute/tests/test_gateway_process.py
+++ b/carobroute/tests/test_gateway_process.py
@@ -444,6 +444,31 @@
     await wait_until(is_in_force, what="the added route is served")
 
 
+FAIL_WITHIN_A_ROW = """
+from carobroute.platform import _configuration_decoding as decoding
+build = decoding._build_entry
+def build_or_fail(incarnation, wire):
+    if wire.version == "seeded":
+        raise RuntimeError("a seeded mistake")
+    return build(incarnation, wire)
+decoding._build_entry = build_or_fail
+"""
+
+
+# Guards against a list that is not followed while one row stands whose decoding fails
+# in a way that nobody has thought of (DRAIN).
+@pytest.mark.parametrize("desk", [FAIL_WITHIN_A_ROW], indirect=True, ids=["seeded"])
+async def test_the_list_is_followed_beside_a_row_that_raises_anything(desk):
+    desk.run.list_stranger("i-odd", encode_entry(version="seeded"))
+    await wait_until(
+        lambda: any("a seeded mistake" in line for line in desk.run.lines),
+        what="the row is reported",
+    )
+    await desk.replace_orders()
+    assert {(await desk.call())[0] for _ in range(5)} == {200}
+    assert any("event=target_entry_unreadable" in line for line in desk.run.lines)
+
+
 async def test_a_leaving_target_gets_nothing_more(desk):
     entry = make_target_entry(
         incarnation="i-orders",
--- a/carobroute/utils/_foreign_data.py
+++ b/carobroute/utils/_foreign_data.py
@@ -90,6 +90,8 @@
     """
     try:
         return Success(decode(data))
-    except DECODING_ERRORS as error:
+    # Not only `DECODING_ERRORS`: an exception of any kind would hide all other data
+    # that are read with these.
+    except Exception as error:
         why = repr(error)[:MAX_DETAIL_LENGTH]
         return fail(kind, f"{what} cannot be decoded: {why}")
