End entries and local processes before they would be killed

What callers saw: an entry or a local process of carobrouted that was asked to stop waited for its calls, however long they took. Whoever had started it killed it at last, and callers got no answer, not even that the outcome is not known.

Cause: nothing in these processes knew the time of the kill.

The setting instance.stop_timeout_ms (30 s) tells it. An entry refuses orders whose deadline lies behind the end of calls as not run, and at that end gives up its exchanges: callers get 504, or a stream that breaks off. A local process moves its streams 2 s before that end, and then ends what is left with a fault, which entries may send again elsewhere if it may be repeated. All else is given up shortly before the kill, and both skip the interpreter's teardown, as gateways do.

--- a/carobroute/daemon/_command.py
+++ b/carobroute/daemon/_command.py
@@ -8,10 +8,11 @@
 
 from carobroute.daemon._entry import EntryDaemon
 from carobroute.daemon._local import LocalDaemon
+from carobroute.daemon._process import Process
 from carobroute.domain import InstanceRole
 from carobroute.platform import find_settings_faults
 from carobroute.settings import Settings, load_settings
-from carobroute.utils import run_event_loop
+from carobroute.utils import exit_process, run_event_loop
 
 EXIT_SETTINGS = 2
 
@@ -35,13 +36,13 @@
 @app.command()
 def entry(settings: SettingsFile) -> None:
     """Take callers' requests, route them and stream the answers back."""
-    run_event_loop(EntryDaemon(settings=_load(settings, InstanceRole.ENTRY)).run())
+    _run(EntryDaemon(settings=_load(settings, InstanceRole.ENTRY)))
 
 
 @app.command()
 def local(settings: SettingsFile) -> None:
     """Stand beside one target and be the only one that talks to it."""
-    run_event_loop(LocalDaemon(settings=_load(settings, InstanceRole.LOCAL)).run())
+    _run(LocalDaemon(settings=_load(settings, InstanceRole.LOCAL)))
 
 
 @app.command()
@@ -72,6 +73,11 @@
     typer.echo(f"{file}: good settings for a gateway")
 
 
+def _run(process: Process) -> None:
+    run_event_loop(process.run())
+    exit_process(0)
+
+
 def _load(path: Path, role: InstanceRole) -> Settings:
     loaded = load_settings(path)
     if isinstance(loaded, Failure):
--- a/carobroute/daemon/_entry.py
+++ b/carobroute/daemon/_entry.py
@@ -138,16 +138,22 @@
 
     async def finish(self) -> None:
         """Fail the health check, serve through the balancer's lag, then finish."""
-        self._callers.stopping = True
+        self._callers.begin_stop(self.calls_end_ms)
         own = self.own_instance(self.endpoint.address)
         self.directory.mark_leaving(own.name, own.incarnation, "shutdown")
         # Giving leases back must not keep callers waiting, nor fail their answers.
         giving_back = self.tasks.spawn(self._duties.stop(), name="duties-stop")
-        await self.clock.sleep_ms(self._entry.balancer_lag_ms)
+        lag_ms = min(
+            self._entry.balancer_lag_ms, self.calls_end_ms - self.clock.now_ms()
+        )
+        await self.clock.sleep_ms(max(0.0, lag_ms))
         await self._site.stop_accepting()
-        while self._callers.in_flight:
+        while self._callers.in_flight and self.clock.now_ms() < self.calls_end_ms:
             await self.clock.sleep_ms(DRAIN_CHECK_MS)
-        await self._site.stop()
+        if self._callers.in_flight:
+            ended = self._exchanges.end_all("the entry stops")
+            self.telemetry.log.event("calls_ended", level="warning", count=ended)
+        await self._site.stop(max(0.0, self.answers_end_ms - self.clock.now_ms()))
         await asyncio.wait([giving_back], timeout=GIVE_BACK_TIMEOUT_S)
         await self.poller.stop(withdraw=True)
 
--- a/carobroute/daemon/_local.py
+++ b/carobroute/daemon/_local.py
@@ -145,7 +145,11 @@
         self._process.leave(LEAVE_BY_SHUTDOWN)
         own = self.instance
         self.directory.mark_leaving(own.name, own.incarnation, LEAVE_BY_SHUTDOWN)
-        await self._process.drain()
+        if not await self._process.drain(self.calls_end_ms - MOVE_MARGIN_MS):
+            await self._process.move_streams()
+            if not await self._process.drain(self.calls_end_ms):
+                self._process.end_calls("the local process stops")
+                await self._process.drain(self.answers_end_ms)
         await self._ranks.stop()
         await self._orders.close()
         await self.poller.stop(withdraw=True)
--- a/carobroute/daemon/_process.py
+++ b/carobroute/daemon/_process.py
@@ -5,6 +5,7 @@
 import random
 import signal
 import ssl
+from collections.abc import AsyncIterator
 from typing import Any
 
 from aiohttp import web
@@ -34,6 +35,15 @@
 from carobroute.web import WebSite
 
 CONFIGURATION_WAIT_MS = 10_000.0
+MS_PER_S = 1_000
+# Time before the kill at which the last calls are ended, and its largest part of the
+# time from the stop signal to the kill.
+STOP_MARGIN_MS = 2_000.0
+STOP_MARGIN_RATIO = 0.2
+# Parts of that time for the answers to these calls, and until all else is closed.
+ANSWERS_RATIO = 0.5
+CLOSE_RATIO = 0.8
+NEVER_MS = float("inf")
 
 
 class Process:
@@ -77,6 +87,9 @@
         )
         self.ready = False
         self.stopping = False
+        # Monotonic times of a stop: when the last calls are ended, and the kill.
+        self.calls_end_ms = NEVER_MS
+        self.kill_ms = NEVER_MS
         self.instance: Instance
         self.directory: Directory
         self.poller: ListPoller
@@ -92,16 +105,48 @@
         """Run until SIGTERM or SIGINT, then end without cutting anything."""
         loop = asyncio.get_running_loop()
         for number in (signal.SIGTERM, signal.SIGINT):
-            loop.add_signal_handler(number, self._stop_asked.set)
+            loop.add_signal_handler(number, self._ask_to_stop)
         try:
             await self._start()
             await self._stop_asked.wait()
             # A second signal finds the same handler and does not cut either.
             self.stopping = True
             self.telemetry.log.event("process_stopping", in_flight=self.in_flight)
-            await self.finish()
+            async with self._limit_stop():
+                await self.finish()
         finally:
-            await self._stop()
+            async with self._limit_stop():
+                await self._stop()
+
+    @property
+    def answers_end_ms(self) -> float:
+        """Monotonic time by which the last calls that are ended have their answers."""
+        return self.calls_end_ms + ANSWERS_RATIO * (self.kill_ms - self.calls_end_ms)
+
+    def _ask_to_stop(self) -> None:
+        if self._stop_asked.is_set():
+            return
+        stop_ms = self.settings.instance.stop_timeout_ms
+        self.kill_ms = self.clock.now_ms() + stop_ms
+        margin_ms = min(STOP_MARGIN_MS, STOP_MARGIN_RATIO * stop_ms)
+        self.calls_end_ms = self.kill_ms - margin_ms
+        self._stop_asked.set()
+
+    @contextlib.asynccontextmanager
+    async def _limit_stop(self) -> AsyncIterator[None]:
+        """Give up what has not ended shortly before the kill; not without a signal."""
+        end_s = None
+        if self._stop_asked.is_set():
+            margin_ms = self.kill_ms - self.calls_end_ms
+            left_ms = self.calls_end_ms + CLOSE_RATIO * margin_ms - self.clock.now_ms()
+            end_s = asyncio.get_running_loop().time() + max(0.0, left_ms) / MS_PER_S
+        try:
+            async with asyncio.timeout_at(end_s):
+                yield
+        except TimeoutError:
+            if end_s is None:
+                raise
+            self.telemetry.log.event("stop_incomplete", level="warning")
 
     @property
     def in_flight(self) -> int:
--- a/carobroute/entry/_app.py
+++ b/carobroute/entry/_app.py
@@ -21,6 +21,8 @@
 
 Parse = Callable[..., Result[Call, Fault]]
 MS_PER_S = 1_000
+# Delay after which callers that a stopping entry refuses may come back.
+STOP_RETRY_MS = 50.0
 
 
 class CallerParameters(msgspec.Struct, frozen=True, kw_only=True):
@@ -94,7 +96,7 @@
         "_parser",
         "_services",
         "_requests",
-        "stopping",
+        "_calls_end_ms",
     )
 
     def __init__(
@@ -131,7 +133,16 @@
         self._failures = metrics.counter(
             "failures", "Calls that ended with a fault.", ["service", "kind"]
         )
-        self.stopping = False
+        self._calls_end_ms = float("inf")
+
+    @property
+    def stopping(self) -> bool:
+        """Whether the process has been asked to stop."""
+        return self._calls_end_ms < float("inf")
+
+    def begin_stop(self, calls_end_ms: float) -> None:
+        """Take only calls that can end until a monotonic time, in milliseconds."""
+        self._calls_end_ms = calls_end_ms
 
     @property
     def in_flight(self) -> int:
@@ -232,10 +243,25 @@
             )
             if isinstance(parsed, Failure):
                 return self._refuse(parsed.failure(), request_id, team=team.name)
-            return await self._admit(request, parsed.unwrap(), team)
+            call = parsed.unwrap()
+            if self._would_be_cut(call):
+                detail = "the entry stops; the call may take longer"
+                fault = Fault(
+                    kind=ErrorKind.SHUTTING_DOWN,
+                    detail=detail,
+                    retry_after_ms=STOP_RETRY_MS,
+                )
+                return self._refuse(fault, request_id, team=team.name)
+            return await self._admit(request, call, team)
         finally:
             self._in_flight -= 1
 
+    def _would_be_cut(self, call: Call) -> bool:
+        """Whether the stop may end a call whose caller could not repeat it."""
+        if self._clock.now_ms() >= self._calls_end_ms:
+            return True
+        return not call.is_repeatable and call.deadline_ms > self._calls_end_ms
+
     async def _read_body(self, request: web.Request) -> Result[bytes, Fault]:
         try:
             async with asyncio.timeout(self._parameters.body_timeout_ms / MS_PER_S):
--- a/carobroute/entry/_exchange.py
+++ b/carobroute/entry/_exchange.py
@@ -279,6 +279,11 @@
             await self._arrived.wait()
         return self._messages.popleft()
 
+    def stop(self, detail: str) -> None:
+        """End the exchange because this process ends; the call may have run."""
+        if not self._gave_up:
+            self._fail(ErrorKind.TIMEOUT, detail)
+
     def check(self, now_ms: float) -> None:
         """End the exchange if its peer is lost, or it or its caller is too slow."""
         if self._gave_up:
@@ -342,7 +347,7 @@
     than the rest of what is done for a chunk.
     """
 
-    __slots__ = ("_clock", "_endpoint", "_exchanges", "_tasks", "counts")
+    __slots__ = ("_clock", "_endpoint", "_exchanges", "_tasks", "counts", "has_ended")
 
     def __init__(self, *, endpoint: Endpoint, clock: Clock, tasks: TaskSet):
         self._endpoint = endpoint
@@ -350,6 +355,8 @@
         self._tasks = tasks
         self._exchanges: dict[tuple[str, int], Exchange] = {}
         self.counts: Counter[str] = Counter()
+        # Whether all exchanges have been ended, and none may begin.
+        self.has_ended = False
 
     def __len__(self) -> int:
         return len(self._exchanges)
@@ -376,6 +383,13 @@
         if self._exchanges.pop(key, None) is not None:
             exchange.peer.release()
 
+    def end_all(self, detail: str) -> int:
+        """End all exchanges because this process ends; return their number."""
+        self.has_ended = True
+        for exchange in self:
+            exchange.stop(detail)
+        return len(self)
+
     async def _watch(self) -> None:
         while True:
             await self._clock.sleep_ms(WATCH_INTERVAL_MS)
--- a/carobroute/entry/_run.py
+++ b/carobroute/entry/_run.py
@@ -244,6 +244,8 @@
 
     def _go_on(self, exchange: Exchange, end: End, fault: Fault) -> bool:
         """Whether another attempt follows a failed one."""
+        if self._services.exchanges.has_ended:
+            return False
         if end.redirect and self._redirects < MAX_REDIRECTS:
             self._redirects += 1
             self._redirect = end.redirect
--- a/carobroute/local/_process.py
+++ b/carobroute/local/_process.py
@@ -21,6 +21,7 @@
 from carobroute.utils import Clock, TaskSet
 
 PULL_FIRST_MS = 500.0
+DRAIN_CHECK_MS = 50.0
 HEARD_MS = 2_000.0
 SHUTDOWN = "shutdown"
 SHUTDOWN_ORPHAN_MS = 8_000.0
@@ -213,10 +214,35 @@
             self._events.event("target_serving", target=self._parameters.target)
             self._reporter.wake()
 
-    async def drain(self) -> None:
-        """Wait until every attempt has ended and been delivered."""
-        while self._attempts:
-            await self._clock.sleep_ms(50)
+    async def drain(self, end_ms: float = float("inf")) -> bool:
+        """Wait until every attempt has ended and been delivered.
+
+        Parameters
+        ----------
+        end_ms : float, default=infinity
+            Monotonic time at which the wait ends, in milliseconds.
+
+        Returns
+        -------
+        is_drained : bool
+            Whether none is left.
+        """
+        while self._attempts and self._clock.now_ms() < end_ms:
+            await self._clock.sleep_ms(DRAIN_CHECK_MS)
+        return not self._attempts
+
+    def end_calls(self, detail: str) -> None:
+        """End the answers of all attempts, because this process ends."""
+        fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
+        running = [entry for entry in self._attempts if not entry.answer.closed]
+        for attempt in running:
+            attempt.answer.close(fault)
+        self._events.event(
+            "calls_ended",
+            level="warning",
+            target=self._parameters.target,
+            count=len(running),
+        )
 
     async def move_streams(self) -> None:
         """Hand every running stream that can be exported to another target."""
--- a/carobroute/settings/_schema.py
+++ b/carobroute/settings/_schema.py
@@ -36,12 +36,16 @@
         What the process does.
     data_centre, region : str
         Where it stands.
+    stop_timeout_ms : float
+        Time from the stop signal until whoever started the process kills it. Calls
+        that are still in flight are ended before that.
     """
 
     name: Name
     role: InstanceRole
     data_centre: Name
     region: Name
+    stop_timeout_ms: PositiveMs = 30_000.0
 
 
 class CurveSettings(
