Part the exchange of a call by its jobs

They are modules of their own now: _final_answers.py (what a caller is told if there is no target's answer), _answer_inspector.py (which answers must not be delivered, and what targets say of themselves in them), _send_window.py (until when a call may be sent, also in a planned stop) and _end_confirmation.py (whether the end of an unframed stream is proven or believed).

No logic was changed. Two seeded mistakes of test_operators_reports.py name the classes where the patched methods are now.

--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -1,53 +1,46 @@
 """Exchange of one caller's request for an answer, with retries and failover."""
 
 import asyncio
-import traceback
 from collections.abc import Coroutine
-from pathlib import Path
 from typing import Any
 
 import aiohttp
-import msgspec
 from aiohttp import web
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 
 from carobroute.engines import Framing, WatchedResponse, end_to_end
 from carobroute.errors import ErrorKind, Fault, fail
-from carobroute.gateway._attempt import Attempt, AttemptOutcome, UnprovenEnd
+from carobroute.gateway._answer_inspector import MISDIRECTED_STATUS, AnswerInspector
+from carobroute.gateway._attempt import Attempt, AttemptOutcome
 from carobroute.gateway._call import (
-    UNAVAILABLE_RETRY_MS,
     Call,
     CallReader,
     stale_proof_fault,
-    stopping_fault,
 )
 from carobroute.gateway._call_parts import CallParts
 from carobroute.gateway._call_records import CallRecord
 from carobroute.gateway._context import GatewayContext
 from carobroute.gateway._dispatch_types import DispatchRequest, Grant
-from carobroute.gateway._error_responses import error_response
+from carobroute.gateway._end_confirmation import EndConfirmation
+from carobroute.gateway._final_answers import FinalAnswer, FinalAnswers
 from carobroute.gateway._relay import (
     STUCK_CHECK_INTERVAL_MS,
     CallerLostError,
     StreamRelay,
 )
+from carobroute.gateway._send_window import SendWindow
 from carobroute.gateway._stream_ends import EndVerdict
 from carobroute.gateway._targets import Target
 from carobroute.platform import (
-    AnswerHeaders,
     build_call_headers,
     decode_answer_headers,
     decode_call_headers,
     is_replaced_header,
 )
-from carobroute.web import ClientConnection, has_next_request
+from carobroute.web import has_next_request
 
 MS_PER_S = 1_000
-# Status of a server that is not the target incarnation that the call is meant for; it
-# does not run the call, and that incarnation is gone.
-MISDIRECTED_STATUS = 421
-UNAVAILABLE_STATUS = 503
 # Largest value of the Request-Urgency header; 0 comes first.
 MAX_URGENCY = 9
 
@@ -74,8 +67,10 @@
     __slots__ = (
         "_call",
         "_context",
+        "_ends",
         "_excluded_targets",
-        "_is_end_noted",
+        "_finals",
+        "_inspector",
         "_may_have_run",
         "_parts",
         "_record",
@@ -83,25 +78,28 @@
         "_request",
         "_resumed_event_id",
         "_sent_count",
-        "_unproven_end",
+        "_window",
     )
 
     # Set once the request has been read and authorized.
     _call: Call
     _parts: CallParts
+    _window: SendWindow
+    _ends: EndConfirmation
 
     def __init__(self, *, context: GatewayContext, request: web.Request):
         self._context = context
         self._request = request
         self._record = CallRecord(clock=context.clock)
         self._relay = StreamRelay(context=context, request=request, record=self._record)
+        self._inspector = AnswerInspector(context=context, record=self._record)
+        self._finals = FinalAnswers(
+            context=context, request=request, record=self._record, relay=self._relay
+        )
         # Attempts that were sent, and targets that are not tried again.
         self._sent_count = 0
         self._excluded_targets: set[str] = set()
         self._may_have_run = False
-        # Whether the last event of the stream has been noted as such.
-        self._is_end_noted = False
-        self._unproven_end: UnprovenEnd | None = None
         # Event after which the caller resumes a stream of an earlier call.
         self._resumed_event_id = ""
 
@@ -113,10 +111,12 @@
             response, outcome = await self._serve()
             status = response.status
         except asyncio.CancelledError:
-            self._note_cancelled()
+            self._finals.note_cancelled()
             raise
         except Exception as error:
-            response, outcome = self._answer_unexpected(error)
+            response, outcome = self._finals.answer_unexpected(
+                error, may_have_run=self._may_have_run
+            )
             status = response.status
         finally:
             self._context.recorder.finish_call(
@@ -128,52 +128,9 @@
             and not has_next_request(self._request)
         ):
             response.force_close()
-        return await self._deliver(response)
-
-    async def _deliver(self, response: web.StreamResponse) -> web.StreamResponse:
-        """Write a response that has not been begun, and return what was written."""
-        if response.prepared:
-            return response
-        try:
-            await response.prepare(self._request)
-            await response.write_eof()
-        except asyncio.CancelledError:
-            self._note_cancelled()
-            raise
-        except ConnectionError as error:
-            self._note_cut("caller_left", f"cannot write the answer: {error!r}")
-        except Exception as error:
-            if self._request.writer.output_size:
-                self._note_cut("exception", repr(error))
-                raise
-            # Nothing was written, so the server can write another answer.
-            fault = Fault(
-                kind=ErrorKind.TARGET_FAILED,
-                detail=f"the answer cannot be written: {type(error).__name__}",
-            )
-            self._context.recorder.note_unwritable(self._record, repr(error))
-            return error_response(fault, self._record.request_id)
-        return response
-
-    def _note_cancelled(self) -> None:
-        self._note_cut("caller_left" if self._connection.is_lost else "stop")
-
-    @property
-    def _connection(self) -> ClientConnection:
-        connection = self._request.protocol
-        assert isinstance(connection, ClientConnection)
-        return connection
-
-    def _note_cut(self, reason: str, detail: str = "") -> None:
-        self._context.recorder.note_cut(
-            reason,
-            self._connection,
-            record=self._record,
-            detail=detail,
-            is_stopping=self._context.is_stopping,
-        )
+        return await self._finals.deliver(response)
 
-    async def _serve(self) -> tuple[web.StreamResponse, str]:
+    async def _serve(self) -> FinalAnswer:
         head = decode_call_headers(self._request.headers)
         self._record.request_id = head.request_id
         self._resumed_event_id = head.last_event_id
@@ -185,7 +142,7 @@
         )
         read = await reader.read()
         if isinstance(read, Failure):
-            return self._refuse_call(read.failure())
+            return self._finals.refuse(read.failure(), may_have_run=False)
         self._call = read.unwrap()
         self._parts = CallParts(
             quarantine=self._context.quarantine,
@@ -194,73 +151,49 @@
             service=self._call.service.name,
             parts=head.shared_parts,
         )
+        self._window = SendWindow(
+            context=self._context,
+            call=self._call,
+            record=self._record,
+            relay=self._relay,
+        )
+        self._ends = EndConfirmation(
+            context=self._context,
+            call=self._call,
+            record=self._record,
+            relay=self._relay,
+            parts=self._parts,
+        )
         shutdown, expires_ms = self._context.shutdown, self._call.expires_ms
         try:
             async with shutdown.timeout(lambda: shutdown.deadline_ms(expires_ms)):
                 return await self._run_attempts()
         except TimeoutError:
-            return self._time_out()
+            return self._finals.time_out(self._call, may_have_run=self._may_have_run)
         except CallerLostError as error:
             fault = Fault(kind=ErrorKind.CANCELLED, detail=str(error))
-            return self._abort_stream(fault)
+            return self._finals.abort_stream(fault)
         finally:
             self._parts.end_attempt()
 
-    @property
-    def _remaining_ms(self) -> float:
-        """Time until the call must have ended, also because this gateway stops."""
-        shutdown, clock = self._context.shutdown, self._context.clock
-        return shutdown.deadline_ms(self._call.expires_ms) - clock.now_ms()
-
-    @property
-    def _is_too_late(self) -> bool:
-        """Whether this gateway stops, and the call may not end before that."""
-        return self._context.clock.now_ms() > self._latest_send_ms()
-
-    @property
-    def _expected_ms(self) -> float | None:
-        """Time to expect of the call; None if it is not known.
-
-        That of a stream counts only if its caller may resume it.
-        """
-        if not self._call.route.streaming:
-            return self._context.plain_durations.longest_ms(self._call.service.name)
-        if not self._call.route.resumable:
-            return None
-        return self._context.stream_paces.longest_duration_ms(
-            self._call.service, self._call.head.output_tokens
-        )
-
-    def _latest_send_ms(self) -> float:
-        """Return the monotonic time until which the call may be sent to a target.
-
-        It is infinite unless this gateway stops.
-        """
-        if not self._context.shutdown.is_stopping:
-            return float("inf")
-        return self._context.shutdown.latest_send_ms(
-            self._call.expires_ms,
-            self._expected_ms,
-            is_streaming=self._call.route.streaming,
-            has_begun=self._relay.caller_response is not None,
-        )
-
     # Attempts.
 
-    async def _run_attempts(self) -> tuple[web.StreamResponse, str]:
+    async def _run_attempts(self) -> FinalAnswer:
         """Try targets until one answers, and return the response and its outcome."""
         target_error: web.StreamResponse | None = None
         while True:
             granted = await self._acquire_target_in_time()
             if isinstance(granted, Failure):
-                believed = await self._believe_end()
+                believed = await self._ends.believe_end()
                 if believed is not None:
                     return believed, "done"
                 if self._relay.caller_response is not None:
-                    return self._abort_stream(granted.failure())
+                    return self._finals.abort_stream(granted.failure())
                 if target_error is not None:
                     return target_error, "target_error"
-                return self._refuse_call(granted.failure())
+                return self._finals.refuse(
+                    granted.failure(), may_have_run=self._may_have_run
+                )
             grant = granted.unwrap()
             attempt = await self._run_attempt(grant)
             if attempt.outcome is AttemptOutcome.ANSWERED:
@@ -268,39 +201,31 @@
                 return attempt.response, "done"
             target_error = attempt.response or target_error
             if not self._should_retry(attempt):
-                believed = await self._believe_end()
+                believed = await self._ends.believe_end()
                 if believed is not None:
                     return believed, "done"
-                return self._fail_call(attempt, target_error)
+                return self._finals.fail(
+                    attempt, target_error, may_have_run=self._may_have_run
+                )
 
     async def _acquire_target_in_time(self) -> Result[Grant, Fault]:
         """Acquire a target, unless the call could not end before this gateway stops."""
-        if self._is_too_late:
-            return Failure(self._note_stopping())
+        if self._window.is_too_late:
+            return Failure(self._window.note_stopping())
+        shutdown = self._context.shutdown
         try:
-            async with self._context.shutdown.timeout(self._latest_send_ms) as limit:
+            async with shutdown.timeout(self._window.latest_send_ms) as limit:
                 return await self._acquire_target()
         except TimeoutError:
             if not limit.expired():
                 raise
-            return Failure(self._note_stopping())
-
-    def _note_stopping(self) -> Fault:
-        """Log that the call is not sent because this gateway stops."""
-        fault = stopping_fault(self._context)
-        expected_ms = self._expected_ms
-        self._record.note(
-            "call_withheld",
-            expected_ms=None if expected_ms is None else round(expected_ms),
-            detail=fault.detail,
-            remaining_ms=round(self._call.remaining_ms(self._context.clock)),
-        )
-        return fault
+            return Failure(self._window.note_stopping())
 
     async def _acquire_target(self) -> Result[Grant, Fault]:
-        service = self._call.service.name
+        service, dispatcher = self._call.service.name, self._context.dispatcher
+        parameters = self._context.parameters
         refusal = await self._parts.admit(
-            self._remaining_ms, lambda: self._context.dispatcher.has_target(service)
+            self._window.remaining_ms, lambda: dispatcher.has_target(service)
         )
         if refusal is not None:
             return Failure(refusal)
@@ -309,11 +234,11 @@
             service=self._call.service,
             priority=self._call.priority,
             latency_target_ms=self._call.route.latency_target_ms,
-            remaining_ms=self._remaining_ms - self._context.parameters.min_remaining_ms,
+            remaining_ms=self._window.remaining_ms - parameters.min_remaining_ms,
             excluded_targets=frozenset(self._excluded_targets),
             may_have_run=self._may_have_run,
         )
-        granted = await self._context.dispatcher.acquire(request)
+        granted = await dispatcher.acquire(request)
         if isinstance(granted, Success):
             grant = granted.unwrap()
             self._context.recorder.observe_wait(
@@ -473,7 +398,7 @@
         except Exception as error:
             if self._relay.caller_response is not None:
                 raise
-            self._note_exception(error)
+            self._finals.note_exception(error)
             detail = f"the answer of {target.incarnation} cannot be handled: {error!r}"
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
@@ -505,7 +430,7 @@
                 headers.popall(name, None)
         headers["Host"] = self._request.headers.get("Host", "")
         added = build_call_headers(
-            deadline_ms=self._remaining_ms,
+            deadline_ms=self._window.remaining_ms,
             incarnation=incarnation,
             team=self._call.team,
             last_event_id=self._relay.last_event_id,
@@ -528,8 +453,8 @@
         if not target.is_usable:
             detail = f"target {target.incarnation} is leaving or takes no calls now"
             return Fault(kind=ErrorKind.LEAVING, detail=detail)
-        if self._is_too_late:
-            return self._note_stopping()
+        if self._window.is_too_late:
+            return self._window.note_stopping()
         obstacle = self._parts.find_obstacle()
         if obstacle is None:
             self._record.note_passed_on(target.incarnation)
@@ -554,7 +479,7 @@
         Streams from rank groups have no shorter one, because `_send_unless_stuck`
         detects a stuck rank.
         """
-        remaining_ms = max(1.0, self._remaining_ms)
+        remaining_ms = max(1.0, self._window.remaining_ms)
         if not self._can_fail_over or (
             self._call.route.streaming and target.entry.group
         ):
@@ -602,14 +527,12 @@
         head = decode_answer_headers(response.headers)
         if head.load is not None:
             grant.target.note_load(head.load)
-        defect = self._response_defect(head, response)
+        defect = self._inspector.find_defect(head, response)
         if defect:
             response.drop_connection()
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=defect)
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
-        self._note_limit(grant.target, head, response)
-        self._note_leaving(grant.target, head, response)
-        self._note_pause(grant.target, head, response)
+        self._inspector.note_statements(grant.target, head, response)
         if response.status == MISDIRECTED_STATUS or head.not_run:
             return self._handle_not_run(grant, response)
         if self._relay.caller_response is not None and not self._relay.can_continue(
@@ -622,68 +545,6 @@
             return await self._relay_stream(grant, response)
         return await self._buffer_response(grant, response)
 
-    def _response_defect(self, head: AnswerHeaders, response: WatchedResponse) -> str:
-        """Return why an answer must not be delivered, or an empty string if it may."""
-        is_refusal = head.not_run or response.status == MISDIRECTED_STATUS
-        # A refusal need not name its request; on a connection that has been used, it
-        # may be an earlier one, written once more.
-        is_own = head.request_id == self._record.request_id or (
-            is_refusal and not head.request_id and response.is_first_on_connection
-        )
-        if not is_own:
-            return f"the answer belongs to request {head.request_id!r}"
-        if is_refusal:
-            return ""
-        if not head.has_seal:
-            return f"the answer with status {response.status} lacks a target's seal"
-        if head.is_encoded:
-            return "the answer's content encoding was changed in transit"
-        return ""
-
-    def _note_limit(
-        self, target: Target, head: AnswerHeaders, response: WatchedResponse
-    ) -> None:
-        """Note the rate limit of a target; a run of another one says nothing of it.
-
-        Only an answer to a call that ran lifts a limit, since a rejection may carry
-        fewer headers.
-        """
-        if response.status == MISDIRECTED_STATUS:
-            return
-        if head.has_invalid_limit:
-            self._record.note("limit_unreadable", target=target.incarnation)
-        elif head.limit_per_s is not None or (head.has_seal and not head.not_run):
-            self._context.limits.note(target.run_id, head.limit_per_s)
-
-    def _note_leaving(
-        self, target: Target, head: AnswerHeaders, response: WatchedResponse
-    ) -> None:
-        """Note that a target leaves, unless another one answers at its address."""
-        if response.status == MISDIRECTED_STATUS:
-            return
-        if head.has_invalid_leaving:
-            self._context.recorder.note_unreadable(
-                "leaving_unreadable", target.incarnation
-            )
-        if head.is_leaving:
-            self._context.note_leaving(target.run_id, is_first_hand=True)
-
-    def _note_pause(
-        self, target: Target, head: AnswerHeaders, response: WatchedResponse
-    ) -> None:
-        """Note the time for which a target that refuses the call wants no others."""
-        if response.status != UNAVAILABLE_STATUS:
-            return
-        if head.has_invalid_pause:
-            self._context.recorder.note_unreadable(
-                "pause_unreadable", target.incarnation
-            )
-        if head.pause_s:
-            max_pause_ms = self._context.parameters.max_pause_ms
-            pause_ms = min(max_pause_ms, head.pause_s * MS_PER_S)
-            target.pause(pause_ms)
-            self._context.recorder.note_pause(target.run_id, pause_ms)
-
     def _handle_not_run(self, grant: Grant, response: WatchedResponse) -> Attempt:
         target = grant.target
         if response.status == MISDIRECTED_STATUS:
@@ -752,24 +613,24 @@
             is_resumption=is_resumption,
             on_events=self._parts.note_events,
         )
-        self._note_proof(target, response)
+        self._ends.note_proof(target, response)
         verdict = await self._context.stream_ends.judge(
             target,
             response.framing,
             is_resumable=response.framing is Framing.CONNECTION
             and self._can_resume
-            and self._should_confirm(target, is_resumption=is_resumption),
+            and self._ends.should_confirm(
+                target,
+                is_resumption=is_resumption,
+                has_other_target=self._has_other_target(target),
+            ),
         )
         if verdict is EndVerdict.BROKEN:
             raise aiohttp.ClientPayloadError("the target has crashed")
         if verdict is EndVerdict.UNPROVEN:
             detail = f"nothing proves that the stream of {target.incarnation} is whole"
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
-            self._unproven_end = UnprovenEnd(
-                target=target,
-                response=response,
-                last_event_id=self._relay.last_event_id,
-            )
+            self._ends.note_unproven(target, response)
             return Attempt(outcome=AttemptOutcome.UNPROVEN, fault=fault)
         self._parts.note_answered()
         self._context.stream_paces.note(
@@ -781,60 +642,6 @@
         caller_response = await self._relay.finish(response)
         return Attempt(outcome=AttemptOutcome.ANSWERED, response=caller_response)
 
-    def _note_proof(self, target: Target, response: WatchedResponse) -> None:
-        """Note what an answer that has ended proves of its stream, and of one before.
-
-        An answer that brings nothing confirms the end of the stream before it. Without
-        a framing, that is no proof, but it counts as one for the last event.
-        """
-        end = self._unproven_end
-        found_events = self._relay.has_events
-        is_framed = response.framing is not Framing.CONNECTION
-        if end is not None and (found_events or is_framed):
-            end.target.stream_ends.note_proof(found_events=found_events)
-        is_confirmed = end is not None and not found_events
-        if not self._is_end_noted and (is_framed or is_confirmed):
-            self._is_end_noted = True
-            self._relay.note_final_event(target.entry.service)
-
-    def _should_confirm(self, target: Target, *, is_resumption: bool) -> bool:
-        """Whether the end of a stream without a framing has to be confirmed.
-
-        It need not be if its last event is known to be the last one, or if an answer to
-        a resumption brought no events. Otherwise, the end of a trusted target is
-        confirmed where that takes nothing from other calls, and an unusual one always.
-        """
-        judge, budget = self._context.stream_ends, self._context.retry_budget
-        service = self._call.service.name
-        final_event = judge.final_event(service)
-        if final_event.is_final(self._relay.last_event):
-            self._note_believed(target, "final_event")
-            return False
-        if is_resumption and not self._relay.has_events and judge.has_record(target):
-            if (
-                target.stream_ends.has_broken_off
-                and budget.remaining(service) >= 1.0
-                and self._has_other_target(target)
-            ):
-                return True
-            self._note_believed(target, "nothing_resumed")
-            return False
-        if final_event.is_known or not judge.is_trusted(target):
-            return True
-        is_busy = self._context.dispatcher.queue_length(service) > 0
-        if budget.has_spare(service) and not is_busy:
-            return True
-        self._note_believed(target, "record")
-        return False
-
-    def _note_believed(self, target: Target, reason: str) -> None:
-        self._record.note(
-            "end_believed",
-            target=target.incarnation,
-            reason=reason,
-            last_event=self._relay.last_event_id,
-        )
-
     def _has_other_target(self, target: Target) -> bool:
         """Whether a target other than `target` may be asked for the rest."""
         return self._can_fail_over and any(
@@ -844,32 +651,7 @@
             for other in self._context.directory.targets(target.entry.service)
         )
 
-    async def _believe_end(self) -> web.StreamResponse | None:
-        """End the caller's response, if a trusted target's end could not be confirmed.
-
-        Returns
-        -------
-        response : web.StreamResponse or None
-            None if the target isn't trusted or has crashed, if events came later, or if
-            the last event of the service's streams is known to be another one.
-        """
-        end = self._unproven_end
-        if end is None or end.last_event_id != self._relay.last_event_id:
-            return None
-        judge = self._context.stream_ends
-        is_unusual = judge.final_event(self._call.service.name).is_known
-        if is_unusual or not judge.is_trusted(end.target):
-            return None
-        verdict = await judge.judge(
-            end.target, end.response.framing, is_resumable=False
-        )
-        if verdict is not EndVerdict.COMPLETE:
-            return None
-        self._note_believed(end.target, "unconfirmed")
-        self._parts.note_answered()
-        return await self._relay.finish(end.response)
-
-    # Retries and final responses.
+    # Retries.
 
     def _should_retry(self, attempt: Attempt) -> bool:
         """Decide whether a failed attempt is retried, and log the decision.
@@ -889,9 +671,9 @@
     def _can_repeat(self, attempt: Attempt) -> bool:
         """Whether time and the retry budget allow that the call is sent again."""
         is_unsent = attempt.outcome is AttemptOutcome.NOT_SENT
-        if self._remaining_ms < self._context.parameters.min_remaining_ms:
+        if self._window.remaining_ms < self._context.parameters.min_remaining_ms:
             return self._note_retry_decision(False, "deadline")
-        if self._is_too_late:
+        if self._window.is_too_late:
             return self._note_retry_decision(False, "stopping")
         if attempt.fault and attempt.fault.kind is ErrorKind.STORE_UNAVAILABLE:
             return self._note_retry_decision(False, "proof")
@@ -911,92 +693,3 @@
             allowance=round(retry_budget.remaining(self._call.service.name), 1),
         )
         return allowed
-
-    def _note_exception(self, error: Exception) -> None:
-        place = traceback.extract_tb(error.__traceback__)[-1]
-        self._record.note(
-            "exception_caught",
-            error=repr(error),
-            place=f"{Path(place.filename).name}:{place.lineno}",
-        )
-
-    def _answer_unexpected(self, error: Exception) -> tuple[web.StreamResponse, str]:
-        """Return the answer to a call that an unexpected exception has ended."""
-        self._note_exception(error)
-        if self._connection.is_lost:
-            self._note_cut("caller_left", repr(error))
-        detail = f"unexpected {type(error).__name__}"
-        if self._relay.caller_response is not None:
-            self._relay.abort()
-            if not self._connection.is_lost:
-                self._note_cut("exception", repr(error))
-            return self._relay.caller_response, ErrorKind.INTERNAL.value
-        kind = ErrorKind.TARGET_FAILED if self._may_have_run else ErrorKind.NO_TARGET
-        fault = Fault(kind=kind, detail=detail, retry_after_ms=UNAVAILABLE_RETRY_MS)
-        return self._refuse_call(fault)
-
-    def _fail_call(
-        self, attempt: Attempt, target_error: web.StreamResponse | None
-    ) -> tuple[web.StreamResponse, str]:
-        fault = attempt.fault or Fault(
-            kind=ErrorKind.TARGET_FAILED, detail="the target failed"
-        )
-        if self._relay.caller_response is not None:
-            return self._abort_stream(fault)
-        if target_error is not None:
-            return target_error, "target_error"
-        if attempt.outcome is AttemptOutcome.NOT_SENT and fault.retry_after_ms <= 0:
-            fault = msgspec.structs.replace(fault, retry_after_ms=UNAVAILABLE_RETRY_MS)
-        return self._refuse_call(fault)
-
-    def _time_out(self) -> tuple[web.StreamResponse, str]:
-        if self._context.shutdown.cuts(self._call.expires_ms):
-            return self._stop_call()
-        if self._relay.caller_response is not None:
-            fault = Fault(
-                kind=ErrorKind.TIMEOUT, detail="the deadline passed during the answer"
-            )
-            return self._abort_stream(fault)
-        kind = ErrorKind.TIMEOUT if self._may_have_run else ErrorKind.DEADLINE
-        return self._refuse_call(
-            Fault(kind=kind, detail="no answer before the deadline")
-        )
-
-    def _stop_call(self) -> tuple[web.StreamResponse, str]:
-        """End a call before its deadline, because this gateway stops."""
-        remaining_ms = self._call.remaining_ms(self._context.clock)
-        self._record.note(
-            "call_stopped",
-            remaining_ms=round(remaining_ms),
-            may_have_run=self._may_have_run,
-            last_event=self._relay.last_event_id,
-        )
-        if self._relay.caller_response is not None:
-            detail = "the gateway stops during the answer"
-            return self._abort_stream(
-                Fault(kind=ErrorKind.SHUTTING_DOWN, detail=detail)
-            )
-        if not self._may_have_run:
-            return self._refuse_call(stopping_fault(self._context))
-        detail = "no answer before the gateway stops"
-        return self._refuse_call(Fault(kind=ErrorKind.TIMEOUT, detail=detail))
-
-    def _refuse_call(self, fault: Fault) -> tuple[web.StreamResponse, str]:
-        if self._may_have_run and fault.not_run:
-            # This fault would tell the caller that the call did not run, but an earlier
-            # attempt may have run.
-            detail = f"an earlier attempt may have run; last fault: {fault.detail}"
-            fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
-        self._record.note("call_refused", kind=fault.kind.value, detail=fault.detail)
-        return error_response(fault, self._record.request_id), fault.kind.value
-
-    def _abort_stream(self, fault: Fault) -> tuple[web.StreamResponse, str]:
-        """Abort a started response, so that the caller sees it as incomplete."""
-        self._record.note("stream_cut", kind=fault.kind.value, detail=fault.detail)
-        is_left = fault.kind is ErrorKind.CANCELLED
-        self._note_cut("caller_left" if is_left else "stream_broken", fault.detail)
-        self._relay.abort()
-        response = self._relay.caller_response or error_response(
-            fault, self._record.request_id
-        )
-        return response, fault.kind.value
--- a/carobroute/tests/test_operators_reports.py
+++ b/carobroute/tests/test_operators_reports.py
@@ -55,8 +55,8 @@
 
 # Code that a process runs before it starts.
 IGNORE_REQUEST_IDS = """
-from carobroute.gateway import Exchange
-Exchange._response_defect = lambda self, head, response: ""
+from carobroute.gateway._answer_inspector import AnswerInspector
+AnswerInspector.find_defect = lambda self, head, response: ""
 """
 STOP_AT_ONCE = """
 import asyncio
@@ -84,9 +84,9 @@
 _http.HttpTransport._session = session
 """
 IGNORE_DEADLINES = """
-from carobroute.gateway import Exchange
+from carobroute.gateway._send_window import SendWindow
 from carobroute.gateway._shutdown import Shutdown
-Exchange._remaining_ms = property(lambda self: 60_000.0)
+SendWindow.remaining_ms = property(lambda self: 60_000.0)
 Shutdown.deadline_ms = lambda self, expires_ms: float("inf")
 """
 KEEP_TARGETS_AND_KEYS = """
