--- a/carobroute/gateway/_rate_tokens.py
+++ b/carobroute/gateway/_rate_tokens.py
@@ -126,8 +126,8 @@
     TokenReply(target='i-1@7', is_granted=True, wait_ms=0.0, return_ms=0.0, number=0)
     >>> for _ in range(2):
     ...     issuer.issue("i-1@7", 2.0, max_wait_ms=0.0, is_for_call=True)
-    TokenReply(target='i-1@7', is_granted=False, wait_ms=500.0, return_ms=500.0, number=0)
-    TokenReply(target='i-1@7', is_granted=False, wait_ms=500.0, return_ms=1000.0, number=0)
+    TokenReply(target='i-1@7', is_granted=False, ..., return_ms=500.0, number=0)
+    TokenReply(target='i-1@7', is_granted=False, ..., return_ms=1000.0, number=0)
     >>> issuer.issue("i-1@7", 2.0, max_wait_ms=900.0, is_for_call=True).is_granted
     True
     """
