Remember a target's pause while its entry is missing from the list

Cause: the pause was kept with the target, and the target is dropped when its entry is missing. It came back as a new one that has asked for nothing. Pauses of runs that seem gone are kept now until they end, by the identifier and the start of the run; a new run under the same name inherits none.

Evidence: test_a_pause_outlasts_a_gap_of_the_list fails on the commit before and passes now.

--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -120,6 +120,11 @@
         is_open = ready and self.entry.is_group_open
         return is_listed and is_open and not self.pause_remaining_ms
 
+    @property
+    def paused_until_ms(self) -> float:
+        """Boot time up to which the target wants no calls; 0 if it never said so."""
+        return self._paused_until_ms
+
     @property
     def pause_remaining_ms(self) -> float:
         """Time for which the target wants no calls from this gateway; 0 for none."""
@@ -155,6 +160,8 @@
 
     def pause(self, duration_ms: float) -> None:
         """Send no calls for a time; one that was named before is not shortened."""
+        if duration_ms <= 0:
+            return
         until_ms = self._clock.boot_time_ms() + duration_ms
         self._paused_until_ms = max(self._paused_until_ms, until_ms)
 
@@ -262,6 +269,7 @@
         "_leaving_runs",
         "_list_hash",
         "_list_store_ms",
+        "_pauses",
         "_peer_calls",
         "_peer_slowdown",
         "_store_outage_ms",
@@ -292,6 +300,8 @@
         # Start of each run that is gone, and when its entry was removed.
         self._gone: dict[str, tuple[int, float]] = {}
         self._expiry_until_ms = 0.0
+        # Boot time up to which runs that are gone, or seem so, want no calls.
+        self._pauses: dict[str, float] = {}
         # Runs that have said in an answer that they leave.
         self._leaving_runs: dict[str, LeavingRun] = {}
         self._last_read_ms: float | None = None
@@ -465,6 +475,8 @@
 
     def _note_gone(self, target: Target, change: DirectoryChange) -> None:
         target.is_gone = True
+        if target.pause_remaining_ms:
+            self._pauses[target.run_id] = target.paused_until_ms
         started_ms = target.entry.started_ms
         self._gone[target.incarnation] = (started_ms, self._clock.boot_time_ms())
         change.gone.append(target.incarnation)
@@ -475,6 +487,9 @@
         for incarnation, (_, gone_ms) in list(self._gone.items()):
             if now_ms - gone_ms > GONE_RETENTION_MS:
                 del self._gone[incarnation]
+        for run_id, until_ms in list(self._pauses.items()):
+            if until_ms <= now_ms:
+                del self._pauses[run_id]
         listed = {target.run_id for target in self._targets.values()}
         for run_id, noted in list(self._leaving_runs.items()):
             if run_id not in listed and now_ms - noted.noted_ms > LEAVING_RETENTION_MS:
@@ -516,6 +531,8 @@
         )
         if target.run_id in self._leaving_runs:
             target.entry = _as_leaving(entry)
+        # Its entry may have been missing while it has run on.
+        target.pause(self._pauses.get(target.run_id, 0.0) - self._clock.boot_time_ms())
         change.joined.append(entry.incarnation)
 
 
--- a/carobroute/gateway/tests/test_targets.py
+++ b/carobroute/gateway/tests/test_targets.py
@@ -175,3 +175,35 @@
     directory.update([], unreadable=["i-1"])
     directory.update([make_target_entry()])
     assert _usable_targets(directory) == []
+
+
+# Guards against calls to a target that has asked for none (BUDGET), after its entry was
+# missing from the list for a moment.
+def test_a_pause_outlasts_a_gap_of_the_list():
+    clock = ManualClock()
+    directory = _directory(clock)
+    directory.update([make_target_entry()])
+    directory.find("i-1").pause(12_000.0)
+    clock.advance_ms(800)
+    assert directory.update([]).gone == ["i-1"]
+    clock.advance_ms(2_500)
+    directory.update([make_target_entry()])
+    assert _usable_targets(directory) == []
+    assert directory.find("i-1").pause_remaining_ms == 12_000.0 - 3_300.0
+    # A second gap, and the end of the time.
+    directory.update([])
+    directory.update([make_target_entry()])
+    assert _usable_targets(directory) == []
+    clock.advance_ms(8_700)
+    directory.update([make_target_entry()])
+    assert _usable_targets(directory) == ["i-1"]
+    directory.update([])
+    assert not directory._pauses
+
+
+def test_a_new_run_under_a_name_does_not_inherit_a_pause():
+    directory = _directory(ManualClock())
+    directory.update([make_target_entry()])
+    directory.find("i-1").pause(12_000.0)
+    directory.update([make_target_entry(started_ms=2)])
+    assert _usable_targets(directory) == ["i-1"]
