--- a/carobroute/entry/_parse.py
+++ b/carobroute/entry/_parse.py
@@ -69,7 +69,11 @@
                 for digest in team.key_hashes
             }
             self._number = configuration.number
-        return self._teams.get(key_hash(api_key))
+        try:
+            return self._teams.get(key_hash(api_key))
+        except UnicodeEncodeError:
+            # Header bytes that are no UTF-8 are no team's key.
+            return None
 
 
 class CallParser:
--- a/carobroute/entry/tests/test_http_input.py
+++ b/carobroute/entry/tests/test_http_input.py
@@ -129,6 +129,22 @@
         writer.close()
 
 
+# Guards against 500 for header bytes that are no UTF-8: a caller's mistake.
+@pytest.mark.parametrize("key", [b"\xff\xfe", b"caf\xe9"])
+async def test_a_key_that_is_no_utf_8_is_not_known(key):
+    async with Server() as server:
+        reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
+        writer.write(
+            f"POST {CHAT} HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n".encode()
+            + b"Authorization: Bearer "
+            + key
+            + b"\r\n\r\n{}"
+        )
+        line = await asyncio.wait_for(reader.readline(), 20)
+        assert b" 401 " in line
+        writer.close()
+
+
 async def test_caller_that_closes_half_way_costs_nothing_lasting():
     async with Server(body_timeout_ms=20_000.0) as server:
         reader, writer = await asyncio.open_connection("127.0.0.1", server.port)
