Give targets with overwritten entries the grace period of an outage

A target whose entry another program had written over right before the store went away counted as crashed at the first reading after its return, though it could not renew its entry meanwhile.

The reading of the list is written as one step after the other.

--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -428,21 +428,23 @@
         self._last_read_ms = now_ms
         self._forget_gone(now_ms)
         change = DirectoryChange()
-        overwritten = set(unreadable)
-        for entry in entries:
-            if self._names_no_run(entry):
-                overwritten.add(entry.incarnation)
-            elif not self._is_outdated(entry):
-                self._apply_entry(entry, change)
-                continue
+        ignored = {
+            entry.incarnation
+            for entry in entries
+            if self._names_no_run(entry) or self._is_outdated(entry)
+        }
+        if ignored:
             # No peer can confirm this list, so it is read again.
             self._list_hash = 0
-        self._suspend(overwritten, change)
-        listed = {entry.incarnation for entry in entries} | overwritten
-        for incarnation, target in list(self._targets.items()):
-            is_missing = incarnation not in listed and now_ms >= self._grace_until_ms
-            if is_missing or self._has_expired(target, now_ms):
-                self._note_gone(self._targets.pop(incarnation), change)
+        for entry in entries:
+            if entry.incarnation not in ignored:
+                self._apply_entry(entry, change)
+        self._suspend(ignored.union(unreadable), change)
+        if now_ms >= self._grace_until_ms:
+            listed = {entry.incarnation for entry in entries}.union(unreadable)
+            for incarnation, target in list(self._targets.items()):
+                if incarnation not in listed or self._has_expired(target, now_ms):
+                    self._note_gone(self._targets.pop(incarnation), change)
         self._targets_by_service = {}
         for target in self._targets.values():
             self._targets_by_service.setdefault(target.entry.service, []).append(target)
