Show that orders left behind by a stop make the next process wait

A local process that ends while an order still runs at its target must not let its successor take orders at once: the target may run the same one again. The fence is closed only if no claim is open, so it held; the test of the stop now demands it, at targets that check no fencing numbers.

--- a/carobroute/tests/test_daemon_stop.py
+++ b/carobroute/tests/test_daemon_stop.py
@@ -15,6 +15,8 @@
 FLEET = {
     "order_options": ["--latency-ms", "12000"],
     "engine_options": ["--step-ms", "300"],
+    # After a process that may have left calls behind, the next one has to wait.
+    "target_fields": {"honours_fencing": False},
     "settings": {
         "links": QUICK_LINKS,
         "platform": {"timeout_ms": 1_000},
@@ -76,5 +78,10 @@
     answer = await call
     assert answer.status in (502, 504)
     assert any("event=calls_ended" in line for line in target.local.errors)
-    for each in (target, *others):
-        await fleet.start_local(each)
+    # The target may still run the order, so the next process takes none yet.
+    await fleet.start_local(target)
+    later = await witness.order(1)
+    assert later.status == 503
+    assert len(await witness.order_runs()) <= 2
+    for other in others:
+        await fleet.start_local(other)
