--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -15,8 +15,8 @@
 _stream_ends.StreamEndJudge.judge = judge
 """
 IGNORE_REQUEST_IDS = """
-from carobroute.gateway import Exchange
-Exchange._response_defect = lambda self, head, response: ""
+from carobroute.gateway._answer_inspector import AnswerInspector
+AnswerInspector.find_defect = lambda self, head, response: ""
 """
 # A rule, the answers that it is about, and a mistake in the gateways.
 MISTAKES = {
