--- a/carobroute/entry/_app.py
+++ b/carobroute/entry/_app.py
@@ -257,7 +257,7 @@
             self._in_flight -= 1
 
     def _would_be_cut(self, call: Call) -> bool:
-        """Whether the stop may end a call whose caller could not repeat it."""
+        """Whether the stop ends a call at once, or may end one that runs only once."""
         if self._clock.now_ms() >= self._calls_end_ms:
             return True
         return not call.is_repeatable and call.deadline_ms > self._calls_end_ms
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -233,7 +233,8 @@
 
     A target whose entry is missing is removed at once, unless the store was
     unavailable: then entries may have lapsed, and targets get a grace period in which
-    to renew them.
+    to renew them. One whose entry another program has overwritten is suspended until
+    it has renewed the entry.
 
     Parameters
     ----------
--- a/carobroute/utils/_process_exit.py
+++ b/carobroute/utils/_process_exit.py
@@ -9,8 +9,8 @@
 def exit_process(status: int) -> NoReturn:
     """End the process at once, without the teardown of the interpreter.
 
-    The teardown takes 0.1 s of processor time, which is more than a process that shares
-    its core may have left before it is killed. Exit handlers don't run.
+    The teardown takes processor time that a process may not have left before it is
+    killed, if it shares its core with others. Exit handlers don't run.
 
     Parameters
     ----------
