Wait in a test for a task that has ended to leave its set

Trace: a task that has ended leaves its set by a callback, one turn of the event loop later. A check in the turn between sees the task done and the set with one entry, (True, 1) in a small script, and (True, 0) after it. The test waited for the first, and asserted the second. It waits for the empty set now, and then demands that the task is done; it fails in the same cases of a task that stays. Nothing of the product is changed.

--- a/carobroute/utils/tests/test_tasks.py
+++ b/carobroute/utils/tests/test_tasks.py
@@ -23,10 +23,11 @@
             raise RecursionError(f"run {len(runs)}")
 
     task = tasks.keep_running(run, name="watch", backoff=make_backoff(), clock=Clock())
-    await wait_until(task.done)
+    # A task that has ended leaves the set in the next turn of the event loop.
+    await wait_until(lambda: len(tasks) == 0, what="the task has ended and left")
+    assert task.done()
     assert len(runs) == 4
     assert failures == [("watch", f"run {number}") for number in (1, 2, 3)]
-    assert len(tasks) == 0
 
 
 @pytest.mark.parametrize("fails", [False, True])
