Empty a data centre on the operators' request, and watch their table in peace

Cause: rows of the operators' table other than the configuration were ignored, but made each following watch end at once, since it began at the version of the last configuration; and no code knew evacuations.

Ruled out: a lost row (the log showed it at the readers 0.12 s after its acknowledgement).

--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -163,6 +163,7 @@
         "_cuts",
         "_ended_count",
         "_ends",
+        "_evacuated",
         "_events",
         "_first_byte",
         "_is_stopping",
@@ -212,6 +213,11 @@
             ["change"],
         )
         self._target_states = metrics.gauge("targets", "Targets by state.", ["state"])
+        self._evacuated = metrics.gauge(
+            "data_centre_evacuated",
+            "Whether a data centre gets no new calls.",
+            ["data_centre"],
+        )
         self._leaving = metrics.counter(
             "targets_leaving", "Targets that leave, ahead of the list.", ["source"]
         )
@@ -258,6 +264,23 @@
         self._leaving.labels(source).inc()
         self._events.event("target_leaving", target=target, source=source)
 
+    def note_evacuation(
+        self,
+        data_centre: str,
+        *,
+        is_evacuated: bool,
+        proof_age_ms: float,
+        **inputs: Any,
+    ) -> None:
+        """Log that a data centre gets no calls, or gets them again, with the inputs."""
+        self._evacuated.labels(data_centre).set(int(is_evacuated))
+        self._events.event(
+            "evacuation_began" if is_evacuated else "evacuation_ended",
+            data_centre=data_centre,
+            proof_age_ms=round(proof_age_ms),
+            **inputs,
+        )
+
     def note_pause(self, target: str, pause_ms: float) -> None:
         """Count and log that a target wants no calls for a time."""
         self._pauses.inc()
--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -238,9 +238,12 @@
 
         Calls are blocked only while all groups of the service are down and none of
         them is due for a probe. The breaker with the earliest recovery is returned.
+        Groups that are evacuated as a whole count for nothing.
         """
         breakers = {}
         for target in self._directory.targets(service):
+            if target.is_evacuated:
+                continue
             breaker = self.circuit_breaker(target)
             if not breaker.is_down:
                 return None
@@ -293,6 +296,16 @@
         for service in list(self._queues):
             self.dispatch_queued(service)
 
+    def refuse_unservable(self) -> None:
+        """Refuse queued calls that no target may be sent any more."""
+        for queue in list(self._queues.values()):
+            for waiter in list(queue):
+                if waiter.future.done() or self._candidates(waiter.request):
+                    continue
+                fault = self._admission_fault(waiter.request)
+                if fault is not None:
+                    waiter.future.set_result(Failure(fault))
+
     def expected_wait_ms(self, service: str) -> float:
         """Return the expected wait of a call that joins the queue now.
 
@@ -385,6 +398,8 @@
         """
         recovery_ms = []
         for target in self._directory.targets(service):
+            if target.is_evacuated:
+                continue
             breaker = self.circuit_breaker(target)
             if not target.entry.is_group_open:
                 breaker.note_outage()
@@ -405,6 +420,7 @@
             target.pause_remaining_ms
             for target in self._directory.targets(request.service.name)
             if target.pause_remaining_ms
+            and not target.is_evacuated
             and target.incarnation not in request.excluded_targets
         )
         return min(remaining_ms, default=float("inf"))
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -19,6 +19,7 @@
 from carobroute.gateway._crash_detector import CrashDetector, crash_name
 from carobroute.gateway._digests import PeerState
 from carobroute.gateway._dispatch import Dispatcher
+from carobroute.gateway._evacuations import Evacuations
 from carobroute.gateway._evidence_store import EvidenceStore
 from carobroute.gateway._exchange import Exchange
 from carobroute.gateway._operations import OperationsInterface
@@ -99,6 +100,7 @@
         "_context",
         "_directory",
         "_dispatcher",
+        "_evacuations",
         "_events",
         "_failed_tasks",
         "_groups",
@@ -188,12 +190,14 @@
             peer_slowdown=self._peer_state.slowdown_at,
             peer_ejections=self._peer_state.count_ejections,
         )
+        self._evacuations = Evacuations(clock=clock, on_change=self._note_evacuation)
         self._shared_reads = SharedReads(
             clock=clock,
             name=self._incarnation,
             configuration=self._configuration,
             directory=self._directory,
             peers=self._peer_state.knowledge,
+            evacuations=self._evacuations,
         )
         own_key = (self._settings.data_centre, self._incarnation)
         self._slot_shares = SlotShares(
@@ -383,6 +387,7 @@
             on_change=self._peers.share_change,
             store=self._store,
             configuration=self._configuration,
+            evacuations=self._evacuations,
             wait_ms=self._parameters.watch_timeout_ms(self._settings.bounds.revoke_ms),
             parameters=self._parameters,
             events=self._events,
@@ -474,6 +479,29 @@
         """Log that the store has come back without its last writes."""
         self._events.event("store_restored", level="warning", before=before, era=era)
 
+    def _note_evacuation(
+        self, data_centre: str, is_evacuated: bool, source: str
+    ) -> None:
+        """Send no calls to a data centre, or send it calls again."""
+        self._directory.set_evacuated(self._evacuations.data_centres)
+        targets = self._directory.all_targets()
+        self._context.recorder.note_evacuation(
+            data_centre,
+            is_evacuated=is_evacuated,
+            is_known=data_centre in self._settings.data_centres,
+            source=source,
+            store_version=self._evacuations.version,
+            era=self._evacuations.era,
+            proof_age_ms=self._configuration.proof_age_ms,
+            targets=sum(t.entry.data_centre == data_centre for t in targets),
+            usable=sum(target.is_usable for target in targets),
+        )
+        self._context.note_target_states()
+        if is_evacuated:
+            self._dispatcher.refuse_unservable()
+        else:
+            self._dispatcher.dispatch_all_queued()
+
     def _note_part_state(
         self, part: str, state: PartState, fields: dict[str, Any]
     ) -> None:
--- a/carobroute/gateway/_rank_groups.py
+++ b/carobroute/gateway/_rank_groups.py
@@ -330,6 +330,8 @@
         if experts is None or not is_open:
             return None
         by_incarnation = {target.incarnation: target for target in targets}
+        # A group that gets no calls needs no other map, but may have to be freed.
+        is_evacuated = all(target.is_evacuated for target in targets)
         return RankGroup(
             name=name,
             epoch=entry.group_epoch,
@@ -345,5 +347,5 @@
             slots=max(1, entry.slots),
             experts=experts,
             report_lag_ms=service.engine.report_lag_ms,
-            gap_target_ms=table.gap_target_ms(entry.service),
+            gap_target_ms=(0.0 if is_evacuated else table.gap_target_ms(entry.service)),
         )
--- a/carobroute/gateway/_shared_reads.py
+++ b/carobroute/gateway/_shared_reads.py
@@ -12,6 +12,7 @@
 import xxhash
 
 from carobroute.gateway._configuration import ActiveConfiguration
+from carobroute.gateway._evacuations import EvacuationReport, Evacuations
 from carobroute.gateway._targets import TargetDirectory
 from carobroute.utils import Clock, Integer, Number
 
@@ -53,6 +54,8 @@
         Hash of the list of targets; 0 before the first reading.
     targets_ms : float
         Time at which the store held that list.
+    evacuations : EvacuationReport
+        Data centres that are to get no calls.
     """
 
     reaches_store: bool = False
@@ -60,6 +63,7 @@
     configuration_ms: Number = 0.0
     targets_hash: int = 0
     targets_ms: Number = 0.0
+    evacuations: EvacuationReport = EvacuationReport()
 
 
 class StoreClock:
@@ -149,12 +153,15 @@
         Targets whose list peers may confirm.
     peers : callable
         Returns what each live peer knows of the store, by its incarnation.
+    evacuations : Evacuations, default=None
+        Evacuations that peers may know earlier; None for ones of its own.
     """
 
     __slots__ = (
         "_clock",
         "_configuration",
         "_directory",
+        "_evacuations",
         "_name",
         "_peers",
         "is_configuration_outdated",
@@ -171,7 +178,9 @@
         configuration: ActiveConfiguration,
         directory: TargetDirectory,
         peers: Callable[[], Mapping[str, StoreKnowledge]],
+        evacuations: Evacuations | None = None,
     ):
+        self._evacuations = evacuations or Evacuations(clock=clock)
         self._clock = clock
         self._name = name
         self._configuration = configuration
@@ -245,10 +254,12 @@
             configuration_ms=self._configuration.proof_store_ms,
             targets_hash=self._directory.list_hash,
             targets_ms=self._directory.list_store_ms,
+            evacuations=self._evacuations.report(),
         )
 
     def apply_knowledge(self, knowledge: StoreKnowledge) -> None:
         """Take over what a peer knows, or note that something must be read."""
+        self._evacuations.merge(knowledge.evacuations)
         proof_ms = self.store_clock.to_boot_ms(knowledge.configuration_ms)
         table = self._configuration.table
         if table is None:
--- a/carobroute/gateway/_store_watch.py
+++ b/carobroute/gateway/_store_watch.py
@@ -11,6 +11,7 @@
 from carobroute.domain import TargetEntry
 from carobroute.errors import ErrorKind, Fault
 from carobroute.gateway._configuration import ActiveConfiguration
+from carobroute.gateway._evacuations import REWRITE_MS, Evacuations
 from carobroute.gateway._parameters import GatewayParameters
 from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._targets import DirectoryChange, TargetDirectory
@@ -24,18 +25,19 @@
     StoredRow,
     decode_configuration,
     decode_target_entry,
+    evacuated_data_centre,
 )
 from carobroute.telemetry import EventLog
 from carobroute.utils import Backoff, Clock
 
-# Time in which the operator writes again what a store that came back from an older copy
-# has lost; targets take as long to write their entries.
-REWRITE_MS = 2_000.0
 # Time in which a gateway that starts hears of its peers; it is not awaited while the
 # store has never come back from an older copy.
 FIRST_DIGESTS_MS = 700.0
 # Interval at which a gateway that follows its peers checks whether it must read.
 FOLLOW_CHECK_INTERVAL_MS = 40.0
+# Time between calls while rows change that are neither the configuration nor an
+# evacuation.
+FOREIGN_CHANGE_INTERVAL_MS = 500.0
 
 
 class DependencyMonitor:
@@ -85,7 +87,7 @@
 
 
 class ConfigurationWatcher:
-    """Keeps the active configuration up to date.
+    """Keeps the active configuration and the evacuations up to date.
 
     Parameters
     ----------
@@ -107,14 +109,19 @@
         What peers know of the store; None to read all the time.
     on_change : callable, default=None
         Called when another configuration has become active.
+    evacuations : Evacuations, default=None
+        Evacuations to update; None for ones of its own.
 
     Notes
     -----
     A watch that ends without a change proves that there was none when it was sent.
     Each watch starts from the version of the last read or change, and not from the
     version that an answer without changes carries, so a change that the store withheld
-    from one watch is found by the next. The store may come back from an older copy and
-    give out versions again, so a watch across two eras proves nothing.
+    from one watch is found by the next. The version of a change of any row counts: the
+    store brings changes in order. If that row is none of those known here, the table is
+    read as a whole next, in case that the store has withheld another one before it. The
+    store may come back from an older copy and give out versions again, so a watch
+    across two eras proves nothing.
     """
 
     __slots__ = (
@@ -122,7 +129,9 @@
         "_clock",
         "_configuration",
         "_era",
+        "_evacuations",
         "_events",
+        "_foreign_read_ms",
         "_last_call_ms",
         "_monitor",
         "_on_change",
@@ -148,9 +157,13 @@
         random: random.Random,
         shared: SharedReads | None = None,
         on_change: Callable[[], None] | None = None,
+        evacuations: Evacuations | None = None,
     ):
         self._shared = shared
         self._on_change = on_change or (lambda: None)
+        self._evacuations = evacuations or Evacuations(clock=clock)
+        # Boot time of the last reading because of a row that is not known here.
+        self._foreign_read_ms = float("-inf")
         self._store = store
         self._configuration = configuration
         self._wait_ms = wait_ms
@@ -193,6 +206,8 @@
     async def poll_once(self) -> float:
         """Call the store once, and return the delay before the next call."""
         sent_ms = self._last_call_ms = self._clock.boot_time_ms()
+        if self._evacuations.settles_in_ms == 0.0:
+            self._version = None
         newest = max(self._configuration.version, self._newest_peer_version)
         answered = await self._read_or_watch()
         if isinstance(answered, Failure):
@@ -218,8 +233,9 @@
         rows = [row for row in answer.rows if row.key == CONFIGURATION_KEY]
         if is_read:
             self._note_read(answer, rows)
+        self._apply_evacuations(answer, sent_ms, is_read=is_read)
         is_readable = all([self._apply_row(row, newest) for row in rows])
-        if is_read or rows:
+        if is_read or answer.rows:
             self._version = answer.version
         if is_readable and self._row.number < newest:
             self._note_older_store(is_read)
@@ -227,7 +243,59 @@
             self._note_proof(sent_ms, store_ms)
         # One that is not readable is read again like after a failure; the first one
         # is watched for.
-        return 0.0 if is_readable else self._backoff.next_ms()
+        if not is_readable:
+            return self._backoff.next_ms()
+        if is_read:
+            # A reading that is older than a change known here settles nothing.
+            is_unsettled = self._evacuations.settles_in_ms == 0.0
+            return FOREIGN_CHANGE_INTERVAL_MS if is_unsettled else 0.0
+        return self._await_foreign_changes(answer)
+
+    def _await_foreign_changes(self, answer: RowsAnswer) -> float:
+        """Return the delay before the next call, if unknown rows have changed.
+
+        Each of their changes would end a watch at once.
+        """
+        foreign = [
+            row
+            for row in answer.rows
+            if row.key != CONFIGURATION_KEY and evacuated_data_centre(row.key) is None
+        ]
+        if not foreign:
+            return 0.0
+        for row in foreign:
+            self._events.event(
+                "operators_row_unknown",
+                table=row.table,
+                key=row.key,
+                store_version=row.version,
+            )
+        self._version = None
+        now_ms = self._clock.boot_time_ms()
+        read_ms = max(now_ms, self._foreign_read_ms + FOREIGN_CHANGE_INTERVAL_MS)
+        self._foreign_read_ms = read_ms
+        return read_ms - now_ms
+
+    def _apply_evacuations(
+        self, answer: RowsAnswer, sent_ms: float, *, is_read: bool
+    ) -> None:
+        """Apply the rows that ask for evacuations."""
+        asked = [
+            (row, data_centre)
+            for row in answer.rows
+            if (data_centre := evacuated_data_centre(row.key)) is not None
+        ]
+        before = self._evacuations.data_centres
+        if is_read:
+            names = {name for row, name in asked if not row.removed}
+            self._evacuations.apply_reading(answer.era, answer.version, names, sent_ms)
+        else:
+            for row, name in asked:
+                self._evacuations.apply_change(
+                    row.version, name, is_evacuated=not row.removed
+                )
+        if before != self._evacuations.data_centres:
+            self._on_change()
 
     @property
     def _newest_peer_version(self) -> int:
@@ -281,17 +349,16 @@
 
     async def _read_or_watch(self) -> Result[RowsAnswer, Fault]:
         if self._version is None:
-            return await self._store.read(
-                CONFIGURATION_TABLE,
-                first=CONFIGURATION_KEY,
-                end=CONFIGURATION_KEY + "\0",
-            )
+            return await self._store.read_all(CONFIGURATION_TABLE)
         wait_ms = self._wait_ms
         if not self._was_rewritten:
             # What is sent before the end of this time proves nothing.
             remaining_ms = self._restored_ms + REWRITE_MS - self._clock.boot_time_ms()
             if remaining_ms > 0:
                 wait_ms = min(wait_ms, remaining_ms)
+        settles_ms = self._evacuations.settles_in_ms
+        if settles_ms:
+            wait_ms = min(wait_ms, settles_ms)
         return await self._store.watch(
             CONFIGURATION_TABLE, after=self._version, wait_ms=wait_ms
         )
--- a/carobroute/gateway/_targets.py
+++ b/carobroute/gateway/_targets.py
@@ -66,6 +66,7 @@
         "entry",
         "health",
         "in_flight",
+        "is_evacuated",
         "is_gone",
         "last_event_ms",
         "overwritten_ms",
@@ -98,6 +99,8 @@
         self.health = AnswerRecord(clock=clock, parameters=health)
         self.in_flight = 0
         self.is_gone = False
+        # Whether its data centre is to get no new calls.
+        self.is_evacuated = False
         # Boot time from which on its entry is another program's; None if it is its own.
         self.overwritten_ms: float | None = None
         # Monotonic time of the last event of any stream from this target.
@@ -125,6 +128,7 @@
         entry = self.entry
         return (
             not self.is_gone
+            and not self.is_evacuated
             and self.overwritten_ms is None
             and entry.condition is ListedTargetState.READY
             and entry.is_group_open
@@ -307,6 +311,7 @@
     __slots__ = (
         "_clock",
         "_entry_expiry_ms",
+        "_evacuated",
         "_expiry_until_ms",
         "_gone",
         "_grace_until_ms",
@@ -345,6 +350,7 @@
         self._health = health or OutlierParameters()
         self._peer_calls = peer_calls or (lambda incarnation: 0)
         self._peer_slowdown = peer_slowdown
+        self._evacuated: frozenset[str] = frozenset()
         self._targets: dict[str, Target] = {}
         self._targets_by_service: dict[str, list[Target]] = {}
         # Start of each run that is gone, and when its entry was removed.
@@ -398,6 +404,12 @@
         """Return the targets of all services."""
         return list(self._targets.values())
 
+    def set_evacuated(self, data_centres: frozenset[str]) -> None:
+        """Send no new calls to the targets of these data centres, and of no others."""
+        self._evacuated = data_centres
+        for target in self._targets.values():
+            target.is_evacuated = target.entry.data_centre in data_centres
+
     def find_listing(self, target: Target) -> RunListing:
         """Return what is known of the run of a target, which may be gone."""
         if (
@@ -490,10 +502,13 @@
 
     def count_states(self) -> dict[str, int]:
         """Return the number of targets in each state."""
-        counts = {"ready": 0, "ejected": 0, "paused": 0, "leaving": 0, "closed": 0}
+        states = ("ready", "ejected", "paused", "evacuated", "leaving", "closed")
+        counts = dict.fromkeys(states, 0)
         for target in self._targets.values():
             if target.entry.condition is not ListedTargetState.READY:
                 state = "leaving"
+            elif target.is_evacuated:
+                state = "evacuated"
             elif target.pause_remaining_ms:
                 state = "paused"
             elif not target.is_usable:
@@ -618,13 +633,16 @@
             if known.overwritten_ms is not None:
                 known.overwritten_ms = None
                 change.renewed.append(entry.incarnation)
-            was_usable = known.is_usable or known.pause_remaining_ms > 0
+            was_usable = (
+                known.is_usable or known.is_evacuated or known.pause_remaining_ms > 0
+            )
             if known.entry.condition is ListedTargetState.LEAVING:
                 # A run that leaves does so for good, whatever an older list says.
                 entry = _as_leaving(entry)
             if known.entry.group_epoch != entry.group_epoch:
                 known.health.reset()
             known.entry = entry
+            known.is_evacuated = entry.data_centre in self._evacuated
             if was_usable and entry.condition is ListedTargetState.LEAVING:
                 change.leaving.append(entry.incarnation)
             return
@@ -638,6 +656,7 @@
             peer_slowdown=self._peer_slowdown,
             peer_ejections=self._peer_ejections,
         )
+        target.is_evacuated = entry.data_centre in self._evacuated
         if target.run_id in self._leaving_runs:
             target.entry = _as_leaving(entry)
         # Its entry may have been missing while it has run on.
--- a/carobroute/platform/__init__.py
+++ b/carobroute/platform/__init__.py
@@ -55,6 +55,7 @@
     RowWrite,
     StoredRow,
     WriteAnswer,
+    evacuated_data_centre,
 )
 
 __all__ = [
@@ -101,6 +102,7 @@
     "decode_rank_report",
     "decode_settings",
     "decode_target_entry",
+    "evacuated_data_centre",
     "find_settings_faults",
     "is_replaced_header",
     "read_settings",
--- a/carobroute/platform/_row_store.py
+++ b/carobroute/platform/_row_store.py
@@ -14,6 +14,8 @@
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 TARGET_TABLE = "servers"
+# Rows of the configuration's table with this prefix name data centres to empty.
+_EVACUATION_PREFIX = "evacuate/"
 
 # Era of a store that has never come back from an older copy.
 FIRST_ERA = 1
@@ -37,6 +39,31 @@
 T = TypeVar("T")
 
 
+def evacuated_data_centre(key: str) -> str | None:
+    """Return the data centre whose evacuation a row of the operators asks for.
+
+    Parameters
+    ----------
+    key : str
+        Key of a row in the table of the configuration.
+
+    Returns
+    -------
+    data_centre : str or None
+        Its name; None if the row asks for no evacuation.
+
+    Examples
+    --------
+    >>> evacuated_data_centre("evacuate/kig-a"), evacuated_data_centre("config")
+    ('kig-a', None)
+    """
+    return key.removeprefix(_EVACUATION_PREFIX) if _is_evacuation(key) else None
+
+
+def _is_evacuation(key: str) -> bool:
+    return key.startswith(_EVACUATION_PREFIX) and key != _EVACUATION_PREFIX
+
+
 class StoredRow(msgspec.Struct, frozen=True):
     """One row, as of the store's version in the answer that contains it.
 
--- a/carobroute/testing/row_store_data.py
+++ b/carobroute/testing/row_store_data.py
@@ -30,17 +30,23 @@
     __slots__ = (
         "_clock",
         "_kept",
+        "_removed",
         "_version",
         "calls",
         "history_from",
         "is_unavailable",
+        "withheld_versions",
     )
 
     def __init__(self, *, clock: Clock):
         super().__init__(base_url="http://127.0.0.1:1")
         self._clock = clock
         self._kept: dict[tuple[str, str], StoredRow] = {}
+        # Last removal of each row that does not exist.
+        self._removed: dict[tuple[str, str], StoredRow] = {}
         self._version = 0
+        # Versions of changes that watches are not told.
+        self.withheld_versions: set[int] = set()
         self.calls = 0
         self.is_unavailable = False
         # Watches from before this version are told that their history is gone.
@@ -80,11 +86,14 @@
         while True:
             rows = [
                 row
-                for (name, _), row in self._kept.items()
-                if name == table and row.version > after
+                for row in (*self._kept.values(), *self._removed.values())
+                if row.table == table
+                and row.version > after
+                and row.version not in self.withheld_versions
             ]
             remaining_ms = end_ms - self._clock.now_ms()
             if rows or remaining_ms <= 0:
+                rows.sort(key=lambda row: row.version)
                 return Success(self._answer(rows))
             await self._clock.sleep_ms(min(WATCH_CHECK_MS, remaining_ms))
 
@@ -109,8 +118,9 @@
             self._kept[write.table, write.key] = StoredRow(
                 write.table, write.key, self._version, write.value
             )
+            self._removed.pop((write.table, write.key), None)
         for removal in removals:
-            self._kept.pop((removal.table, removal.key), None)
+            self._drop(removal.table, removal.key)
         return Success(
             WriteAnswer(
                 committed=True,
@@ -124,11 +134,18 @@
         """Write a row as the platform itself does."""
         self._version += 1
         self._kept[table, key] = StoredRow(table, key, self._version, value)
+        self._removed.pop((table, key), None)
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row as the platform itself does."""
         self._version += 1
-        self._kept.pop((table, key), None)
+        self._drop(table, key)
+
+    def _drop(self, table: str, key: str) -> None:
+        if self._kept.pop((table, key), None) is not None:
+            self._removed[table, key] = StoredRow(
+                table, key, self._version, removed=True
+            )
 
     def copy(self) -> tuple[int, dict[tuple[str, str], StoredRow]]:
         """Return a copy of the store, from which `restore` can bring it back."""
@@ -138,8 +155,13 @@
         """Come back from a copy; versions after it are given out again."""
         self._version, kept = copy
         self._kept = dict(kept)
+        self._removed = {}
         self._note_era(self._era + 1)
 
+    def set_era(self, era: int) -> None:
+        """Answer with another era from now on; 0 for a store that names none."""
+        self._era = era
+
     @property
     def version(self) -> int:
         """Version of the last write."""
--- a/carobroute/testing/shared_reads_data.py
+++ b/carobroute/testing/shared_reads_data.py
@@ -14,6 +14,7 @@
     GatewayParameters,
     TargetDirectory,
 )
+from carobroute.gateway._evacuations import Evacuations
 from carobroute.gateway._shared_reads import SharedReads, StoreKnowledge
 from carobroute.gateway._store_watch import ConfigurationWatcher, TargetListPoller
 from carobroute.gateway._targets import DirectoryChange
@@ -115,9 +116,11 @@
             store_outage_ms=parameters.store_outage_ms(fleet.drain_ms, 1_200.0),
             lapsed_grace_ms=2_200.0,
         )
+        self.evacuations = Evacuations(clock=clock)
         self.shared = SharedReads(
             clock=clock,
             name=name,
+            evacuations=self.evacuations,
             configuration=self.configuration,
             directory=self.directory,
             peers=lambda: self.known,
@@ -126,6 +129,7 @@
         self._watcher = ConfigurationWatcher(
             store=self.store,
             configuration=self.configuration,
+            evacuations=self.evacuations,
             wait_ms=parameters.watch_timeout_ms(REVOKE_MS),
             parameters=parameters,
             events=events,
@@ -233,6 +237,7 @@
             clock=self.clock, store_outage_ms=1_500.0, lapsed_grace_ms=2_200.0
         )
         self.changes: list[DirectoryChange] = []
+        self.evacuations = Evacuations(clock=self.clock)
         parameters = GatewayParameters()
         shared: dict[str, Any] = {
             "store": self.store,
@@ -243,6 +248,7 @@
         }
         self.watcher = ConfigurationWatcher(
             configuration=self.active,
+            evacuations=self.evacuations,
             wait_ms=parameters.watch_timeout_ms(REVOKE_MS),
             **shared,
         )
