Send cold targets few calls, and keep to what they stand over all gateways

Cause: the remaining cold time of a target's entry was decoded and never read; what a service publishes of cold targets was not decoded; the bound on the calls of a second at a cold target is the sum over all gateways, cut off or not.

Now: `ColdStarts` keeps when a run stops being cold, from the list, answers, peers and the end of an evacuation; `TargetRates` joins it with the limits that targets name, and `RateTokens` issues tokens for both.

Not done: health checks for the remaining time.

--- a/carobroute/domain/_routing.py
+++ b/carobroute/domain/_routing.py
@@ -173,12 +173,18 @@
         Largest number of connections that a target accepts from all callers together.
     engine : EngineProfile or None
         Profile of the service's engines; None for a plain service.
+    cold_ms : float
+        Time for which a target is cold after its start, in milliseconds.
+    cold_calls_per_s : float
+        Calls a second that a cold target stands from all gateways; 0 for no limit.
     """
 
     name: str
     health_path: str
     max_connections: int
     engine: EngineProfile | None
+    cold_ms: float = 0.0
+    cold_calls_per_s: float = 0.0
 
 
 class TeamProfile(msgspec.Struct, frozen=True, kw_only=True):
--- a/carobroute/gateway/_answer_inspector.py
+++ b/carobroute/gateway/_answer_inspector.py
@@ -58,6 +58,7 @@
         if response.status != MISDIRECTED_STATUS:
             self._note_limit(target, head)
             self._note_leaving(target, head)
+        self._context.cold_starts.note(target.run_id, head.cold_ms, "answer")
         if response.status == UNAVAILABLE_STATUS:
             self._note_pause(target, head)
 
--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -160,6 +160,7 @@
         "_answers",
         "_attempts",
         "_calls",
+        "_cold",
         "_cuts",
         "_ended_count",
         "_ends",
@@ -213,6 +214,9 @@
             ["change"],
         )
         self._target_states = metrics.gauge("targets", "Targets by state.", ["state"])
+        self._cold = metrics.counter(
+            "targets_cold", "Targets that have become cold.", ["source"]
+        )
         self._evacuated = metrics.gauge(
             "data_centre_evacuated",
             "Whether a data centre gets no new calls.",
@@ -264,6 +268,16 @@
         self._leaving.labels(source).inc()
         self._events.event("target_leaving", target=target, source=source)
 
+    def note_cold(self, target: str, remaining_ms: float, source: str) -> None:
+        """Count and log that a target is cold, and who says so."""
+        self._cold.labels(source).inc()
+        self._events.event(
+            "target_cold",
+            target=target,
+            remaining_ms=round(remaining_ms),
+            source=source,
+        )
+
     def note_evacuation(
         self,
         data_centre: str,
--- a/carobroute/gateway/_context.py
+++ b/carobroute/gateway/_context.py
@@ -5,6 +5,7 @@
 
 from carobroute.gateway._call_durations import PlainCallDurations, StreamPaces
 from carobroute.gateway._call_records import CallRecorder
+from carobroute.gateway._cold_starts import ColdStarts
 from carobroute.gateway._configuration import ActiveConfiguration
 from carobroute.gateway._crash_detector import CrashDetector
 from carobroute.gateway._dispatch import Dispatcher
@@ -55,6 +56,8 @@
         Prompt parts that crash targets.
     limits : RateLimits
         Rate limits that targets name.
+    cold_starts : ColdStarts
+        Targets that are cold.
     crash_detector : CrashDetector
         Tells crashes of targets from answers that broke off.
     pass_time_estimators : PassTimeEstimators
@@ -65,6 +68,7 @@
 
     __slots__ = (
         "clock",
+        "cold_starts",
         "configuration",
         "crash_detector",
         "directory",
@@ -104,6 +108,7 @@
         suspects: SuspectRequests,
         quarantine: PromptQuarantine,
         limits: RateLimits,
+        cold_starts: ColdStarts,
         crash_detector: CrashDetector,
         pass_time_estimators: PassTimeEstimators,
         recorder: CallRecorder,
@@ -121,6 +126,7 @@
         self.suspects = suspects
         self.quarantine = quarantine
         self.limits = limits
+        self.cold_starts = cold_starts
         self.crash_detector = crash_detector
         self.pass_time_estimators = pass_time_estimators
         self.recorder = recorder
--- a/carobroute/gateway/_digests.py
+++ b/carobroute/gateway/_digests.py
@@ -5,7 +5,10 @@
 from carobroute.gateway._part_evidence import EvidenceReport
 from carobroute.gateway._rate_limits import LimitReport
 from carobroute.gateway._shared_reads import StoreKnowledge
-from carobroute.utils import Clock, Count, DatagramAddress, Duration
+from carobroute.utils import Clock, Count, DatagramAddress, Duration, Number
+
+# Time for which a gateway that is not heard any more may still send calls.
+RECENT_GATEWAYS_MS = 30_000.0
 
 
 class Digest(msgspec.Struct, frozen=True, array_like=True):
@@ -51,6 +54,8 @@
     returned : list of str
         Runs of targets that the gateway has taken back after trial calls, during their
         slow start.
+    cold : dict of str to float
+        Remaining cold time of runs of targets, in milliseconds.
     """
 
     incarnation: str
@@ -71,6 +76,7 @@
     leaving: list[str] = []
     ejected: list[str] = []
     returned: list[str] = []
+    cold: dict[str, Number] = {}
 
 
 class PeerState:
@@ -111,6 +117,7 @@
         "_last_heard_ms",
         "_latest",
         "_slowdown_by_target",
+        "_recent_ms",
         "_started_ms",
     )
 
@@ -120,6 +127,8 @@
         self._gone_after_ms = gone_after_ms
         self._started_ms = clock.now_ms()
         self._latest: dict[str, Digest] = {}
+        # When each address was last heard of, for longer than its calls count.
+        self._recent_ms: dict[str, float] = {}
         self._last_heard_ms: dict[str, float] = {}
         self._calls_by_target: dict[str, int] = {}
         # Greatest slowdown that a peer knows of; None until it is asked for again.
@@ -141,6 +150,21 @@
         """Incarnations of the peers that are not gone."""
         return [name for name in self._latest if not self.is_gone(name)]
 
+    def heard_share(self, min_gateways: int = 1) -> float:
+        """Return the share of the recent gateways that are heard, with this one.
+
+        Parameters
+        ----------
+        min_gateways : int, default=1
+            Gateways that are there at least, whether they have been heard or not.
+        """
+        oldest_ms = self._clock.now_ms() - RECENT_GATEWAYS_MS
+        for address, heard_ms in list(self._recent_ms.items()):
+            if heard_ms < oldest_ms:
+                del self._recent_ms[address]
+        known = max(len(self._recent_ms) + 1, min_gateways)
+        return min(1.0, (len(self.live_peers) + 1) / known)
+
     def host_of(self, incarnation: str) -> str:
         """Return the host of a peer; empty if it is not known."""
         digest = self._latest.get(incarnation)
@@ -248,6 +272,7 @@
         self._latest[digest.incarnation] = digest
         self._slowdown_by_target = None
         self._last_heard_ms[digest.incarnation] = self._clock.now_ms()
+        self._recent_ms[digest.address] = self._clock.now_ms()
         self._add_digest(digest, 1)
         return True
 
--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -12,6 +12,7 @@
 from carobroute.domain import ServiceProfile
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.gateway._circuit_breaker import GroupCircuitBreaker
+from carobroute.gateway._cold_starts import ColdStarts
 from carobroute.gateway._dispatch_types import (
     DispatchParameters,
     DispatchRequest,
@@ -108,11 +109,14 @@
     has_returned : callable, default=None
         Returns whether another gateway has taken back a run of a target after trials;
         None if there are no other gateways.
+    cold : ColdStarts, default=None
+        Targets that are cold, which have a smaller weight; None if none is.
     """
 
     __slots__ = (
         "_circuit_breakers",
         "_clock",
+        "_cold",
         "_completion_times_ms",
         "_data_centre",
         "_directory",
@@ -145,7 +149,9 @@
         tokens: RateTokens | None = None,
         gateway_count: Callable[[], int] | None = None,
         has_returned: Callable[[str], bool] | None = None,
+        cold: ColdStarts | None = None,
     ):
+        self._cold = cold
         self._tokens = tokens
         self._gateway_count = gateway_count or (lambda: 1)
         self._has_returned = has_returned or (lambda run_id: False)
@@ -384,9 +390,7 @@
         """Return whether there are targets, and all of them limit their rate."""
         if self._tokens is None or not self._tokens.has_limits:
             return False
-        return bool(targets) and all(
-            self._limit(target) is not None for target in targets
-        )
+        return bool(targets) and all(map(self._tokens.is_binding, targets))
 
     def _limit(self, target: Target) -> float | None:
         return None if self._tokens is None else self._tokens.limit(target)
@@ -639,6 +643,8 @@
 
     def _relative_load(self, target: Target) -> float:
         weight = target.entry.slots * target.health.weight_share
+        if self._cold is not None and not self._cold.is_empty:
+            weight *= self._cold.weight(target.run_id)
         if target.peer_ejections and not target.health.is_returning:
             peer_count = max(1, self._gateway_count() - 1)
             peer_share = target.peer_ejections / peer_count / MIN_PEER_SHARE
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -9,6 +9,7 @@
 from returns.result import Failure
 
 from carobroute.errors import ErrorKind
+from carobroute.gateway._cold_starts import ColdStarts
 from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._prompt_quarantine import PromptQuarantine
 from carobroute.gateway._rate_limits import RateLimits
@@ -96,6 +97,8 @@
         Prompt parts that crash targets.
     limits : RateLimits
         Rate limits that targets name.
+    cold_starts : ColdStarts
+        Targets that are cold.
     calls_per_s : callable
         Returns this gateway's recent rate of calls to rank groups.
     shared : SharedReads
@@ -134,6 +137,7 @@
         suspects: SuspectRequests,
         quarantine: PromptQuarantine,
         limits: RateLimits,
+        cold_starts: ColdStarts,
         calls_per_s: Callable[[], float],
         shared: SharedReads,
         duties: Callable[[], list[str]],
@@ -157,6 +161,7 @@
         self._suspects = suspects
         self._quarantine = quarantine
         self._limits = limits
+        self._cold_starts = cold_starts
         self._calls_per_s = calls_per_s
         self._shared = shared
         self._duties = duties
@@ -268,6 +273,7 @@
         if is_new:
             self._quarantine.request_complete_report()
             self._limits.request_complete_report()
+            self._cold_starts.request_complete_report()
             self.note_change()
         self._shared.apply_knowledge(digest.knowledge)
         for fingerprint, incarnations in digest.crashes_by_request.items():
@@ -277,6 +283,7 @@
             digest.part_evidence, is_complete=digest.is_evidence_complete
         )
         self._limits.merge(digest.limits)
+        self._cold_starts.merge(digest.cold)
         for run_id in digest.leaving:
             self._on_leaving(run_id)
 
@@ -323,6 +330,7 @@
             leaving=self._directory.leaving_runs,
             ejected=self._directory.ejected_runs,
             returned=self._directory.returned_runs,
+            cold=self._cold_starts.report(),
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
@@ -334,6 +342,7 @@
                     is_evidence_complete=False,
                     ejected=[],
                     returned=[],
+                    cold={},
                 )
             )
         for address in self._destinations():
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -14,6 +14,7 @@
 
 from carobroute.errors import FaultError
 from carobroute.gateway._call_records import CallRecorder
+from carobroute.gateway._cold_starts import ColdProfile, ColdStarts, TargetRates
 from carobroute.gateway._configuration import ActiveConfiguration
 from carobroute.gateway._context import GatewayContext
 from carobroute.gateway._crash_detector import CrashDetector, crash_name
@@ -96,6 +97,7 @@
 
     __slots__ = (
         "_clock",
+        "_cold_starts",
         "_configuration",
         "_context",
         "_directory",
@@ -211,11 +213,19 @@
             },
         )
         self._limits = RateLimits(clock=clock, on_change=self._note_limit)
+        self._cold_starts = ColdStarts(
+            clock=clock,
+            find_profile=self._find_cold_profile,
+            heard_share=lambda: self._peer_state.heard_share(
+                len(self._settings.data_centres)
+            ),
+            on_change=self._note_cold,
+        )
         self._tokens = RateTokens(
             clock=clock,
             random=self._random,
             name=self._incarnation,
-            limits=self._limits,
+            limits=TargetRates(named=self._limits, cold=self._cold_starts),
             peers=lambda: self._peer_state.live_peers,
             send=lambda peer, message: self._token_exchange.send(peer, message),
             on_reply=lambda: self._dispatcher.dispatch_all_queued(),
@@ -237,6 +247,7 @@
             tokens=self._tokens,
             gateway_count=lambda: self._peer_state.peer_count + 1,
             has_returned=self._peer_state.has_returned,
+            cold=self._cold_starts,
         )
         self._pool = TargetPool(parameters=self._parameters, tasks=self._tasks)
         self._rank_client = RankClient()
@@ -292,6 +303,7 @@
             suspects=self._suspects,
             quarantine=self._quarantine,
             limits=self._limits,
+            cold_starts=self._cold_starts,
             crash_detector=crash_detector,
             pass_time_estimators=PassTimeEstimators(clock=clock),
             recorder=CallRecorder(events=self._events, metrics=self._metrics),
@@ -325,6 +337,7 @@
             suspects=self._suspects,
             quarantine=self._quarantine,
             limits=self._limits,
+            cold_starts=self._cold_starts,
             calls_per_s=lambda: self._dispatcher.engine_calls_per_s,
             shared=self._shared_reads,
             duties=lambda: self._groups.held_duties,
@@ -442,6 +455,8 @@
             # are shared by its ranks and outlive each of them.
             self._context.pass_time_estimators.discard(incarnation)
             self._dispatcher.drop_circuit_breaker(incarnation)
+        for target in self._directory.all_targets():
+            self._cold_starts.note(target.run_id, target.entry.slow_start_ms, "list")
         for target in change.lost:
             if self._has_interrupted(target):
                 self._tasks.spawn(self._judge_loss(target), name="judge loss")
@@ -499,8 +514,30 @@
         self._context.note_target_states()
         if is_evacuated:
             self._dispatcher.refuse_unservable()
-        else:
-            self._dispatcher.dispatch_all_queued()
+            return
+        for target in targets:
+            if target.entry.data_centre == data_centre:
+                # It may have become cold meanwhile, which the list tells later.
+                profile = self._find_cold_profile(target.run_id)
+                cold_ms = profile.duration_ms if profile is not None else 0.0
+                self._cold_starts.note(target.run_id, cold_ms, "evacuation")
+        self._dispatcher.dispatch_all_queued()
+
+    def _find_cold_profile(self, run_id: str) -> ColdProfile | None:
+        """Return what the service of a run publishes of cold targets."""
+        target = self._directory.find(run_id.rpartition("@")[0])
+        table = self._configuration.table
+        if target is None or table is None:
+            return None
+        service = table.find_service(target.entry.service)
+        if service is None:
+            return None
+        return ColdProfile(service.cold_ms, service.cold_calls_per_s)
+
+    def _note_cold(self, run_id: str, remaining_ms: float, source: str) -> None:
+        self._context.recorder.note_cold(run_id, remaining_ms, source)
+        if source != "peer":
+            self._peers.note_urgent_change()
 
     def _note_part_state(
         self, part: str, state: PartState, fields: dict[str, Any]
--- a/carobroute/gateway/_rate_tokens.py
+++ b/carobroute/gateway/_rate_tokens.py
@@ -7,7 +7,7 @@
 import msgspec
 import xxhash
 
-from carobroute.gateway._rate_limits import RateLimits
+from carobroute.gateway._cold_starts import TargetRates
 from carobroute.gateway._targets import Target
 from carobroute.utils import Clock, Count, Duration, Number
 
@@ -213,7 +213,7 @@
         Random number generator.
     name : str
         Incarnation of this gateway.
-    limits : RateLimits
+    limits : TargetRates
         Limits of the targets.
     peers : callable
         Returns the incarnations of the live peers.
@@ -243,7 +243,7 @@
         clock: Clock,
         random: random.Random,
         name: str,
-        limits: RateLimits,
+        limits: TargetRates,
         peers: Callable[[], Collection[str]],
         send: Callable[[str, TokenMessage], None],
         on_reply: Callable[[], None],
@@ -264,7 +264,7 @@
 
     @property
     def has_limits(self) -> bool:
-        """Whether a target has named a limit lately."""
+        """Whether a target is limited."""
         return not self._limits.is_empty
 
     def limit(self, target: Target) -> float | None:
@@ -279,9 +279,16 @@
         if state is None or state.usable_from_ms is None:
             return False
         age_ms = self._clock.boot_time_ms() - state.usable_from_ms
-        if age_ms >= TOKEN_LIFE_MS:
+        life_ms = self._limits.token_life_ms(target.run_id) or TOKEN_LIFE_MS
+        if age_ms >= life_ms:
             state.usable_from_ms = None
-        return 0.0 <= age_ms < TOKEN_LIFE_MS
+        return 0.0 <= age_ms < life_ms
+
+    def is_binding(self, target: Target) -> bool:
+        """Whether a limit holds calls back: one that is named, or a denied token."""
+        if self._limits.is_named(target.run_id):
+            return True
+        return self.limit(target) is not None and self.denied_ms(target) > 0
 
     def use(self, target: Target) -> None:
         """Use up the token of a target; does nothing if it has no limit."""
--- a/carobroute/gateway/tests/gateway_harness.py
+++ b/carobroute/gateway/tests/gateway_harness.py
@@ -28,7 +28,11 @@
 from carobroute.gateway._target_pool import TargetPool
 from carobroute.platform import RankClient
 from carobroute.telemetry import EventLog, Metrics
-from carobroute.testing.gateway_data import make_configuration, make_target_entry
+from carobroute.testing.gateway_data import (
+    make_cold_starts,
+    make_configuration,
+    make_target_entry,
+)
 from carobroute.testing.scripted_target import Script, ScriptedTarget
 from carobroute.utils import Clock, TaskSet
 from carobroute.web import WebSite
@@ -120,6 +124,7 @@
                 on_change=lambda: None,
             ),
             limits=RateLimits(clock=self.clock),
+            cold_starts=make_cold_starts(self.clock),
             crash_detector=crash_detector,
             pass_time_estimators=PassTimeEstimators(clock=self.clock),
             recorder=CallRecorder(events=events, metrics=Metrics()),
--- a/carobroute/gateway/tests/test_peers.py
+++ b/carobroute/gateway/tests/test_peers.py
@@ -20,7 +20,7 @@
 from carobroute.telemetry import EventLog
 from carobroute.testing import wait_until
 from carobroute.testing.foreign_data import nest
-from carobroute.testing.gateway_data import make_target_entry
+from carobroute.testing.gateway_data import make_cold_starts, make_target_entry
 from carobroute.testing.row_store_data import MemoryRowStore
 from carobroute.utils import Clock, ManualClock, TaskSet
 
@@ -64,6 +64,7 @@
             suspects=self.suspects,
             quarantine=self.quarantine,
             limits=self.limits,
+            cold_starts=make_cold_starts(clock),
             calls_per_s=lambda: 0.0,
             shared=SharedReads(
                 clock=clock,
--- a/carobroute/gateway/tests/test_rate_limit_messages.py
+++ b/carobroute/gateway/tests/test_rate_limit_messages.py
@@ -17,7 +17,7 @@
 from carobroute.standins._reserved_ports import ReservedAddress
 from carobroute.telemetry import EventLog
 from carobroute.testing import wait_until
-from carobroute.testing.gateway_data import make_target_entry
+from carobroute.testing.gateway_data import make_target_entry, make_target_rates
 from carobroute.utils import Clock, ManualClock
 
 GUARD_PORT = 9_000
@@ -118,7 +118,7 @@
             clock=clock,
             random=random.Random(1),
             name=name,
-            limits=self.limits,
+            limits=make_target_rates(clock, self.limits),
             peers=lambda: [peer for peer in names if peer != name],
             send=lambda peer, message: self.exchange.send(peer, message),
             on_reply=self._count_reply,
@@ -196,7 +196,7 @@
             clock=self.clock,
             random=random.Random(1),
             name="a",
-            limits=limits,
+            limits=make_target_rates(self.clock, limits),
             # A name that comes before this one by the hash of the target.
             peers=lambda: [f"b-{number}" for number in range(50)],
             send=lambda peer, message: self.sent.append(message),
--- a/carobroute/platform/_call_headers.py
+++ b/carobroute/platform/_call_headers.py
@@ -19,6 +19,7 @@
 LIMIT_HEADER = "Server-Limit"
 LEAVING_HEADER = "Server-Leaving"
 LEAVING_VALUE = "1"
+COLD_HEADER = "Cold-Ms"
 TOKEN_COUNTS_HEADER = "Token-Counts"
 PROMPT_PREFIX_HEADER = "Prompt-Prefix"
 LENGTH_HINT_HEADER = "Length-Hint"
@@ -30,6 +31,7 @@
 # Longest text of a rate limit; more digits than that are no decimal number of use.
 MAX_LIMIT_LENGTH = 12
 MAX_PAUSE_LENGTH = 24
+MAX_COLD_LENGTH = 12
 # Identifiers of prompt parts are kept in memory and sent to peers.
 MAX_PART_NAME_LENGTH = 32
 
@@ -123,6 +125,8 @@
         invalid one.
     has_invalid_pause : bool
         Whether it names a time that is not a decimal number.
+    cold_ms : float
+        How much longer the target is cold; 0 if it does not say so.
     """
 
     request_id: str
@@ -136,6 +140,7 @@
     has_invalid_leaving: bool = False
     pause_s: float | None = None
     has_invalid_pause: bool = False
+    cold_ms: float = 0.0
 
 
 def decode_call_headers(headers: Mapping[str, str]) -> CallHeaders:
@@ -194,6 +199,7 @@
         has_invalid_leaving=leaving not in ("", LEAVING_VALUE),
         pause_s=pause_s,
         has_invalid_pause=pause is not None and pause_s is None,
+        cold_ms=_decode_decimal(headers.get(COLD_HEADER, ""), MAX_COLD_LENGTH) or 0.0,
     )
 
 
--- a/carobroute/platform/_configuration_decoding.py
+++ b/carobroute/platform/_configuration_decoding.py
@@ -43,6 +43,7 @@
 _OPEN_GROUP_STATE = "open"
 # Slots of a target that are used at most: shares of them are worked out slot by slot.
 MAX_SLOTS = 1_024
+_MS_PER_S = 1_000.0
 _MAX_RANK = (1 << 16) - 1
 # Identifiers of targets are sent to them in a header.
 _INCARNATION = Annotated[str, Meta(pattern=r"\A[!-~]{1,200}\Z")]
@@ -102,6 +103,8 @@
     health_path: str = ""
     max_conns: Integer = 0
     engine: _WireEngine | None = None
+    cold_start_s: Number = 0.0
+    cold_per_s: Number = 0.0
 
 
 class _WireTenant(msgspec.Struct, rename="camel"):
@@ -256,6 +259,8 @@
         health_path=wire.health_path,
         max_connections=wire.max_conns,
         engine=None if wire.engine is None else _convert_engine(wire.engine),
+        cold_ms=max(0.0, wire.cold_start_s) * _MS_PER_S,
+        cold_calls_per_s=max(0.0, wire.cold_per_s),
     )
 
 
--- a/carobroute/testing/gateway_data.py
+++ b/carobroute/testing/gateway_data.py
@@ -14,7 +14,10 @@
     TargetEntry,
     TeamProfile,
 )
+from carobroute.gateway._cold_starts import ColdProfile, ColdStarts, TargetRates
+from carobroute.gateway._rate_limits import RateLimits
 from carobroute.platform import RankReport
+from carobroute.utils import Clock
 
 
 def make_target_entry(**changes: Any) -> TargetEntry:
@@ -32,6 +35,22 @@
     return TargetEntry(**{**fields, **changes})
 
 
+def make_cold_starts(
+    clock: Clock, profile: ColdProfile | None = None, heard_share: float = 1.0
+) -> ColdStarts:
+    """Return the cold targets of a service with that profile; None for no limit."""
+    return ColdStarts(
+        clock=clock,
+        find_profile=lambda run_id: profile,
+        heard_share=lambda: heard_share,
+    )
+
+
+def make_target_rates(clock: Clock, named: RateLimits) -> TargetRates:
+    """Return limits that targets have named, while none of them is cold."""
+    return TargetRates(named=named, cold=make_cold_starts(clock))
+
+
 def make_route(**changes: Any) -> Route:
     """Return a route of idempotent calls to the service `orders`."""
     fields: dict[str, Any] = {
--- a/carobroute/testing/limited_fleet_data.py
+++ b/carobroute/testing/limited_fleet_data.py
@@ -8,8 +8,9 @@
 import msgspec
 from returns.result import Success
 
-from carobroute.domain import ServiceProfile
+from carobroute.domain import ServiceProfile, TargetEntry
 from carobroute.gateway import Dispatcher, DispatchRequest, TargetDirectory
+from carobroute.gateway._cold_starts import ColdProfile, ColdStarts, TargetRates
 from carobroute.gateway._digests import Digest, PeerState
 from carobroute.gateway._rate_limits import RateLimits
 from carobroute.gateway._rate_tokens import RateTokens, TokenMessage
@@ -17,6 +18,8 @@
 from carobroute.utils import Clock
 
 MESSAGE_MS = (0.5, 3.0)
+# Gateways that one which has just started assumes to be there.
+MIN_GATEWAYS = 3
 
 
 class LimitedCall(msgspec.Struct, kw_only=True):
@@ -61,11 +64,16 @@
             clock=fleet.clock,
             on_change=lambda target, per_s, age_ms, source: fleet.share(self, source),
         )
+        self.cold = ColdStarts(
+            clock=fleet.clock,
+            find_profile=lambda run_id: fleet.cold_profile,
+            heard_share=lambda: self.peer_state.heard_share(MIN_GATEWAYS),
+        )
         self.tokens = RateTokens(
             clock=fleet.clock,
             random=fleet.random,
             name=name,
-            limits=self.limits,
+            limits=TargetRates(named=self.limits, cold=self.cold),
             peers=lambda: self.peer_state.live_peers,
             send=lambda peer, message: fleet.send(self, peer, message),
             on_reply=lambda: self.dispatcher.dispatch_all_queued(),
@@ -84,6 +92,7 @@
             directory=self.directory,
             unseen_ms=self.peer_state.sum_ages_ms,
             tokens=self.tokens,
+            cold=self.cold,
         )
 
     def make_digest(self) -> Digest:
@@ -101,6 +110,7 @@
             calls,
             {},
             limits=self.limits.report(),
+            cold=self.cold.report(),
         )
 
 
@@ -125,6 +135,8 @@
         Returns the calls a second that a target takes at a time; None for no limit.
     loses : callable, default=None
         Returns whether a message or a digest from one gateway to another is lost.
+    cold_profile : ColdProfile, default=None
+        What the service publishes of cold targets; None for no limit.
     """
 
     def __init__(
@@ -140,7 +152,9 @@
         run_ms: float,
         limit_of: Callable[[str, float], float | None],
         loses: Callable[[str, str], bool] | None = None,
+        cold_profile: ColdProfile | None = None,
     ):
+        self.cold_profile = cold_profile
         self.clock = clock
         self.random = random
         self._service = service
@@ -183,6 +197,33 @@
         self.gateways[index] = LimitedGateway(fleet=self, name=name)
         self._start(self.gateways[index])
 
+    async def return_cold(
+        self, entries: list[TargetEntry], cold_ms: float, list_ms: float
+    ) -> None:
+        """Let targets come back cold, which each gateway reads from the list.
+
+        Parameters
+        ----------
+        entries : list of TargetEntry
+            Their new runs.
+        cold_ms : float
+            Time for which they are cold.
+        list_ms : float
+            Longest time until a gateway reads the list.
+        """
+        began_ms = self.clock.now_ms()
+        self.entries = [*self.entries, *entries]
+
+        async def read_list(gateway: LimitedGateway) -> None:
+            await self.clock.sleep_ms(self.random.uniform(0.0, list_ms))
+            remaining_ms = cold_ms - (self.clock.now_ms() - began_ms)
+            for entry in entries:
+                run_id = f"{entry.incarnation}@{entry.started_ms}"
+                gateway.cold.note(run_id, remaining_ms, "list")
+            gateway.directory.update(self.entries)
+
+        await asyncio.gather(*map(read_list, self.gateways))
+
     def share(self, gateway: LimitedGateway, source: str) -> None:
         """Send a digest at once if a gateway has learned a limit from an answer."""
         if source == "answer":
@@ -287,4 +328,6 @@
         if receiver.peer_state.update(digest):
             if is_new:
                 receiver.limits.request_complete_report()
+                receiver.cold.request_complete_report()
             receiver.limits.merge(digest.limits)
+            receiver.cold.merge(digest.cold)
