Limit the streams of each rank group by its engine and the imbalance that passes show

Cause: all ranks of a group advance together, so each stream that is let in slows all of them; calls were let in wherever a rank had a free place. Calls that were late already stood before those that could be in time, each gateway counted on its own completions only, and patient calls started at one gateway while urgent ones waited at another.

Now, in experts/_pass_model.py and gateway/_group_limits.py: the published figures give the time of a pass by streams and imbalance; passes that a gateway sees give the imbalance, whose largest value of the last six seconds counts; gateways tell each other and use the upper quartile. Nothing is learned from a group that is closed, stalled, without streams or with a slow rank.

--- a/carobroute/experts/__init__.py
+++ b/carobroute/experts/__init__.py
@@ -6,6 +6,7 @@
     compute_imbalance,
     initial_layout,
 )
+from carobroute.experts._pass_model import ImbalanceEstimate, PassModel
 from carobroute.experts._pass_time import PassTimeEstimator
 from carobroute.experts._plan import LayoutPlanner, PlanBounds, plan_layout
 from carobroute.experts._rank_group import (
@@ -25,6 +26,8 @@
 __all__ = [
     "ExpertRankHandle",
     "CoordinatorDuty",
+    "ImbalanceEstimate",
+    "PassModel",
     "PassTimeEstimator",
     "GroupRebalancer",
     "ExpertLayout",
--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from carobroute.gateway._group_limits import GroupLimit
 from carobroute.gateway._targets import Target
 from carobroute.health import AnswerQuality, RecordChange
 from carobroute.telemetry import EventLog, Metrics
@@ -167,6 +168,7 @@
         "_evacuated",
         "_events",
         "_first_byte",
+        "_group_streams",
         "_is_stopping",
         "_leaving",
         "_limits",
@@ -222,6 +224,11 @@
             "Whether a data centre gets no new calls.",
             ["data_centre"],
         )
+        self._group_streams = metrics.gauge(
+            "group_streams",
+            "Streams of a rank group: its limit, its places, and those that run.",
+            ["group", "figure"],
+        )
         self._leaving = metrics.counter(
             "targets_leaving", "Targets that leave, ahead of the list.", ["source"]
         )
@@ -278,6 +285,27 @@
             source=source,
         )
 
+    def note_group_limit(self, limit: GroupLimit) -> None:
+        """Log a changed limit of a rank group, with what it was worked out from."""
+        for figure, value in (
+            ("limit", limit.streams),
+            ("places", limit.places),
+            ("running", limit.running),
+        ):
+            self._group_streams.labels(limit.group, figure).set(value)
+        self._events.event(
+            "group_limit_changed",
+            group=limit.group,
+            service=limit.service,
+            streams=round(limit.streams, 1),
+            places=limit.places,
+            running=round(limit.running, 1),
+            imbalance=round(limit.imbalance, 2),
+            seen_ms=round(limit.seen_ms, 1),
+            expected_ms=round(limit.expected_ms, 1),
+            cause=limit.cause,
+        )
+
     def note_evacuation(
         self,
         data_centre: str,
--- a/carobroute/gateway/_configuration.py
+++ b/carobroute/gateway/_configuration.py
@@ -29,7 +29,13 @@
         Configuration to index.
     """
 
-    __slots__ = ("_callers", "_configuration", "_routes", "_services")
+    __slots__ = (
+        "_callers",
+        "_configuration",
+        "_gap_targets_ms",
+        "_routes",
+        "_services",
+    )
 
     def __init__(self, *, configuration: RoutingConfiguration):
         self._configuration = configuration
@@ -37,6 +43,12 @@
             (route.host, route.path_prefix): route for route in configuration.routes
         }
         self._services = {s.name: s for s in configuration.services}
+        # It is asked for several times a second, and there may be thousands of routes.
+        self._gap_targets_ms: dict[str, float] = {}
+        for route in configuration.routes:
+            for share in route.shares if route.gap_target_ms else ():
+                known_ms = self._gap_targets_ms.get(share.service, float("inf"))
+                self._gap_targets_ms[share.service] = min(known_ms, route.gap_target_ms)
         self._callers = {
             key: Caller(team.name, team.priority)
             for team in configuration.teams
@@ -82,12 +94,7 @@
 
         It is 0 if no route of the service has one.
         """
-        gap_targets_ms = [
-            route.gap_target_ms
-            for route in self._configuration.routes
-            if route.gap_target_ms and service in {s.service for s in route.shares}
-        ]
-        return min(gap_targets_ms, default=0.0)
+        return self._gap_targets_ms.get(service, 0.0)
 
     def find_caller(self, key: str) -> Caller | None:
         """Return the caller that an API key belongs to, or None."""
--- a/carobroute/gateway/_digests.py
+++ b/carobroute/gateway/_digests.py
@@ -56,6 +56,10 @@
         slow start.
     cold : dict of str to float
         Remaining cold time of runs of targets, in milliseconds.
+    imbalances : dict of str to float
+        Imbalance of experts of each rank group that the gateway sees.
+    waiting : dict of int to int
+        Calls that wait at the gateway for a rank group, by priority.
     """
 
     incarnation: str
@@ -77,6 +81,8 @@
     ejected: list[str] = []
     returned: list[str] = []
     cold: dict[str, Number] = {}
+    imbalances: dict[str, Number] = {}
+    waiting: dict[int, Count] = {}
 
 
 class PeerState:
@@ -150,6 +156,22 @@
         """Incarnations of the peers that are not gone."""
         return [name for name in self._latest if not self.is_gone(name)]
 
+    def imbalances_of(self, group: str) -> list[float]:
+        """Return the imbalances of a rank group that live peers see."""
+        return [
+            digest.imbalances[group]
+            for name, digest in self._latest.items()
+            if group in digest.imbalances and not self.is_gone(name)
+        ]
+
+    def waiting(self) -> list[dict[int, int]]:
+        """Return the calls that wait at each live peer, by priority."""
+        return [
+            digest.waiting
+            for name, digest in self._latest.items()
+            if digest.waiting and not self.is_gone(name)
+        ]
+
     def heard_share(self, min_gateways: int = 1) -> float:
         """Return the share of the recent gateways that are heard, with this one.
 
--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -1,7 +1,6 @@
 """Load balancing of calls over targets, with a queue and admission control."""
 
 import asyncio
-import heapq
 import math
 import random
 from collections import deque
@@ -18,6 +17,7 @@
     DispatchRequest,
     Grant,
 )
+from carobroute.gateway._group_limits import GroupLimits, count_more_urgent
 from carobroute.gateway._rate_tokens import TOKEN_LIFE_MS, RateTokens
 from carobroute.gateway._targets import Target, TargetDirectory
 from carobroute.utils import Clock
@@ -44,23 +44,51 @@
 # Time since the last check of the queues from which on it is late, in intervals. It is
 # above the jitter of timers.
 OVERDUE_INTERVALS = 1.2
+# Part of the completions that calls may count on at least, however many more urgent
+# ones arrive.
+MIN_LEFT_SHARE = 0.1
 
 
 class _Waiter:
-    """Queued request, ordered by priority and then by arrival."""
+    """Queued request.
 
-    __slots__ = ("request", "future", "sequence", "queued_ms")
+    Requests that can still be answered in time come first, then those of a lower
+    priority number, then earlier ones. One that is late already is not made worse by
+    waiting, while each one before it would be late as well.
 
-    def __init__(self, *, request: DispatchRequest, sequence: int, queued_ms: float):
+    Parameters
+    ----------
+    request : DispatchRequest
+        The request.
+    sequence : int
+        Number of its arrival.
+    queued_ms : float
+        Time of its arrival.
+    in_time_ms : float
+        Wait with which its first event is still in time; infinite if not known.
+    """
+
+    __slots__ = ("future", "in_time_until_ms", "queued_ms", "request", "sequence")
+
+    def __init__(
+        self,
+        *,
+        request: DispatchRequest,
+        sequence: int,
+        queued_ms: float,
+        in_time_ms: float,
+    ):
         self.request = request
         self.sequence = sequence
         self.queued_ms = queued_ms
+        self.in_time_until_ms = queued_ms + in_time_ms
         loop = asyncio.get_running_loop()
         self.future: asyncio.Future[Result[Grant, Fault]] = loop.create_future()
 
-    def __lt__(self, other: "_Waiter") -> bool:
-        own_key = (self.request.priority, self.sequence)
-        return own_key < (other.request.priority, other.sequence)
+    def order(self, now_ms: float) -> tuple[bool, int, int]:
+        """Return the key by which waiting requests are ordered at a time."""
+        is_late = now_ms > self.in_time_until_ms
+        return is_late, self.request.priority, self.sequence
 
 
 class Dispatcher:
@@ -111,6 +139,14 @@
         None if there are no other gateways.
     cold : ColdStarts, default=None
         Targets that are cold, which have a smaller weight; None if none is.
+    group_limits : GroupLimits, default=None
+        Limits on the streams of rank groups; None if there are none.
+    peer_waiting : callable, default=None
+        Returns the calls that wait at each other gateway, by priority; None if there
+        are no other gateways.
+    total_calls_per_s : callable, default=None
+        Returns the recent rate of calls to rank groups of all gateways; None if there
+        is only this one.
     """
 
     __slots__ = (
@@ -122,16 +158,19 @@
         "_directory",
         "_gateway_count",
         "_grant_times_ms",
+        "_group_limits",
         "_has_returned",
         "_last_check_ms",
         "_last_sequence",
         "_on_change",
         "_own_slots",
         "_parameters",
+        "_peer_waiting",
         "_queues",
         "_random",
         "_request_times_ms",
         "_tokens",
+        "_total_calls_per_s",
         "_unseen_ms",
     )
 
@@ -150,7 +189,13 @@
         gateway_count: Callable[[], int] | None = None,
         has_returned: Callable[[str], bool] | None = None,
         cold: ColdStarts | None = None,
+        group_limits: GroupLimits | None = None,
+        peer_waiting: Callable[[], list[dict[int, int]]] | None = None,
+        total_calls_per_s: Callable[[], float] | None = None,
     ):
+        self._group_limits = group_limits
+        self._peer_waiting = peer_waiting or (lambda: [])
+        self._total_calls_per_s = total_calls_per_s or (lambda: self.engine_calls_per_s)
         self._cold = cold
         self._tokens = tokens
         self._gateway_count = gateway_count or (lambda: 1)
@@ -166,7 +211,8 @@
         self._queues: dict[str, list[_Waiter]] = {}
         self._completion_times_ms: dict[str, deque[float]] = {}
         self._grant_times_ms: dict[str, deque[float]] = {}
-        self._request_times_ms: deque[float] = deque()
+        # Arrivals at services with engines, by priority.
+        self._request_times_ms: dict[int, deque[float]] = {}
         self._circuit_breakers: dict[str, GroupCircuitBreaker] = {}
         self._last_sequence = 0
         # Monotonic time of the last check of all queues.
@@ -180,7 +226,26 @@
     @property
     def engine_calls_per_s(self) -> float:
         """Recent rate of requests for slots of services with engines."""
-        return self._rate_per_ms(self._request_times_ms) * MS_PER_S
+        return self._arrivals_per_ms() * MS_PER_S
+
+    @property
+    def waiting_by_priority(self) -> dict[int, int]:
+        """Calls that wait for services with engines, by priority."""
+        counts: dict[int, int] = {}
+        for queue in self._queues.values():
+            for waiter in queue:
+                request = waiter.request
+                if request.service.engine is not None and not waiter.future.done():
+                    counts[request.priority] = counts.get(request.priority, 0) + 1
+        return counts
+
+    def _arrivals_per_ms(self, before: int | None = None) -> float:
+        """Return the rate of arrivals, or of those with a priority before that one."""
+        return sum(
+            self._rate_per_ms(times_ms)
+            for priority, times_ms in self._request_times_ms.items()
+            if before is None or priority < before
+        )
 
     @property
     def _is_check_overdue(self) -> bool:
@@ -203,7 +268,8 @@
         """
         service = request.service.name
         if request.service.engine is not None:
-            self._request_times_ms.append(self._clock.now_ms())
+            times_ms = self._request_times_ms.setdefault(request.priority, deque())
+            times_ms.append(self._clock.now_ms())
         blocking = self._blocking_breaker(service)
         if blocking is not None:
             return fail(
@@ -211,17 +277,27 @@
                 f"the rank group of service {service!r} is down",
                 retry_after_ms=blocking.retry_after_ms,
             )
-        if not self._queues.get(service):
+        ahead = self._count_ahead(request)
+        if not ahead:
             target = self._select_target(request)
             if target is not None:
                 return Success(self._grant(target, waited_ms=0.0))
-        ahead = self.queue_length(service)
         fault = self._limit_fault(request, ahead=ahead)
         fault = fault or self._admission_fault(request)
         if fault is not None:
             return Failure(fault)
         return await self._wait_in_queue(request)
 
+    def _count_ahead(self, request: DispatchRequest) -> int:
+        """Return the number of queued calls that come before a new one."""
+        now_ms = self._clock.now_ms()
+        return sum(
+            waiter.request.priority <= request.priority
+            and now_ms <= waiter.in_time_until_ms
+            for waiter in self._queues.get(request.service.name, ())
+            if not waiter.future.done()
+        )
+
     def has_target(self, service: str) -> bool:
         """Return whether a target of a service may be sent calls, probes included."""
         return any(target.is_usable for target in self._directory.targets(service))
@@ -275,24 +351,24 @@
         """Assign queued calls of a service to targets with a free slot."""
         queue = self._queues.get(service)
         while queue:
-            waiter = queue[0]
-            waited_ms = self._clock.now_ms() - waiter.queued_ms
+            now_ms = self._clock.now_ms()
+            waiter = min(queue, key=lambda waiter: waiter.order(now_ms))
+            waited_ms = now_ms - waiter.queued_ms
             has_expired = waited_ms >= waiter.request.remaining_ms
             if waiter.future.done() or has_expired:
-                heapq.heappop(queue)
+                queue.remove(waiter)
                 continue
             target = self._select_target(waiter.request)
             if target is not None:
-                heapq.heappop(queue)
+                queue.remove(waiter)
                 grant = self._grant(target, waited_ms=waited_ms)
                 waiter.future.set_result(Success(grant))
                 continue
-            last = max(queue)
+            last = max(queue, key=lambda waiter: waiter.order(now_ms))
             fault = self._limit_fault(last.request, ahead=len(queue) - 1)
             if fault is None:
                 return
             queue.remove(last)
-            heapq.heapify(queue)
             if not last.future.done():
                 last.future.set_result(Failure(fault))
 
@@ -346,11 +422,10 @@
                 detail=f"service {service!r} has no target that takes calls",
                 retry_after_ms=self._expected_recovery_ms(service),
             )
-        if not self._completion_rate_per_ms(service) or self._are_limited(candidates):
-            # Without recent completions, the wait cannot be estimated. That for a token
-            # is known to its issuer.
+        expected_ms = self._expected_wait_ms(request)
+        if expected_ms is None or self._are_limited(candidates):
+            # The wait for a token is known to its issuer.
             return None
-        expected_ms = self.expected_wait_ms(service)
         if expected_ms <= self._max_wait_ms(request):
             return None
         return Fault(
@@ -359,6 +434,32 @@
             retry_after_ms=expected_ms,
         )
 
+    def _expected_wait_ms(self, request: DispatchRequest) -> float | None:
+        """Return the expected wait of a call that joins the queue now.
+
+        It is None if it cannot be estimated, without recent completions. Where groups
+        have limits, room that any gateway frees is room for all, and more urgent calls
+        that arrive meanwhile come first.
+        """
+        service = request.service.name
+        ahead = self._count_ahead(request) + 1
+        limits = self._group_limits
+        rate_per_ms = limits.completions_per_ms(service) if limits is not None else 0.0
+        if not rate_per_ms:
+            own_rate_per_ms = self._completion_rate_per_ms(service)
+            return ahead / own_rate_per_ms if own_rate_per_ms else None
+        ahead += count_more_urgent(self._peer_waiting(), request.priority + 1)
+        urgent_per_ms = self._more_urgent_share(request.priority) * (
+            self._total_calls_per_s() / MS_PER_S
+        )
+        left_per_ms = max(MIN_LEFT_SHARE * rate_per_ms, rate_per_ms - urgent_per_ms)
+        return ahead / left_per_ms
+
+    def _more_urgent_share(self, priority: int) -> float:
+        """Return the share of the arrivals here that come before a priority."""
+        own_rate = self._arrivals_per_ms()
+        return self._arrivals_per_ms(before=priority) / own_rate if own_rate else 0.0
+
     def _limit_fault(self, request: DispatchRequest, *, ahead: int) -> Fault | None:
         """Return why the targets' rate limits exclude a call, or None if they may not.
 
@@ -433,12 +534,28 @@
         if request.may_have_run:
             return request.remaining_ms
         share_ms = request.latency_target_ms * self._parameters.max_wait_ratio
-        wait_ms = max(self._parameters.min_wait_limit_ms, share_ms)
+        in_time_ms = self._in_time_ms(request)
+        if math.isinf(in_time_ms):
+            in_time_ms = 0.0
+        wait_ms = max(self._parameters.min_wait_limit_ms, share_ms, in_time_ms)
         if self._are_limited(self._candidates(request)):
             token_wait_ms = request.remaining_ms * self._parameters.limited_wait_ratio
             wait_ms = max(wait_ms, token_wait_ms)
         return min(wait_ms, request.remaining_ms)
 
+    def _in_time_ms(self, request: DispatchRequest) -> float:
+        """Return the wait with which a call has its first event in time.
+
+        It is infinite if no limit of a group holds it back.
+        """
+        limits = self._group_limits
+        if limits is None or request.service.engine is None or request.may_have_run:
+            return float("inf")
+        first_ms = limits.first_event_ms(request.service)
+        if first_ms is None:
+            return float("inf")
+        return request.latency_target_ms - first_ms
+
     async def _wait_in_queue(self, request: DispatchRequest) -> Result[Grant, Fault]:
         service = request.service.name
         queue = self._queues.setdefault(service, [])
@@ -447,8 +564,9 @@
             request=request,
             sequence=self._last_sequence,
             queued_ms=self._clock.now_ms(),
+            in_time_ms=self._in_time_ms(request),
         )
-        heapq.heappush(queue, waiter)
+        queue.append(waiter)
         max_wait_ms = self._max_wait_ms(request)
         limit = asyncio.get_running_loop().call_later(
             max_wait_ms / MS_PER_S, self._end_wait, waiter, max_wait_ms
@@ -466,7 +584,6 @@
             waiter.future.cancel()
             if waiter in queue:
                 queue.remove(waiter)
-                heapq.heapify(queue)
 
     def _end_wait(self, waiter: _Waiter, max_wait_ms: float) -> None:
         """Refuse a queued call whose wait has reached its limit."""
@@ -478,7 +595,8 @@
             refusal: Result[Grant, Fault] = fail(
                 ErrorKind.OVERLOADED,
                 f"no free slot for service {service!r} within {max_wait_ms:.0f} ms",
-                retry_after_ms=self.expected_wait_ms(service),
+                retry_after_ms=self._expected_wait_ms(waiter.request)
+                or self.expected_wait_ms(service),
             )
             waiter.future.set_result(refusal)
 
@@ -514,7 +632,7 @@
                 return trial
         free = [
             target
-            for target in self._without_slow(targets)
+            for target in self._without_slow(self._with_room(request, targets))
             if target.load + 1 <= self._max_calls(target, request.service)
         ]
         free = self._with_tokens(request, free)
@@ -532,6 +650,48 @@
         size = self._sample_size(request.service.name, len(free))
         return min(self._random.sample(free, size), key=self._relative_load)
 
+    def _with_room(
+        self, request: DispatchRequest, targets: list[Target]
+    ) -> list[Target]:
+        """Return the targets whose groups may run one more stream of this urgency.
+
+        Room is kept for more urgent calls that wait at other gateways, for those that
+        probably arrive until the next pass ends, and for calls that other gateways have
+        placed unseen. A call that may have run, such as the rest of a stream, is not
+        held back.
+        """
+        limits = self._group_limits
+        if limits is None or request.service.engine is None or request.may_have_run:
+            return targets
+        service = request.service.name
+        kept = self._kept_for_urgent(service, request.priority)
+        groups = limits.find_groups_with_room(
+            self._directory.targets(service), kept=min(kept, limits.max_kept(service))
+        )
+        if groups is None:
+            return targets
+        return [target for target in targets if target.group in groups]
+
+    def _kept_for_urgent(self, service: str, priority: int) -> float:
+        """Return the streams for which room is kept from calls of a priority."""
+        assert self._group_limits is not None
+        waiting = count_more_urgent(self._peer_waiting(), priority)
+        arriving = (
+            self._total_calls_per_s() / MS_PER_S * self._group_limits.pass_ms(service)
+        )
+        urgent_share = self._more_urgent_share(priority)
+        if not urgent_share:
+            return waiting
+        return waiting + urgent_share * arriving + self._unseen_calls(service)
+
+    def _unseen_calls(self, service: str) -> float:
+        """Return the calls that others have probably placed since their last digests.
+
+        Other gateways are assumed to place as many calls as this one.
+        """
+        rate_per_ms = self._rate_per_ms(self._grant_times_ms.get(service))
+        return rate_per_ms * self._unseen_ms()
+
     def _with_tokens(
         self, request: DispatchRequest, free: list[Target]
     ) -> list[Target]:
@@ -619,13 +779,8 @@
         return fast if len(fast) >= MIN_FAST_SHARE * len(targets) else targets
 
     def _sample_size(self, service: str, free_count: int) -> int:
-        """Return the number of free targets that are compared.
-
-        Other gateways are assumed to place as many calls as this one.
-        """
-        rate_per_ms = self._rate_per_ms(self._grant_times_ms.get(service))
-        unseen_calls = rate_per_ms * self._unseen_ms()
-        size = round(free_count / (1.0 + unseen_calls))
+        """Return the number of free targets that are compared."""
+        size = round(free_count / (1.0 + self._unseen_calls(service)))
         return min(free_count, max(MIN_SAMPLE_SIZE, size))
 
     def _candidates(self, request: DispatchRequest) -> list[Target]:
--- a/carobroute/gateway/_peers.py
+++ b/carobroute/gateway/_peers.py
@@ -101,6 +101,10 @@
         Targets that are cold.
     calls_per_s : callable
         Returns this gateway's recent rate of calls to rank groups.
+    imbalances : callable, default=None
+        Returns the imbalance of experts of each rank group that this gateway sees.
+    waiting : callable, default=None
+        Returns the calls that wait here for a rank group, by priority.
     shared : SharedReads
         What this gateway and its peers know of the store.
     duties : callable
@@ -139,6 +143,8 @@
         limits: RateLimits,
         cold_starts: ColdStarts,
         calls_per_s: Callable[[], float],
+        imbalances: Callable[[], dict[str, float]] | None = None,
+        waiting: Callable[[], dict[int, int]] | None = None,
         shared: SharedReads,
         duties: Callable[[], list[str]],
         capacity: float,
@@ -163,6 +169,8 @@
         self._limits = limits
         self._cold_starts = cold_starts
         self._calls_per_s = calls_per_s
+        self._imbalances = imbalances or (lambda: {})
+        self._waiting = waiting or (lambda: {})
         self._shared = shared
         self._duties = duties
         self._capacity = capacity
@@ -331,6 +339,8 @@
             ejected=self._directory.ejected_runs,
             returned=self._directory.returned_runs,
             cold=self._cold_starts.report(),
+            imbalances=self._imbalances(),
+            waiting=self._waiting(),
         )
         data = msgspec.msgpack.encode(digest)
         if len(data) > MAX_DIGEST_BYTES:
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -23,6 +23,7 @@
 from carobroute.gateway._evacuations import Evacuations
 from carobroute.gateway._evidence_store import EvidenceStore
 from carobroute.gateway._exchange import Exchange
+from carobroute.gateway._group_limits import GroupLimit, GroupLimits
 from carobroute.gateway._operations import OperationsInterface
 from carobroute.gateway._parameters import GatewayParameters
 from carobroute.gateway._part_verdicts import PartState
@@ -105,12 +106,14 @@
         "_evacuations",
         "_events",
         "_failed_tasks",
+        "_group_limits",
         "_groups",
         "_incarnation",
         "_limits",
         "_line_buffer",
         "_metrics",
         "_parameters",
+        "_pass_time_estimators",
         "_peer_state",
         "_peers",
         "_pool",
@@ -216,9 +219,7 @@
         self._cold_starts = ColdStarts(
             clock=clock,
             find_profile=self._find_cold_profile,
-            heard_share=lambda: self._peer_state.heard_share(
-                len(self._settings.data_centres)
-            ),
+            heard_share=self._heard_share,
             on_change=self._note_cold,
         )
         self._tokens = RateTokens(
@@ -236,6 +237,16 @@
             on_message=self._tokens.handle,
             events=self._events,
         )
+        self._pass_time_estimators = PassTimeEstimators(clock=clock)
+        self._group_limits = GroupLimits(
+            clock=clock,
+            directory=self._directory,
+            configuration=self._configuration,
+            pass_time_estimators=self._pass_time_estimators,
+            peer_imbalances=self._peer_state.imbalances_of,
+            heard_share=self._heard_share,
+            on_change=self._note_group_limit,
+        )
         self._dispatcher = Dispatcher(
             clock=clock,
             random=self._random,
@@ -248,6 +259,12 @@
             gateway_count=lambda: self._peer_state.peer_count + 1,
             has_returned=self._peer_state.has_returned,
             cold=self._cold_starts,
+            group_limits=self._group_limits,
+            peer_waiting=self._peer_state.waiting,
+            total_calls_per_s=lambda: (
+                self._dispatcher.engine_calls_per_s
+                + sum(self._peer_state.calls_per_s().values())
+            ),
         )
         self._pool = TargetPool(parameters=self._parameters, tasks=self._tasks)
         self._rank_client = RankClient()
@@ -305,7 +322,7 @@
             limits=self._limits,
             cold_starts=self._cold_starts,
             crash_detector=crash_detector,
-            pass_time_estimators=PassTimeEstimators(clock=clock),
+            pass_time_estimators=self._pass_time_estimators,
             recorder=CallRecorder(events=self._events, metrics=self._metrics),
         )
         self._groups = RebalancingLoop(
@@ -339,6 +356,8 @@
             limits=self._limits,
             cold_starts=self._cold_starts,
             calls_per_s=lambda: self._dispatcher.engine_calls_per_s,
+            imbalances=lambda: self._group_limits.imbalances,
+            waiting=lambda: self._dispatcher.waiting_by_priority,
             shared=self._shared_reads,
             duties=lambda: self._groups.held_duties,
             capacity=self._settings.link_mbps,
@@ -355,6 +374,10 @@
         self._context.on_leaving = self._peers.share_change
         self._context.on_ejections = self._peers.note_change
 
+    def _heard_share(self) -> float:
+        """Return the share of all gateways that this one is in touch with."""
+        return self._peer_state.heard_share(len(self._settings.data_centres))
+
     def _count_stronger(self) -> int:
         """Return the number of live gateways that duties are left to."""
         return self._peer_state.count_stronger(
@@ -447,6 +470,7 @@
         """Check the queues periodically, for slots that other gateways released."""
         while True:
             await self._clock.sleep_ms(self._dispatcher.queue_check_interval_ms)
+            self._group_limits.update()
             self._dispatcher.dispatch_all_queued()
 
     def _handle_directory_change(self, change: DirectoryChange) -> None:
@@ -523,6 +547,9 @@
                 self._cold_starts.note(target.run_id, cold_ms, "evacuation")
         self._dispatcher.dispatch_all_queued()
 
+    def _note_group_limit(self, limit: GroupLimit) -> None:
+        self._context.recorder.note_group_limit(limit)
+
     def _find_cold_profile(self, run_id: str) -> ColdProfile | None:
         """Return what the service of a run publishes of cold targets."""
         target = self._directory.find(run_id.rpartition("@")[0])
--- a/carobroute/testing/gateway_data.py
+++ b/carobroute/testing/gateway_data.py
@@ -6,6 +6,7 @@
     CallClass,
     CallerLimits,
     EngineProfile,
+    ExpertProfile,
     ListedTargetState,
     Route,
     RoutingConfiguration,
@@ -103,6 +104,20 @@
     return EngineProfile(**{**fields, **changes})
 
 
+def make_experts(**changes: Any) -> ExpertProfile:
+    """Return the experts of a service whose engines run in groups of ranks."""
+    fields: dict[str, Any] = {
+        "layer_sets": 4,
+        "experts_per_set": 72,
+        "max_experts_per_rank": 8,
+        "max_received_per_rank": 2,
+        "expert_mb": 420.0,
+        "link_mbps": 44_000.0,
+        "work_share": 0.85,
+    }
+    return ExpertProfile(**{**fields, **changes})
+
+
 def make_rank_report(**changes: Any) -> RankReport:
     """Return the report of a rank that runs nothing."""
     fields: dict[str, Any] = {
--- a/carobroute/testing/gateway_fleet_data.py
+++ b/carobroute/testing/gateway_fleet_data.py
@@ -8,12 +8,91 @@
 from returns.result import Success
 
 from carobroute.domain import ServiceProfile
-from carobroute.gateway import Dispatcher, DispatchRequest, TargetDirectory
+from carobroute.gateway import (
+    ActiveConfiguration,
+    Dispatcher,
+    DispatchRequest,
+    TargetDirectory,
+)
 from carobroute.gateway._digests import Digest, PeerState
+from carobroute.gateway._group_limits import GroupLimit, GroupLimits
+from carobroute.gateway._rank_groups import PassTimeEstimators
 from carobroute.gateway._slot_shares import SlotShares
 from carobroute.testing.gateway_data import make_target_entry
 from carobroute.utils import Clock
 
+# Time of a pass of a group with limits.
+PASS_MS = 80.0
+
+
+class CallKind(msgspec.Struct, frozen=True, kw_only=True):
+    """Calls of one urgency.
+
+    Parameters
+    ----------
+    priority : int
+        Priority; 0 comes first.
+    latency_target_ms : float
+        Target for the time to the first byte.
+    """
+
+    priority: int = 1
+    latency_target_ms: float = 500.0
+
+
+class FixedGroupLimits(GroupLimits):
+    """Limits of groups that a test sets.
+
+    Parameters
+    ----------
+    fleet : GatewayFleet
+        Fleet of the gateway.
+    directory : TargetDirectory
+        Targets as the gateway knows them.
+    streams : float
+        Streams that the group of all ranks may run.
+    """
+
+    __slots__ = ("_fixed", "_first_ms")
+
+    def __init__(
+        self, *, fleet: "GatewayFleet", directory: TargetDirectory, streams: float
+    ):
+        super().__init__(
+            clock=fleet.clock,
+            directory=directory,
+            configuration=ActiveConfiguration(
+                clock=fleet.clock, revoke_ms=0.0, margin_ms=0.0
+            ),
+            pass_time_estimators=PassTimeEstimators(clock=fleet.clock),
+        )
+        self._first_ms = 2.5 * PASS_MS
+        self._fixed = GroupLimit(
+            group="g",
+            service=fleet.service.name,
+            streams=streams,
+            places=sum(entry.slots for entry in fleet.entries),
+            running=0.0,
+            imbalance=2.0,
+            seen_ms=PASS_MS,
+            expected_ms=PASS_MS,
+            events=fleet.run_ms / PASS_MS,
+            cause="",
+        )
+
+    @property
+    def limits(self) -> list[GroupLimit]:
+        """The limit."""
+        return [self._fixed]
+
+    def limit(self, group: str) -> GroupLimit:
+        """Return the limit of every group."""
+        return self._fixed
+
+    def first_event_ms(self, service: ServiceProfile) -> float:
+        """Return the time to the first event of a call that is sent now."""
+        return self._first_ms
+
 
 class CallOutcome(msgspec.Struct, frozen=True, kw_only=True):
     """What became of one call.
@@ -28,12 +107,15 @@
         Part of it that was spent in a rank's queue.
     retry_after_ms : float
         Retry delay of a refused call.
+    priority : int
+        Priority of the call.
     """
 
     began_ms: float
     waited_ms: float | None
     rank_wait_ms: float = 0.0
     retry_after_ms: float = 0.0
+    priority: int = 1
 
 
 class SimulatedGateway:
@@ -76,7 +158,20 @@
             directory=self.directory,
             unseen_ms=self.peer_state.sum_ages_ms,
             own_slots=self.slot_shares.own_slots,
+            group_limits=(
+                FixedGroupLimits(
+                    fleet=fleet, directory=self.directory, streams=fleet.streams
+                )
+                if fleet.streams
+                else None
+            ),
+            peer_waiting=self.peer_state.waiting,
+            total_calls_per_s=lambda: (
+                self.dispatcher.engine_calls_per_s
+                + sum(self.peer_state.calls_per_s().values())
+            ),
         )
+        self.is_silent = False
         self.digest_number = 0
 
     def make_digest(self) -> Digest:
@@ -95,6 +190,7 @@
             {},
             self.dispatcher.engine_calls_per_s,
             data_centre="a",
+            waiting=self.dispatcher.waiting_by_priority,
         )
 
 
@@ -115,6 +211,8 @@
         Time between two digests of a gateway.
     run_ms : float
         Mean time for which a call runs.
+    streams : float, default=0.0
+        Streams that the ranks may run together; 0 for all their slots.
     """
 
     def __init__(
@@ -128,14 +226,21 @@
         slots: int,
         digest_interval_ms: float,
         run_ms: float,
+        streams: float = 0.0,
     ):
         self.clock = clock
         self.random = random
-        self._service = service
+        self.streams = streams
+        self.service = service
         self._digest_interval_ms = digest_interval_ms
-        self._run_ms = run_ms
+        self.run_ms = run_ms
         self.entries = [
-            make_target_entry(incarnation=f"i-{n}", service=service.name, slots=slots)
+            make_target_entry(
+                incarnation=f"i-{n}",
+                service=service.name,
+                slots=slots,
+                group="g" if streams else "",
+            )
             for n in range(ranks)
         ]
         self._slots = {
@@ -147,7 +252,10 @@
         self.outcomes: list[CallOutcome] = []
 
     async def run(
-        self, duration_ms: float, calls_per_s: float | Callable[[float], float]
+        self,
+        duration_ms: float,
+        calls_per_s: float | Callable[[float], float],
+        draw_kind: Callable[[float], CallKind] = lambda elapsed_ms: CallKind(),
     ) -> None:
         """Send calls at random times, unevenly from the gateways.
 
@@ -157,6 +265,8 @@
             Time in which calls are sent.
         calls_per_s : float or callable
             Rate of all calls, or a function of the time since the beginning in ms.
+        draw_kind : callable, optional
+            Returns the kind of a call, from the time since the beginning in ms.
         """
         weights = [self.random.uniform(0.4, 1.6) for _ in self.gateways]
         background = [asyncio.create_task(self._send_digests(g)) for g in self.gateways]
@@ -167,19 +277,20 @@
             rate = calls_per_s(elapsed_ms) if callable(calls_per_s) else calls_per_s
             await self.clock.sleep_ms(self.random.expovariate(rate / 1_000))
             (gateway,) = self.random.choices(self.gateways, weights)
-            calls.append(asyncio.create_task(self._call(gateway)))
+            kind = draw_kind(elapsed_ms)
+            calls.append(asyncio.create_task(self._call(gateway, kind)))
         await asyncio.gather(*calls)
         for task in background:
             task.cancel()
 
-    async def _call(self, gateway: SimulatedGateway) -> None:
+    async def _call(self, gateway: SimulatedGateway, kind: CallKind) -> None:
         began_ms = self.clock.now_ms()
         acquired = await gateway.dispatcher.acquire(
             DispatchRequest(
                 request_id="r",
-                service=self._service,
-                priority=1,
-                latency_target_ms=500.0,
+                service=self.service,
+                priority=kind.priority,
+                latency_target_ms=kind.latency_target_ms,
                 remaining_ms=8_000.0,
             )
         )
@@ -188,6 +299,7 @@
                 CallOutcome(
                     began_ms=began_ms,
                     waited_ms=None,
+                    priority=kind.priority,
                     retry_after_ms=acquired.failure().retry_after_ms,
                 )
             )
@@ -200,18 +312,19 @@
                 CallOutcome(
                     began_ms=began_ms,
                     waited_ms=now_ms - began_ms,
+                    priority=kind.priority,
                     rank_wait_ms=now_ms - sent_ms,
                 )
             )
-            await self.clock.sleep_ms(self._run_ms * self.random.uniform(0.4, 1.6))
+            await self.clock.sleep_ms(self.run_ms * self.random.uniform(0.4, 1.6))
         gateway.dispatcher.release(grant)
 
     async def _send_digests(self, gateway: SimulatedGateway) -> None:
         await self.clock.sleep_ms(self.random.uniform(0.0, self._digest_interval_ms))
         while True:
             digest = gateway.make_digest()
-            for other in self.gateways:
-                if other is not gateway:
+            for other in [] if gateway.is_silent else self.gateways:
+                if other is not gateway and not other.is_silent:
                     other.peer_state.update(digest)
             await self.clock.sleep_ms(self._digest_interval_ms)
 
