Evacuate a data centre in the gateways' soak, and check what arrives there

Cause: the soak knew nothing of the operators' request. In half of the runs, drawn apart so that earlier seeds keep their faults, one of two data centres is evacuated for 6 to 9 s beside all other faults; a store that comes back older has the request written again. EVAC: a request reached a target there later than 5 s after the request, through a gateway that was not disrupted and while the store was not.

Targets that are processes of their own are not checked, since their clocks tell the time of an arrival only roughly.

--- a/benchmarks/_soak_losses.py
+++ b/benchmarks/_soak_losses.py
@@ -10,6 +10,7 @@
 
 # Bounds of the users' sheets.
 CONTACT_S = 3.0
+EVACUATE_S = 5.0
 APPLY_S = 2.0
 LOSS_SLACK_S = 0.2
 # Calls that are sent no later than this after a stop signal do not count if a target
@@ -45,6 +46,8 @@
         Spans in which a gateway was killed, down or suspended.
     store_disruptions : list of Span
         Spans in which the store was away or older.
+    evacuations : dict
+        Spans in which a data centre was to get nothing new, by its name.
     """
 
     stops: dict[int, list[Span]] = msgspec.field(
@@ -58,6 +61,35 @@
         default_factory=lambda: defaultdict(list)
     )
     store_disruptions: list[Span] = msgspec.field(default_factory=list)
+    evacuations: dict[str, list[Span]] = msgspec.field(
+        default_factory=lambda: defaultdict(list)
+    )
+
+
+def find_evacuated(
+    calls: Iterable[CallerRecord], work: PlannedWork, record: TargetRecord
+) -> list[str]:
+    """Return the requests that reached a data centre which was evacuated for long.
+
+    Requests of gateways that were disrupted shortly before do not count, nor do any
+    while the store was.
+    """
+    gateways = {call.request_id: call.gateway for call in calls}
+    found = []
+    for at_s, data_centre, request_id in record.arrivals:
+        is_late = any(
+            began_s + EVACUATE_S < at_s < ended_s
+            for began_s, ended_s in work.evacuations[data_centre]
+        )
+        disruptions = [*work.store_disruptions]
+        if request_id in gateways:
+            disruptions += work.disruptions[gateways[request_id]]
+        is_excused = any(
+            began_s <= at_s <= ended_s + CONTACT_S for began_s, ended_s in disruptions
+        )
+        if is_late and not is_excused:
+            found.append(request_id)
+    return found
 
 
 class LossJudge:
--- a/benchmarks/_soak_targets.py
+++ b/benchmarks/_soak_targets.py
@@ -57,6 +57,17 @@
     return body.ljust(LARGE_BODY_BYTES, b".") if is_large else body
 
 
+def data_centre_of(incarnation: str) -> str:
+    """Return the data centre of a target: they stand in two by turns.
+
+    Examples
+    --------
+    >>> data_centre_of("orders-0-3"), data_centre_of("model-1-1")
+    ('a', 'b')
+    """
+    return "ab"[int(incarnation.split("-")[-2]) % 2]
+
+
 def make_soak_entry(
     target: "AnyTarget", incarnations: int, address: str, *, is_leaving: bool
 ) -> TargetEntry:
@@ -68,6 +79,7 @@
         service=target.service,
         slots=8,
         address=address,
+        data_centre=data_centre_of(target.incarnation),
         condition=state,
     )
 
@@ -108,6 +120,9 @@
         self.runs: Counter[str] = Counter()
         # Requests that have reached a target.
         self.arrived: set[str] = set()
+        # Monotonic time, data centre and request of each arrival at a target that is
+        # not a process of its own.
+        self.arrivals: list[tuple[float, str, str]] = []
         # Requests whose answer a target has broken off.
         self.broken: set[str] = set()
         # Monotonic time at which a target was last at work on it, in seconds; infinite
@@ -201,6 +216,9 @@
     async def _answer(self, call: TargetCall) -> None:
         request_id = call.headers["request-id"]
         self._record.note("arrived", request_id)
+        self._record.arrivals.append(
+            (time.monotonic(), data_centre_of(self.incarnation), request_id)
+        )
         # What has been written is in the kernel, which a kill does not take away.
         call.writer.transport.set_write_buffer_limits(high=0)
         try:
--- a/benchmarks/gateway_soak.py
+++ b/benchmarks/gateway_soak.py
@@ -24,7 +24,7 @@
 import msgspec
 
 from benchmarks._soak_callers import DEADLINE_MS, CallerRecord, SoakCaller
-from benchmarks._soak_losses import LossJudge, PlannedWork
+from benchmarks._soak_losses import LossJudge, PlannedWork, find_evacuated
 from benchmarks._soak_target_process import TargetProcess
 from benchmarks._soak_targets import (
     SPOILED_ANSWERS,
@@ -72,6 +72,10 @@
 FURTHER_KINDS = ("several", "several", "target kill", "target suspend")
 SEVERAL_PLANNED = ("planned stop", "planned stop", "hangup", "configuration")
 SEVERAL_OF_ALL = (*SEVERAL_PLANNED, "suspend", "suspend", "kill")
+# Part of the runs in which a data centre is evacuated, for longer than until the last
+# call may arrive there.
+EVACUATION_RATIO = 0.5
+MIN_EVACUATION_S, MAX_EVACUATION_S = 6.0, 9.0
 MIN_FURTHER_GAP_S, MAX_FURTHER_GAP_S = 1.0, 4.0
 # Cuts that look complete where no retry is left for a confirmation: the limits named in
 # docs/design/stream-ends.md.
@@ -229,6 +233,17 @@
             )
         )
         at_s += further.uniform(MIN_FURTHER_GAP_S, MAX_FURTHER_GAP_S)
+    evacuation = random_module.Random(f"{seed} evacuation")
+    if evacuation.random() < EVACUATION_RATIO:
+        faults.append(
+            PlannedFault(
+                number=len(faults),
+                at_s=round(evacuation.uniform(0.5, max(1.0, seconds / 3)), 2),
+                for_s=round(evacuation.uniform(MIN_EVACUATION_S, MAX_EVACUATION_S), 2),
+                kind="evacuate",
+                which=evacuation.randrange(1_000),
+            )
+        )
     if not has_retries:
         faults = [fault for fault in faults if not fault.how.startswith(UNPROVEN_CUTS)]
     return SoakPlan(
@@ -335,6 +350,7 @@
             "several": self._play_several,
             "target kill": self._kill_target,
             "target suspend": self._suspend_target,
+            "evacuate": self._evacuate,
         }
         # Gateways that are down or about to be, those that are not ready yet, targets
         # that leave, and incarnations that have left.
@@ -342,6 +358,8 @@
         self._starting: set[int] = set()
         self._leaving: set[int] = set()
         self._left: list[str] = []
+        # Data centres that are to get nothing new.
+        self._evacuated: set[str] = set()
         # Processes that ended by themselves.
         self._ended: list[str] = []
         self._began_s = 0.0
@@ -618,6 +636,17 @@
         self._platform.faults.faults = Faults()
         self._work.store_disruptions.append((began_s, time.monotonic()))
 
+    async def _evacuate(self, fault: PlannedFault) -> None:
+        """Ask that a data centre gets nothing new, and take that back later."""
+        data_centre = "ab"[fault.which % 2]
+        began_s = time.monotonic()
+        self._evacuated.add(data_centre)
+        self._runs[0].evacuate(data_centre)
+        await asyncio.sleep(fault.for_s)
+        self._evacuated.discard(data_centre)
+        self._work.evacuations[data_centre].append((began_s, time.monotonic()))
+        self._runs[0].evacuate(data_centre, is_over=True)
+
     async def _restore_store(self, fault: PlannedFault) -> None:
         """Have the store come back older, and its writers write what they know."""
         copy = self._platform.rows.copy()
@@ -625,6 +654,9 @@
         began_s = time.monotonic()
         self._platform.restore(copy)
         self._configure()
+        for data_centre in "ab":
+            is_over = data_centre not in self._evacuated
+            self._runs[0].evacuate(data_centre, is_over=is_over)
         for left in self._left:
             self._platform.write(TARGET_TABLE, left, None)
         for number, target in enumerate(self._targets):
@@ -642,6 +674,10 @@
             if call.request_id in self._lost:
                 rules.append("LOST")
             found += [f"{rule} {call.request_id} {self._tell(call)}" for rule in rules]
+        found += [
+            f"EVAC {request_id}"
+            for request_id in find_evacuated(self._calls, self._work, self._record)
+        ]
         calm, failed = self._find_calm()
         if failed or not calm:
             found.append(f"RECOVER {len(failed)} of {len(calm)} calls after the faults")
--- a/benchmarks/tests/test_gateway_soak.py
+++ b/benchmarks/tests/test_gateway_soak.py
@@ -30,6 +30,10 @@
 
 StreamEndJudge.judge = judge
 """
+IGNORE_EVACUATIONS = """
+from carobroute.gateway._targets import TargetDirectory
+TargetDirectory.set_evacuated = lambda self, data_centres: None
+"""
 IGNORE_REQUEST_IDS = """
 from carobroute.gateway._answer_inspector import AnswerInspector
 AnswerInspector.find_defect = lambda self, head, response: ""
@@ -243,6 +247,13 @@
         code=CUT_AT_CONFIGURATION,
         kinds=("configuration",),
     ),
+    "EVAC": Mistake(
+        rule="EVAC",
+        code=IGNORE_EVACUATIONS,
+        kinds=("evacuate",),
+        which=range(1),
+        for_s=8.0,
+    ),
     "LOST on kept connections": Mistake(
         rule="LOST around kept connection", code=CUT_KEPT, kinds=(), way="kept"
     ),
