Show a gateway's state to operators, evacuations and limits of groups among it

Cause: `carobroute dump` read entries and local processes only; nobody could see at a gateway which data centre is evacuated, whether it is empty, which targets are cold, or what limit a rank group has and why.

Now `GET /operator/dump` on the metrics address answers with these, each with its age or source; `carobroute dump HOST:9464` prints it. A test with a real process empties the only data centre: calls are refused at once with a Retry-After, the stream there ends, the dump shows one call left, and calls come back afterwards.

--- a/carobroute/gateway/_operations.py
+++ b/carobroute/gateway/_operations.py
@@ -1,4 +1,7 @@
-"""Operators' interface of a gateway: metrics, and the quarantine of prompt parts."""
+"""Operators' interface of a gateway: metrics, state, quarantine of prompt parts."""
+
+from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from aiohttp import web
@@ -8,6 +11,8 @@
 
 METRICS_PATH = "/metrics"
 QUARANTINE_PATH = "/quarantine"
+# The same path as at entries and local processes, so that the command line reads it.
+DUMP_PATH = "/operator/dump"
 
 
 class OperationsInterface:
@@ -21,13 +26,21 @@
         Prompt parts that crash targets.
     events : EventLog
         Log of what operators change.
+    describe_state : callable
+        Returns the state of the gateway.
     """
 
-    __slots__ = ("_events", "_metrics", "_quarantine")
+    __slots__ = ("_describe_state", "_events", "_metrics", "_quarantine")
 
     def __init__(
-        self, *, metrics: Metrics, quarantine: PromptQuarantine, events: EventLog
+        self,
+        *,
+        metrics: Metrics,
+        quarantine: PromptQuarantine,
+        events: EventLog,
+        describe_state: Callable[[], dict[str, Any]],
     ):
+        self._describe_state = describe_state
         self._metrics = metrics
         self._quarantine = quarantine
         self._events = events
@@ -36,6 +49,7 @@
         """Return an application with all handlers."""
         application = web.Application()
         application.router.add_get(METRICS_PATH, self._answer_metrics)
+        application.router.add_get(DUMP_PATH, self._dump)
         application.router.add_get(QUARANTINE_PATH, self._list_parts)
         path = QUARANTINE_PATH + "/{service}/{part}"
         application.router.add_delete(path, self._lift_part)
@@ -44,6 +58,12 @@
     async def _answer_metrics(self, request: web.Request) -> web.Response:
         return web.Response(body=self._metrics.render())
 
+    async def _dump(self, request: web.Request) -> web.Response:
+        return web.Response(
+            body=msgspec.json.encode(self._describe_state()),
+            content_type="application/json",
+        )
+
     async def _list_parts(self, request: web.Request) -> web.Response:
         described = [
             self._quarantine.describe(service, verdict)
--- a/carobroute/gateway/_process.py
+++ b/carobroute/gateway/_process.py
@@ -35,6 +35,7 @@
 from carobroute.gateway._retry_budget import RetryBudget
 from carobroute.gateway._shared_reads import SharedReads
 from carobroute.gateway._slot_shares import SlotShares
+from carobroute.gateway._state_dump import StateDump
 from carobroute.gateway._store_watch import (
     ConfigurationWatcher,
     TargetListPoller,
@@ -592,7 +593,16 @@
         operations = web.Application()
         operations.router.add_get(READY_PATH, self._answer_ready)
         operators = OperationsInterface(
-            metrics=self._metrics, quarantine=self._quarantine, events=self._events
+            metrics=self._metrics,
+            quarantine=self._quarantine,
+            events=self._events,
+            describe_state=StateDump(
+                configuration=self._configuration,
+                directory=self._directory,
+                evacuations=self._evacuations,
+                cold_starts=self._cold_starts,
+                group_limits=self._group_limits,
+            ).describe,
         )
         options = {
             "keepalive_timeout": IDLE_TIMEOUT_MS / MS_PER_S,
--- a/carobroute/gateway/tests/test_poison_part_targets.py
+++ b/carobroute/gateway/tests/test_poison_part_targets.py
@@ -126,6 +126,7 @@
         metrics=Metrics(),
         quarantine=harness.context.quarantine,
         events=EventLog(name="test", stream=harness.log),
+        describe_state=dict,
     )
     site = WebSite(application=interface.application(), bind="127.0.0.1:0")
     url = f"http://{await site.start()}/quarantine"
--- a/carobroute/testing/_gateway_run.py
+++ b/carobroute/testing/_gateway_run.py
@@ -131,11 +131,21 @@
         """Where the process tells its metrics."""
         return f"http://{self._reserved.ip}:{METRICS_PORT}/metrics"
 
+    @property
+    def operators_address(self) -> str:
+        """Address of the operators' interface."""
+        return f"{self._reserved.ip}:{METRICS_PORT}"
+
     def configure(self, configuration: RoutingConfiguration) -> None:
         """Put a configuration in force, as an operator does."""
         data = encode_configuration(configuration)
         self.platform.write(CONFIGURATION_TABLE, CONFIGURATION_KEY, data)
 
+    def evacuate(self, data_centre: str, *, is_over: bool = False) -> None:
+        """Ask that a data centre gets nothing new, or take that back."""
+        value = None if is_over else b"{}"
+        self.platform.write(CONFIGURATION_TABLE, f"evacuate/{data_centre}", value)
+
     def list_target(self, entry: TargetEntry) -> None:
         """Enter a target, or its new state."""
         self.platform.write(TARGET_TABLE, entry.incarnation, encode_target(entry))
--- a/carobroute/tests/test_gateway_process.py
+++ b/carobroute/tests/test_gateway_process.py
@@ -469,6 +469,43 @@
     assert any("event=target_entry_unreadable" in line for line in desk.run.lines)
 
 
+# Guards against calls that reach a data centre which operators have emptied (EVAC), and
+# against callers that wait although nothing can serve them.
+async def test_an_evacuated_data_centre_gets_nothing_new_and_ends_what_runs(desk):
+    async def is_evacuated():
+        return any("event=evacuation_began" in line for line in desk.run.lines)
+
+    async def is_served():
+        return (await desk.call())[0] == 200
+
+    streaming = asyncio.create_task(desk.call("/chat/1", deadline=20_000))
+    await wait_until(lambda: _has_call(desk.model), what="the stream runs")
+    desk.run.evacuate("a")
+    await wait_until(is_evacuated, what="the gateway knows of the evacuation")
+    arrived = len(desk.orders.calls)
+    for _ in range(3):
+        status, _, headers = await desk.call()
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+    assert len(desk.orders.calls) == arrived
+    url = f"http://{desk.run.operators_address}/operator/dump"
+    async with desk.run.session.get(url) as answer:
+        state = await answer.json()
+    assert state["evacuated"]["data_centres"] == ["a"]
+    assert not any(target["usable"] for target in state["targets"])
+    assert sum(target["calls"] for target in state["targets"]) == 1
+    desk.go_on.set()
+    status, body, _ = await streaming
+    assert status == 200
+    assert body.endswith(b"data: b\n\n")
+    desk.run.evacuate("a", is_over=True)
+    await wait_until(is_served, what="calls are sent there again")
+
+
+async def _has_call(target):
+    return bool(target.calls)
+
+
 async def test_a_leaving_target_gets_nothing_more(desk):
     entry = make_target_entry(
         incarnation="i-orders",
