--- a/carobroute/experts/_pass_time.py
+++ b/carobroute/experts/_pass_time.py
@@ -57,11 +57,20 @@
         """Record the first event of a stream, which has no gap before it."""
         self._last_event_ms = self._clock.now_ms()
 
-    def note_event_gap(self, gap_ms: float) -> None:
-        """Update the pass time with the gap between two events of a stream."""
+    def note_event_gap(self, gap_ms: float, *, events: int = 1) -> None:
+        """Update the pass time with the gap between two events of a stream.
+
+        Parameters
+        ----------
+        gap_ms : float
+            Time since the event before.
+        events : int, default=1
+            Events that have arrived together, as they do at a busy process.
+        """
         self._last_event_ms = self._clock.now_ms()
-        self._gap_sum_ms += gap_ms
-        self._gap_count += 1
+        gap_ms /= events
+        self._gap_sum_ms += gap_ms * events
+        self._gap_count += events
         # A pass gives one gap for each call, so the calls share its weight.
         weight = PASS_WEIGHT / max(1, self._calls)
         if not self._pass_ms:
--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from carobroute.gateway._event_framing import count_events
 from carobroute.gateway._group_limits import GroupLimit
 from carobroute.gateway._targets import Target
 from carobroute.health import AnswerQuality, RecordChange
@@ -126,7 +127,7 @@
 
     def note_events(self, events: bytes) -> None:
         """Count complete events that were written to the caller."""
-        self._event_count += events.count(b"\n\n") + events.count(b"\r\n\r\n")
+        self._event_count += count_events(events)
 
     def note_first_byte(self) -> None:
         """Record the time of the answer's first byte."""
--- a/carobroute/gateway/_event_framing.py
+++ b/carobroute/gateway/_event_framing.py
@@ -20,6 +20,17 @@
 _FIELD_LINE = re.compile(rb"(?:\A|[\r\n])[^:\r\n]")
 
 
+def count_events(events: bytes) -> int:
+    """Return the number of complete events.
+
+    Examples
+    --------
+    >>> count_events(b"id: 1\\ndata: a\\n\\nid: 2\\ndata: b\\n\\n")
+    2
+    """
+    return events.count(b"\n\n") + events.count(b"\r\n\r\n")
+
+
 class EventFramer:
     """Splits a byte stream into complete events, and buffers a partial one.
 
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -10,7 +10,7 @@
 from carobroute.engines import Framing, WatchedResponse, end_to_end
 from carobroute.gateway._call_records import CallRecord
 from carobroute.gateway._context import GatewayContext
-from carobroute.gateway._event_framing import EventFramer
+from carobroute.gateway._event_framing import EventFramer, count_events
 from carobroute.gateway._targets import Target
 from carobroute.web import ClientConnection, has_next_request
 
@@ -258,8 +258,10 @@
                 continue
             now_ms = self._context.clock.now_ms()
             if self._last_event_ms:
-                pass_time_estimator.note_event_gap(now_ms - self._last_event_ms)
-                self._record.note_gap(now_ms - self._last_event_ms)
+                gap_ms = now_ms - self._last_event_ms
+                event_count = max(1, count_events(events))
+                pass_time_estimator.note_event_gap(gap_ms, events=event_count)
+                self._record.note_gap(gap_ms)
             else:
                 pass_time_estimator.note_first_event()
             self._last_event_ms = target.last_event_ms = now_ms
