--- a/carobroute/gateway/_dispatch.py
+++ b/carobroute/gateway/_dispatch.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 import random
-from collections import deque
 from collections.abc import Callable, Mapping
 
 from returns.result import Failure, Result, Success
@@ -17,9 +16,11 @@
     DispatchRequest,
     Grant,
 )
-from carobroute.gateway._group_limits import GroupLimits, count_more_urgent
+from carobroute.gateway._event_rates import EventRates
+from carobroute.gateway._group_limits import GroupLimits
 from carobroute.gateway._rate_tokens import TOKEN_LIFE_MS, RateTokens
 from carobroute.gateway._targets import Target, TargetDirectory
+from carobroute.gateway._urgent_room import UrgentRoom
 from carobroute.utils import Clock
 
 MS_PER_S = 1_000
@@ -44,9 +45,6 @@
 # Time since the last check of the queues from which on it is late, in intervals. It is
 # above the jitter of timers.
 OVERDUE_INTERVALS = 1.2
-# Part of the completions that calls may count on at least, however many more urgent
-# ones arrive.
-MIN_LEFT_SHARE = 0.1
 
 
 class _Waiter:
@@ -153,24 +151,21 @@
         "_circuit_breakers",
         "_clock",
         "_cold",
-        "_completion_times_ms",
+        "_completions",
         "_data_centre",
         "_directory",
         "_gateway_count",
-        "_grant_times_ms",
-        "_group_limits",
+        "_grants",
         "_has_returned",
         "_last_check_ms",
         "_last_sequence",
         "_on_change",
         "_own_slots",
         "_parameters",
-        "_peer_waiting",
         "_queues",
         "_random",
-        "_request_times_ms",
+        "_room",
         "_tokens",
-        "_total_calls_per_s",
         "_unseen_ms",
     )
 
@@ -193,9 +188,6 @@
         peer_waiting: Callable[[], list[dict[int, int]]] | None = None,
         total_calls_per_s: Callable[[], float] | None = None,
     ):
-        self._group_limits = group_limits
-        self._peer_waiting = peer_waiting or (lambda: [])
-        self._total_calls_per_s = total_calls_per_s or (lambda: self.engine_calls_per_s)
         self._cold = cold
         self._tokens = tokens
         self._gateway_count = gateway_count or (lambda: 1)
@@ -209,10 +201,20 @@
         self._directory = directory
         self._parameters = parameters or DispatchParameters()
         self._queues: dict[str, list[_Waiter]] = {}
-        self._completion_times_ms: dict[str, deque[float]] = {}
-        self._grant_times_ms: dict[str, deque[float]] = {}
-        # Arrivals at services with engines, by priority.
-        self._request_times_ms: dict[int, deque[float]] = {}
+        window_ms = self._parameters.completion_window_ms
+        # Calls of each service that have ended, and that were sent.
+        self._completions: EventRates[str] = EventRates(
+            clock=clock, window_ms=window_ms
+        )
+        self._grants: EventRates[str] = EventRates(clock=clock, window_ms=window_ms)
+        self._room = UrgentRoom(
+            clock=clock,
+            window_ms=window_ms,
+            limits=group_limits,
+            peer_waiting=peer_waiting or (lambda: []),
+            total_calls_per_s=total_calls_per_s,
+            unseen_calls=self._unseen_calls,
+        )
         self._circuit_breakers: dict[str, GroupCircuitBreaker] = {}
         self._last_sequence = 0
         # Monotonic time of the last check of all queues.
@@ -226,7 +228,7 @@
     @property
     def engine_calls_per_s(self) -> float:
         """Recent rate of requests for slots of services with engines."""
-        return self._arrivals_per_ms() * MS_PER_S
+        return self._room.calls_per_s
 
     @property
     def waiting_by_priority(self) -> dict[int, int]:
@@ -239,14 +241,6 @@
                     counts[request.priority] = counts.get(request.priority, 0) + 1
         return counts
 
-    def _arrivals_per_ms(self, before: int | None = None) -> float:
-        """Return the rate of arrivals, or of those with a priority before that one."""
-        return sum(
-            self._rate_per_ms(times_ms)
-            for priority, times_ms in self._request_times_ms.items()
-            if before is None or priority < before
-        )
-
     @property
     def _is_check_overdue(self) -> bool:
         """Whether the queues have not been checked at their interval."""
@@ -268,8 +262,7 @@
         """
         service = request.service.name
         if request.service.engine is not None:
-            times_ms = self._request_times_ms.setdefault(request.priority, deque())
-            times_ms.append(self._clock.now_ms())
+            self._room.note_arrival(request.priority)
         blocking = self._blocking_breaker(service)
         if blocking is not None:
             return fail(
@@ -342,9 +335,7 @@
         target.in_flight -= 1
         self._on_change()
         service = target.entry.service
-        self._completion_times_ms.setdefault(service, deque()).append(
-            self._clock.now_ms()
-        )
+        self._completions.note(service)
         self.dispatch_queued(service)
 
     def dispatch_queued(self, service: str) -> None:
@@ -394,22 +385,9 @@
         It is `default_wait_ms` while no completion rate is known.
         """
         ahead = self.queue_length(service) + 1
-        rate = self._completion_rate_per_ms(service)
+        rate = self._completions.per_ms(service)
         return ahead / rate if rate else self._parameters.default_wait_ms
 
-    def _completion_rate_per_ms(self, service: str) -> float:
-        return self._rate_per_ms(self._completion_times_ms.get(service))
-
-    def _rate_per_ms(self, times_ms: deque[float] | None) -> float:
-        """Return the rate of events within the window, and drop older ones."""
-        if not times_ms:
-            return 0.0
-        window_ms = self._parameters.completion_window_ms
-        oldest_ms = self._clock.now_ms() - window_ms
-        while times_ms and times_ms[0] < oldest_ms:
-            times_ms.popleft()
-        return len(times_ms) / window_ms
-
     def _admission_fault(self, request: DispatchRequest) -> Fault | None:
         """Return the reason that a call must not be queued, or None if it may."""
         service = request.service.name
@@ -437,28 +415,14 @@
     def _expected_wait_ms(self, request: DispatchRequest) -> float | None:
         """Return the expected wait of a call that joins the queue now.
 
-        It is None if it cannot be estimated, without recent completions. Where groups
-        have limits, room that any gateway frees is room for all, and more urgent calls
-        that arrive meanwhile come first.
+        It is None if it cannot be estimated, without recent completions.
         """
-        service = request.service.name
-        ahead = self._count_ahead(request) + 1
-        limits = self._group_limits
-        rate_per_ms = limits.completions_per_ms(service) if limits is not None else 0.0
-        if not rate_per_ms:
-            own_rate_per_ms = self._completion_rate_per_ms(service)
-            return ahead / own_rate_per_ms if own_rate_per_ms else None
-        ahead += count_more_urgent(self._peer_waiting(), request.priority + 1)
-        urgent_per_ms = self._more_urgent_share(request.priority) * (
-            self._total_calls_per_s() / MS_PER_S
-        )
-        left_per_ms = max(MIN_LEFT_SHARE * rate_per_ms, rate_per_ms - urgent_per_ms)
-        return ahead / left_per_ms
-
-    def _more_urgent_share(self, priority: int) -> float:
-        """Return the share of the arrivals here that come before a priority."""
-        own_rate = self._arrivals_per_ms()
-        return self._arrivals_per_ms(before=priority) / own_rate if own_rate else 0.0
+        ahead = self._count_ahead(request)
+        expected_ms = self._room.expected_wait_ms(request, ahead=ahead)
+        if expected_ms is not None:
+            return expected_ms
+        rate_per_ms = self._completions.per_ms(request.service.name)
+        return (ahead + 1) / rate_per_ms if rate_per_ms else None
 
     def _limit_fault(self, request: DispatchRequest, *, ahead: int) -> Fault | None:
         """Return why the targets' rate limits exclude a call, or None if they may not.
@@ -534,7 +498,7 @@
         if request.may_have_run:
             return request.remaining_ms
         share_ms = request.latency_target_ms * self._parameters.max_wait_ratio
-        in_time_ms = self._in_time_ms(request)
+        in_time_ms = self._room.in_time_ms(request)
         if math.isinf(in_time_ms):
             in_time_ms = 0.0
         wait_ms = max(self._parameters.min_wait_limit_ms, share_ms, in_time_ms)
@@ -543,19 +507,6 @@
             wait_ms = max(wait_ms, token_wait_ms)
         return min(wait_ms, request.remaining_ms)
 
-    def _in_time_ms(self, request: DispatchRequest) -> float:
-        """Return the wait with which a call has its first event in time.
-
-        It is infinite if no limit of a group holds it back.
-        """
-        limits = self._group_limits
-        if limits is None or request.service.engine is None or request.may_have_run:
-            return float("inf")
-        first_ms = limits.first_event_ms(request.service)
-        if first_ms is None:
-            return float("inf")
-        return request.latency_target_ms - first_ms
-
     async def _wait_in_queue(self, request: DispatchRequest) -> Result[Grant, Fault]:
         service = request.service.name
         queue = self._queues.setdefault(service, [])
@@ -564,7 +515,7 @@
             request=request,
             sequence=self._last_sequence,
             queued_ms=self._clock.now_ms(),
-            in_time_ms=self._in_time_ms(request),
+            in_time_ms=self._room.in_time_ms(request),
         )
         queue.append(waiter)
         max_wait_ms = self._max_wait_ms(request)
@@ -615,9 +566,7 @@
         target.in_flight += 1
         if self._tokens is not None:
             self._tokens.use(target)
-        self._grant_times_ms.setdefault(target.entry.service, deque()).append(
-            self._clock.now_ms()
-        )
+        self._grants.note(target.entry.service)
         self._on_change()
         return grant
 
@@ -630,9 +579,11 @@
             if trial is not None:
                 trial.health.begin_trial(self._trial_interval_ms(trial))
                 return trial
+        listed = self._directory.targets(request.service.name)
+        targets = self._room.select(request, targets, listed)
         free = [
             target
-            for target in self._without_slow(self._with_room(request, targets))
+            for target in self._without_slow(targets)
             if target.load + 1 <= self._max_calls(target, request.service)
         ]
         free = self._with_tokens(request, free)
@@ -650,47 +601,12 @@
         size = self._sample_size(request.service.name, len(free))
         return min(self._random.sample(free, size), key=self._relative_load)
 
-    def _with_room(
-        self, request: DispatchRequest, targets: list[Target]
-    ) -> list[Target]:
-        """Return the targets whose groups may run one more stream of this urgency.
-
-        Room is kept for more urgent calls that wait at other gateways, for those that
-        probably arrive until the next pass ends, and for calls that other gateways have
-        placed unseen. A call that may have run, such as the rest of a stream, is not
-        held back.
-        """
-        limits = self._group_limits
-        if limits is None or request.service.engine is None or request.may_have_run:
-            return targets
-        service = request.service.name
-        kept = self._kept_for_urgent(service, request.priority)
-        groups = limits.find_groups_with_room(
-            self._directory.targets(service), kept=min(kept, limits.max_kept(service))
-        )
-        if groups is None:
-            return targets
-        return [target for target in targets if target.group in groups]
-
-    def _kept_for_urgent(self, service: str, priority: int) -> float:
-        """Return the streams for which room is kept from calls of a priority."""
-        assert self._group_limits is not None
-        waiting = count_more_urgent(self._peer_waiting(), priority)
-        arriving = (
-            self._total_calls_per_s() / MS_PER_S * self._group_limits.pass_ms(service)
-        )
-        urgent_share = self._more_urgent_share(priority)
-        if not urgent_share:
-            return waiting
-        return waiting + urgent_share * arriving + self._unseen_calls(service)
-
     def _unseen_calls(self, service: str) -> float:
         """Return the calls that others have probably placed since their last digests.
 
         Other gateways are assumed to place as many calls as this one.
         """
-        rate_per_ms = self._rate_per_ms(self._grant_times_ms.get(service))
-        return rate_per_ms * self._unseen_ms()
+        return self._grants.per_ms(service) * self._unseen_ms()
 
     def _with_tokens(
         self, request: DispatchRequest, free: list[Target]
@@ -711,8 +627,7 @@
         others = [target for target in free if not tokens.is_expected(target)]
         expected_count = sum(map(tokens.is_expected, self._candidates(request)))
         if ready:
-            rate_per_ms = self._rate_per_ms(self._grant_times_ms.get(service))
-            useful_count = rate_per_ms * TOKEN_LIFE_MS
+            useful_count = self._grants.per_ms(service) * TOKEN_LIFE_MS
             least = min(self._relative_load(target) for target in ready)
             for target in self._random.sample(others, len(others)):
                 is_best = self._relative_load(target) <= least
--- a/carobroute/gateway/_group_limits.py
+++ b/carobroute/gateway/_group_limits.py
@@ -4,7 +4,7 @@
 its group. A place that is free at a rank says nothing about that.
 """
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Iterable
 
 import msgspec
 
@@ -339,26 +339,3 @@
     if any(target.is_slow for target in targets):
         return "slow_rank"
     return "stalled" if imbalance > MAX_IMBALANCE else ""
-
-
-def count_more_urgent(waiting: Iterable[Mapping[int, int]], priority: int) -> int:
-    """Return the number of waiting calls that come before those of a priority.
-
-    Parameters
-    ----------
-    waiting : iterable of mapping from int to int
-        Waiting calls by priority, of each gateway.
-    priority : int
-        Priority of a call; 0 comes first.
-
-    Examples
-    --------
-    >>> count_more_urgent([{0: 2, 1: 5}, {2: 7}], 1)
-    2
-    """
-    return sum(
-        count
-        for queue in waiting
-        for other, count in queue.items()
-        if int(other) < priority
-    )
