Keep a newer evacuation from a peer that settled earlier in a new era of the store

Cause: after a store came back from an older copy, a gateway that had seen the operators' request written again took over the settled report of a peer whose reading was older, and ended the evacuation until its own next reading. Found by reading; the new test failed before. A report now replaces what is known only if it is newer, or settles the same version.

--- a/carobroute/gateway/_evacuations.py
+++ b/carobroute/gateway/_evacuations.py
@@ -178,17 +178,18 @@
             return
         if report.era > self._era:
             self._begin_era(report.era)
-        if report.is_settled == self._is_settled and report.version <= self._version:
-            if not self._is_settled:
-                # It may know an evacuation that the copy lacks.
-                self._replace(self._data_centres.union(report.data_centres), "peer")
+        if not (self._is_settled or report.is_settled):
+            # Each may know an evacuation that the copy lacks.
+            self._version = max(self._version, report.version)
+            self._replace(self._data_centres.union(report.data_centres), "peer")
             return
-        if self._is_settled and not report.is_settled:
+        settles = report.is_settled and not self._is_settled
+        is_newer = report.is_settled and report.version > self._version
+        if not is_newer and not (settles and report.version == self._version):
             return
-        self._version = max(self._version, report.version)
-        held = frozenset() if report.is_settled else self._data_centres
-        self._is_settled = report.is_settled
-        self._replace(held.union(report.data_centres), "peer")
+        self._version = report.version
+        self._is_settled = True
+        self._replace(frozenset(report.data_centres), "peer")
 
     def report(self) -> EvacuationReport:
         """Return what peers should know."""
--- a/carobroute/gateway/tests/test_evacuations.py
+++ b/carobroute/gateway/tests/test_evacuations.py
@@ -166,6 +166,24 @@
     assert not told.data_centres
 
 
+# Guards against an evacuation that ends as a peer settled before it was asked again.
+def test_a_settled_peer_that_is_older_does_not_end_an_evacuation():
+    clock = ManualClock()
+    reading, settled = Evacuations(clock=clock), Evacuations(clock=clock)
+    for gateway in (reading, settled):
+        gateway.apply_reading(1, 7, set())
+        gateway.apply_reading(2, 5, set())
+    clock.advance_ms(REWRITE_MS)
+    settled.apply_reading(2, 8, set())
+    reading.apply_change(9, "a", is_evacuated=True)
+    reading.merge(settled.report())
+    assert reading.data_centres == {"a"}
+    settled.merge(reading.report())
+    settled.apply_reading(2, 9, {"a"})
+    reading.merge(settled.report())
+    assert reading.data_centres == settled.data_centres == {"a"}
+
+
 # Many gateways.
 
 
