Restore the load of a test of urgent bursts, known red at three gateways

Cause: an urgent burst of 0.8 of the capacity failed at 3 gateways with 0.935 in time (target 0.95), and its load was lowered to 0.7 before it landed: a check that was eased to pass.

--- a/carobroute/gateway/tests/test_urgent_load.py
+++ b/carobroute/gateway/tests/test_urgent_load.py
@@ -30,6 +30,8 @@
     (35, 129, 3, 300.0),
 ]
 
+KNOWN_RED = pytest.mark.xfail(strict=True, reason="KNOWN-RED.txt: issue 54")
+
 
 def play(fleet, *, urgent, usual, patient, silent=0):
     """Play a fleet; loads in and out of the burst are parts of its capacity."""
@@ -96,9 +98,11 @@
     assert share_in_time(outcomes, URGENT) >= MIN_IN_TIME
 
 
-@pytest.mark.parametrize("fleet", FLEETS, ids=str)
+@pytest.mark.parametrize(
+    "fleet", [pytest.param(FLEETS[0], marks=KNOWN_RED), *FLEETS[1:]], ids=str
+)
 def test_urgent_calls_are_in_time_in_a_burst_of_their_own_that_fits(fleet):
-    outcomes = play(fleet, urgent=(0.3, 0.7), usual=(0.3, 0.4), patient=(0.2, 0.4))
+    outcomes = play(fleet, urgent=(0.3, 0.8), usual=(0.3, 0.3), patient=(0.2, 0.4))
     assert share_in_time(outcomes, URGENT) >= MIN_IN_TIME
 
 
