--- /dev/null
+++ b/review/common2/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins that the scripts of the second review share."""
