--- a/review/common2/bad_answers.py
+++ b/review/common2/bad_answers.py
@@ -112,25 +112,7 @@
             for ident, runner in zip(idents, runners, strict=True)
         }
         configuration = d.make_configuration(
-            routes=[
-                d.make_route(
-                    name="r-1", prefix="/order/", kind="unsafe", service="orders"
-                ),
-                d.make_route(
-                    name="r-2", prefix="/stock/", kind="safe", service="orders"
-                ),
-                d.make_route(
-                    name="r-3",
-                    prefix="/draft/",
-                    kind="stream",
-                    service="model",
-                    timeoutMs=8000,
-                    targetLatencyMs=402,
-                    gapTargetMs=120,
-                    resumeStreams=True,
-                ),
-            ],
-            services=["orders", "model"],
+            routes=d.make_desk_routes(), services=["orders", "model"]
         )
         with tempfile.TemporaryDirectory() as directory:
             deployment = d.Deployment(
@@ -195,7 +177,7 @@
     record = [f"trouble: {d.HAS_TROUBLE}"]
     try:
         held = asyncio.run(play(piece, record))
-    except (RuntimeError, OSError, TimeoutError) as error:
+    except Exception as error:
         record.append(f"could not run: {error!r}")
         print(record[-1])
         return d.NOT_RUN
--- a/review/common2/deployment.py
+++ b/review/common2/deployment.py
@@ -344,6 +344,24 @@
     }
 
 
+def make_desk_routes():
+    """Return routes to a service of plain requests, and to one of streams."""
+    return [
+        make_route(name="r-1", prefix="/order/", kind="unsafe", service="orders"),
+        make_route(name="r-2", prefix="/stock/", kind="safe", service="orders"),
+        make_route(
+            name="r-3",
+            prefix="/draft/",
+            kind="stream",
+            service="model",
+            timeoutMs=8000,
+            targetLatencyMs=402,
+            gapTargetMs=120,
+            resumeStreams=True,
+        ),
+    ]
+
+
 def make_configuration(*, routes, services):
     """Return a configuration with one tenant and the limits of `fleetbench wire`."""
     return {
--- a/review/common2/runner.py
+++ b/review/common2/runner.py
@@ -17,6 +17,7 @@
     "chunks": b"1\r\nx\r\n",
 }
 BATCH_BYTES = 16_384
+WEIGHT_VERSION = "1"
 # Streams of `klang-hq` have 28 events.
 EVENT_COUNT, EVENT_GAP_MS = 28, 20
 
@@ -50,6 +51,13 @@
                 await reader.readexactly(int(fields.get("content-length", 0)))
                 request_id = fields.get("request-id", "")
                 print("asked", request_id, "bad" if self._is_bad else "good")
+                if fields.get("expect-version", WEIGHT_VERSION) != WEIGHT_VERSION:
+                    writer.write(
+                        "HTTP/1.1 421 Misdirected Request\r\n"
+                        f"Request-Id: {request_id}\r\nInstance-Id: {self._ident}\r\n"
+                        "Content-Length: 0\r\n\r\n".encode()
+                    )
+                    continue
                 if self._is_bad:
                     await self._send_on(writer, request_id)
                 await asyncio.sleep(self._work_ms / 1000)
