Break off answers whose status is no valid one

What callers saw: a target that answered with status 000 had its answer passed on, seal and body included, as "HTTP/1.1 0 ", which is not even three digits; so were 001 to 099, 600 to 999, and 101, for which nobody had asked. With Not-Run beside such a status, an order was answered 503, and a call that may be repeated was tried elsewhere as one that had not run.

Cause: the HTTP library takes any three digits for a status, and whatever read an answer compared it with 300 or 500 only.

What changes: each connection on which a program reads answers checks the status line before the parser gets it, also that behind an interim answer. Without a status from 100 to 599, or with 101, the answer is broken off, so that nothing in its head is believed: its outcome is unknown, an order is answered 502 and not sent again, and another target is asked for a call that may be repeated. The target fails by it, as by an answer that broke off. The check depends on no parser: without its extension, the library has another one, which lets more through.

--- a/carobroute/engines/_answer_connection.py
+++ b/carobroute/engines/_answer_connection.py
@@ -7,6 +7,11 @@
 from aiohttp.http import RawResponseMessage
 from aiohttp.streams import StreamReader
 
+from carobroute.engines._answer_head import (
+    FIRST_FINAL_STATUS,
+    AnswerHeadChecker,
+    MalformedAnswerError,
+)
 from carobroute.engines._answer_limits import (
     MAX_INTERIM_ANSWERS,
     SMALL_CHUNK_RATIO,
@@ -20,9 +25,6 @@
     PacedProtocol,
 )
 
-SWITCHING_PROTOCOLS = 101
-FIRST_FINAL_STATUS = 200
-
 
 class AnswerConnection(PacedProtocol, ResponseHandler):
     """Connection of an HTTP client to a program that may send anything without end.
@@ -30,7 +32,8 @@
     It parses what it has read a piece at a time, and closes the connection once an
     answer exceeds a limit: the HTTP library bounds a header line, but neither the
     number of interim answers, which it keeps until the final one is read, nor the
-    bytes between two bytes of content.
+    bytes between two bytes of content. An answer whose head is invalid ends here, too,
+    so that no reader takes it for one.
 
     Parameters
     ----------
@@ -41,6 +44,7 @@
     # Body of the final answer, once its head is complete.
     _answer_body: StreamReader | None
     _has_unasked: bool
+    _heads: AnswerHeadChecker
     _is_broken_off: bool
     _interim_count: int
     _parsed_bytes: int
@@ -51,6 +55,7 @@
         super().__init__(loop)
         self._unparsed = NO_DATA
         self._overhead = OverheadMeter()
+        self._heads = AnswerHeadChecker()
         self._begin_answer()
 
     @property
@@ -82,12 +87,14 @@
             if self._has_unasked:
                 return
             self._has_unasked = True
-        elif message.code < FIRST_FINAL_STATUS and message.code != SWITCHING_PROTOCOLS:
+        elif message.code < FIRST_FINAL_STATUS:
             self._interim_count += 1
             if self._interim_count > MAX_INTERIM_ANSWERS:
                 self._break_off(
-                    AnswerLimit.INTERIM_ANSWERS,
-                    f"more than {MAX_INTERIM_ANSWERS} interim answers",
+                    AnswerLimitError(
+                        AnswerLimit.INTERIM_ANSWERS,
+                        f"more than {MAX_INTERIM_ANSWERS} interim answers",
+                    )
                 )
                 return
         else:
@@ -107,8 +114,16 @@
         self._parsed_bytes = 0
         self._content_bytes = 0
         self._overhead.reset()
+        self._heads.reset()
 
     def _parse(self, data: bytes) -> None:
+        # Without a parser, data is kept, and comes here once more when there is one.
+        if self._parser is not None:
+            try:
+                self._heads.feed(data)
+            except MalformedAnswerError as error:
+                self._break_off(error)
+                return
         super()._parse(data)
         if data and not (self._has_unasked or self._is_broken_off):
             self._note_parsed(len(data))
@@ -123,15 +138,16 @@
         self._overhead.note_parsed(size, content_bytes=self._content_bytes)
         if self._overhead.is_exceeded:
             self._break_off(
-                AnswerLimit.OVERHEAD,
-                f"more than {MAX_OVERHEAD_BYTES} bytes without content",
+                AnswerLimitError(
+                    AnswerLimit.OVERHEAD,
+                    f"more than {MAX_OVERHEAD_BYTES} bytes without content",
+                )
             )
 
-    def _break_off(self, limit: AnswerLimit, detail: str) -> None:
+    def _break_off(self, error: AnswerLimitError | MalformedAnswerError) -> None:
         """Close the connection, and let the answer's reader know why."""
         self._is_broken_off = True
         self._unparsed = NO_DATA
-        error = AnswerLimitError(limit, detail)
         if self._answer_body is not None:
             self._answer_body.set_exception(error)
         self.set_exception(error)
