Break off answers with an invalid or a folded header line

What callers saw: where a header line of a target's answer began with a blank, a caller got the answer with that line passed on. As the first line it was a field without its blank, and " Transfer-Encoding: chunked" there was obeyed; as a later one it was joined to the field before, so that "Server-Seal: seal X-Note: 2" passed for a target's seal, and behind the line that tells the framing, the sizes of chunks were the body.

Cause: the HTTP library reads such a line as the next part of the field before it, an old form that the standard forbids, and hands on what it has joined. Nothing in its result tells that it has.

What changes: the check of status lines looks at each header line as it was sent, also of interim answers, up to the end of the final head. A line that begins with a blank, or whose name is no token with the colon right behind it, breaks the answer off. RFC 9112 (5.2) lets a gateway join the lines or answer 502; joined, a seal or a length is not what the target has sent. Content is not looked at, so it may look like a head.

--- a/carobroute/engines/_answer_head.py
+++ b/carobroute/engines/_answer_head.py
@@ -12,6 +12,8 @@
 
 # The first digit of a status is its class (RFC 9110, section 15).
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d ([1-5]\d\d)(?: |\Z)")
+# A name is a token, and the colon follows it at once (RFC 9112, section 5.1).
+_FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
 
 
 class AnswerDefect(enum.StrEnum):
@@ -22,9 +24,17 @@
     STATUS
         A status line without a status from 100 to 599, or a switch of protocols, for
         which no program asks.
+    FIELD_NAME
+        A field line whose name is empty, has other characters than a token may have,
+        or is not followed by a colon.
+    FOLDED_LINE
+        A line that begins with a blank. Some parsers join it to the line before, so
+        that it changes another field; others take it for a field, also for the length.
     """
 
     STATUS = "status"
+    FIELD_NAME = "field_name"
+    FOLDED_LINE = "folded_line"
 
 
 class MalformedAnswerError(aiohttp.ClientPayloadError):
@@ -104,7 +114,7 @@
             if line:
                 self._status = _read_status(line)
         elif line:
-            return
+            _check_field_line(line)
         elif self._status < FIRST_FINAL_STATUS:
             self._status = None
         else:
@@ -120,9 +130,22 @@
     match = _STATUS_LINE.match(line)
     status = int(match[1]) if match else 0
     if not match or status == SWITCHING_PROTOCOLS:
-        raise MalformedAnswerError(
+        raise _make_error(
             AnswerDefect.STATUS,
-            f"{line[:MAX_SHOWN_BYTES]!r} has no status from 100 to 599 other than "
-            f"{SWITCHING_PROTOCOLS}",
+            line,
+            f"has no status from 100 to 599 other than {SWITCHING_PROTOCOLS}",
         )
     return status
+
+
+def _check_field_line(line: bytes) -> None:
+    if line.startswith((b" ", b"\t")):
+        raise _make_error(AnswerDefect.FOLDED_LINE, line, "begins with a blank")
+    if not _FIELD_LINE.match(line):
+        raise _make_error(
+            AnswerDefect.FIELD_NAME, line, "has no valid name before a colon"
+        )
+
+
+def _make_error(defect: AnswerDefect, line: bytes, reason: str) -> MalformedAnswerError:
+    return MalformedAnswerError(defect, f"{line[:MAX_SHOWN_BYTES]!r} {reason}")
--- a/carobroute/gateway/tests/test_malformed_answers.py
+++ b/carobroute/gateway/tests/test_malformed_answers.py
@@ -17,32 +17,87 @@
 EVENT = b"id: 1\ndata: bell\n\n"
 CALL_COUNT = 12
 INVALID_STATUSES = ["000", "001", "020", "099", "101", "600", "700", "999"]
+INVALID_LINES = [
+    " X-Bad: 1",
+    "\tX-Bad: 1",
+    " X\x01Bad: 1",
+    " Content-Length: 2",
+    " Transfer-Encoding: chunked",
+    " ",
+    "X Bad: 1",
+    "X\tBad: 1",
+    "X-Bad : 1",
+    "X-Bad\t: 1",
+    "\x01X-Bad: 1",
+    "X\x01Bad: 1",
+    "X\x00Bad: 1",
+    "X-Bad\x7f: 1",
+    "\x0bX-Bad: 1",
+    "X(Bad): 1",
+    "X-B\xe9: 1",
+    ": 1",
+    "X-Bad",
+]
+FIELD_COUNT = 3
+INTERIM_ANSWER = b"HTTP/1.1 103 Early Hints\r\nLink: </bell>\r\n\r\n"
+CHUNKED_EVENT = b"%x\r\n%b\r\n0\r\n\r\n" % (len(EVENT), EVENT)
+# Content that looks like a head, or like broken ones.
+HEADLIKE_BODY = b" 000\r\n\r\nHTTP/1.1 000 \r\n X: 1\r\nX Y: 1\r\n\r\n id: 1\r\n"
 
 
-def make_script(head, body=EVENT):
+def make_script(head, body=EVENT, *, interim=b"", is_dripping=False, closes=False):
     """Return the script of a target that answers with the bytes of a head and a body.
 
-    In the head, `%s` stands for the request's id.
+    Parameters
+    ----------
+    head : bytes
+        Head in which `%s` stands for the request's id.
+    body : bytes
+        What follows it.
+    interim : bytes, default=b""
+        What comes before it, in the same write.
+    is_dripping : bool, default=False
+        Whether each byte is a write of its own.
+    closes : bool, default=False
+        Whether the end of the connection ends the body.
     """
 
     async def answer(call):
         request_id = call.headers.get("request-id", "").encode()
-        call.writer.write(head.replace(b"%s", request_id) + body)
-        await call.writer.drain()
+        data = interim + head.replace(b"%s", request_id) + body
+        size = 1 if is_dripping else len(data)
+        for begin in range(0, len(data), size):
+            call.writer.write(data[begin : begin + size])
+            await call.writer.drain()
+            await asyncio.sleep(0)
+        if closes:
+            call.disconnect()
 
     return answer
 
 
-def make_head(status="200", *lines):
-    """Return a head with the fields of a target's answer, and further lines."""
+def make_head(status="200", *lines, place=FIELD_COUNT, framing=""):
+    """Return a head with the fields of a target's answer.
+
+    Parameters
+    ----------
+    status : str, default="200"
+        What stands in place of the status.
+    lines : str
+        Further lines.
+    place : int, default=3
+        Number of the target's fields before them.
+    framing : str, default=""
+        Line that tells the length; empty for the length of `EVENT`.
+    """
     fields = [
-        "HTTP/1.1 " + status + " Scripted",
-        f"Content-Length: {len(EVENT)}",
+        framing or f"Content-Length: {len(EVENT)}",
         "Request-Id: %s",
         "Server-Seal: seal",
-        *lines,
     ]
-    return ("\r\n".join(fields) + "\r\n\r\n").encode("latin-1")
+    fields[place:place] = lines
+    head = [f"HTTP/1.1 {status} Scripted", *fields]
+    return ("\r\n".join(head) + "\r\n\r\n").encode("latin-1")
 
 
 async def serve(call):
@@ -128,3 +183,119 @@
     [(status_line, rest)], _ = await call_targets(ORDER, make_script(head))
     assert status_line.startswith(f"HTTP/1.1 {status} ")
     assert rest.endswith(EVENT)
+
+
+# Guards against a line that is passed on although its name is none, and against a
+# field, such as the seal or the length, to which it is joined.
+@pytest.mark.parametrize("place", range(FIELD_COUNT + 1))
+@pytest.mark.parametrize("line", INVALID_LINES)
+async def test_a_head_with_an_invalid_line_is_no_answer(line, place):
+    script = make_script(make_head("200", line, place=place))
+    [(status_line, rest)], _ = await call_targets(ORDER, script)
+    assert status_line.startswith("HTTP/1.1 502 ")
+    assert b"Server-Seal" not in rest
+
+
+@pytest.mark.parametrize(
+    "options", [{"interim": INTERIM_ANSWER}, {"is_dripping": True}], ids=str
+)
+@pytest.mark.parametrize("route", list(ROUTES))
+@pytest.mark.parametrize("line", INVALID_LINES)
+async def test_an_invalid_line_is_found_however_it_is_read(line, route, options):
+    script = make_script(make_head("200", line), **options)
+    [(status_line, rest)], _ = await call_targets(ROUTES[route], script)
+    assert status_line.startswith("HTTP/1.1 502 ")
+    assert b"Server-Seal" not in rest
+
+
+async def test_an_invalid_line_in_an_interim_answer_is_no_answer():
+    interim = INTERIM_ANSWER.replace(b"Link", b" Link")
+    script = make_script(make_head(), interim=interim)
+    [(status_line, _)], _ = await call_targets(ORDER, script)
+    assert status_line.startswith("HTTP/1.1 502 ")
+
+
+# Guards against the sizes of chunks that reach a caller as content.
+@pytest.mark.parametrize("line", [" Content-Length: 2", "\tchunked"])
+@pytest.mark.parametrize("route", list(ROUTES))
+async def test_a_folded_length_of_a_chunked_body_is_no_answer(route, line):
+    head = make_head("200", line, place=1, framing="Transfer-Encoding: chunked")
+    script = make_script(head, CHUNKED_EVENT, closes=True)
+    [(status_line, _)], _ = await call_targets(ROUTES[route], script)
+    assert status_line.startswith("HTTP/1.1 502 ")
+
+
+# Guards against a stream whose first target breaks off, and whose rest comes from an
+# answer that is none.
+@pytest.mark.parametrize("status", ["000", "200"])
+async def test_a_malformed_resumption_is_not_joined_to_a_stream(status):
+    lines = ["Content-Type: text/event-stream", "X-Note: 1", " X-Bad: 1"]
+    head = make_head(status, *lines)
+    route = make_route(
+        streaming=True, resumable=True, max_attempts=3, timeout_ms=10_000.0
+    )
+
+    async def answer(call):
+        if "last-event-id" in call.headers:
+            await make_script(head, b"id: 2\ndata: gong\n\n")(call)
+            return
+        await call.begin_stream(EVENT)
+        call.disconnect()
+
+    [(status_line, rest)], asked = await call_targets(route, answer, answer, answer)
+    assert status_line.startswith("HTTP/1.1 200 ")
+    assert sum(asked) > 1
+    assert EVENT in rest
+    assert b"gong" not in rest
+    assert not rest.endswith(b"0\r\n\r\n")
+
+
+# Guards against answers of a target's own that are taken for invalid ones.
+@pytest.mark.parametrize("interim", [b"", INTERIM_ANSWER * 3])
+@pytest.mark.parametrize("is_dripping", [False, True])
+@pytest.mark.parametrize(
+    "line",
+    [
+        "!#$%&'*+-.^_`|~09azAZ: 1",
+        "X-Empty:",
+        "X-Blank: \t ",
+        "X-Padded:   a\t b  ",
+        "X-Colons::a: b:",
+        "X-Text: caf\xc3\xa9",
+        "X:1",
+    ],
+)
+async def test_a_valid_line_is_passed_on(line, is_dripping, interim):
+    head = make_head("200", line)
+    script = make_script(head, interim=interim, is_dripping=is_dripping)
+    [(status_line, rest)], _ = await call_targets(ORDER, script)
+    assert status_line.startswith("HTTP/1.1 200 ")
+    name, _, value = line.partition(":")
+    assert f"{name}: {value.strip()}\r\n".encode("latin-1") in rest
+    assert rest.endswith(EVENT)
+
+
+# Guards against content that is taken for a head.
+@pytest.mark.parametrize("is_dripping", [False, True])
+@pytest.mark.parametrize("version", [b"HTTP/1.0", b"HTTP/1.1"])
+@pytest.mark.parametrize("framing", ["length", "chunks", "none"])
+async def test_content_may_look_like_a_head(framing, version, is_dripping):
+    line, body = f"Content-Length: {len(HEADLIKE_BODY)}", HEADLIKE_BODY
+    if framing == "chunks":
+        line, body = (
+            "Transfer-Encoding: Chunked",
+            b"%x\r\n%b\r\n0\r\n\r\n"
+            % (
+                len(body),
+                body,
+            ),
+        )
+    elif framing == "none":
+        line = "Connection: close"
+    head = make_head("200", framing=line).replace(b"HTTP/1.1", version)
+    script = make_script(
+        head, body, is_dripping=is_dripping, closes=framing != "length"
+    )
+    [(status_line, rest)], _ = await call_targets(ORDER, script)
+    assert status_line.startswith("HTTP/1.1 200 ")
+    assert rest.endswith(b"\r\n\r\n" + HEADLIKE_BODY)
