Break off answers with transfer codings that nobody removes

What callers saw: a target's answer with "Transfer-Encoding: gzip", with "chunked, gzip" or with another name for chunks reached them as 200, with the coded bytes or the sizes of chunks as its content; with "gzip, chunked" they got the coded content as if it were plain.

Cause: the HTTP library removes chunks if "chunked" comes last, and reads up to the end of the connection otherwise. Programs here ask for no coding, and the field concerns one connection, so a caller cannot even see it.

What changes: an answer whose content has other codings than chunks, once, or whose chunks the library has not seen, is broken off. RFC 9112 (6.1) has "chunked" applied once, and RFC 9110 (5.6.1) has empty elements of a list ignored; "identity" is no coding and passes, as before.

The eight with chunks alone or without a coding passed before. A tab behind "chunked", which the library does not take for a blank, is answered 502 now, and gave the sizes of chunks as content.

--- a/carobroute/engines/_answer_connection.py
+++ b/carobroute/engines/_answer_connection.py
@@ -11,6 +11,7 @@
     FIRST_FINAL_STATUS,
     AnswerHeadChecker,
     MalformedAnswerError,
+    check_transfer_codings,
 )
 from carobroute.engines._answer_limits import (
     MAX_INTERIM_ANSWERS,
@@ -98,6 +99,11 @@
                 )
                 return
         else:
+            try:
+                check_transfer_codings(message)
+            except MalformedAnswerError as error:
+                self._break_off(error)
+                return
             self._answer_body = payload
         super().feed_data(data, size)
 
--- a/carobroute/engines/_answer_head.py
+++ b/carobroute/engines/_answer_head.py
@@ -4,6 +4,7 @@
 import re
 
 import aiohttp
+from aiohttp.http import RawResponseMessage
 
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
@@ -30,11 +31,15 @@
     FOLDED_LINE
         A line that begins with a blank. Some parsers join it to the line before, so
         that it changes another field; others take it for a field, also for the length.
+    TRANSFER_CODING
+        Transfer codings that no reader here removes, or that a parser has read
+        otherwise, so that its content is not what was sent.
     """
 
     STATUS = "status"
     FIELD_NAME = "field_name"
     FOLDED_LINE = "folded_line"
+    TRANSFER_CODING = "transfer_coding"
 
 
 class MalformedAnswerError(aiohttp.ClientPayloadError):
@@ -121,6 +126,30 @@
             self._has_ended = True
 
 
+def check_transfer_codings(message: RawResponseMessage) -> None:
+    """Make sure that a parser's content is what was sent, in chunks at the most.
+
+    Parameters
+    ----------
+    message : RawResponseMessage
+        Head of a final answer.
+
+    Raises
+    ------
+    MalformedAnswerError
+        If it is not.
+    """
+    value = ",".join(message.headers.getall("Transfer-Encoding", ()))
+    codings = [coding.strip(" \t").lower() for coding in value.split(",")]
+    # Empty elements of a list mean nothing, and "identity" is what it says.
+    codings = [coding for coding in codings if coding not in ("", "identity")]
+    if codings != (["chunked"] if message.chunked else []):
+        raise MalformedAnswerError(
+            AnswerDefect.TRANSFER_CODING,
+            f"transfer codings {value[:MAX_SHOWN_BYTES]!r}, expected 'chunked' alone",
+        )
+
+
 def find_defect(error: Exception) -> str:
     """Return what makes an answer invalid by an exception; empty for nothing."""
     return error.defect.value if isinstance(error, MalformedAnswerError) else ""
--- a/carobroute/gateway/tests/test_malformed_answers.py
+++ b/carobroute/gateway/tests/test_malformed_answers.py
@@ -39,6 +39,21 @@
     "X-Bad",
 ]
 FIELD_COUNT = 3
+# Values of Transfer-Encoding with which chunks are not all that has to be removed, or
+# with which the HTTP library does not remove them.
+OTHER_CODINGS = [
+    "gzip",
+    "chunked, gzip",
+    "gzip, chunked",
+    "xchunked",
+    "\x0bchunked",
+    "chunked;x=1",
+    "chunked,",
+    "chunked, chunked",
+    "chunked, identity",
+    "chunked\t",
+]
+CHUNKED_ONLY = ["chunked", "Chunked", " chunked ", ", chunked", "identity, chunked"]
 INTERIM_ANSWER = b"HTTP/1.1 103 Early Hints\r\nLink: </bell>\r\n\r\n"
 CHUNKED_EVENT = b"%x\r\n%b\r\n0\r\n\r\n" % (len(EVENT), EVENT)
 # Content that looks like a head, or like broken ones.
@@ -225,6 +240,35 @@
     assert status_line.startswith("HTTP/1.1 502 ")
 
 
+# Guards against coded content, or the sizes of chunks, that reach a caller as content.
+@pytest.mark.parametrize("route", list(ROUTES))
+@pytest.mark.parametrize("codings", OTHER_CODINGS)
+async def test_an_answer_with_other_transfer_codings_is_no_answer(codings, route):
+    head = make_head("200", framing=f"Transfer-Encoding: {codings}")
+    script = make_script(head, CHUNKED_EVENT, closes=True)
+    [(status_line, rest)], _ = await call_targets(ROUTES[route], script)
+    assert status_line.startswith("HTTP/1.1 502 ")
+    assert b"Server-Seal" not in rest
+
+
+@pytest.mark.parametrize("codings", CHUNKED_ONLY)
+async def test_chunks_are_removed_however_they_are_named(codings):
+    head = make_head("200", framing=f"Transfer-Encoding: {codings}")
+    script = make_script(head, CHUNKED_EVENT, closes=True)
+    [(status_line, rest)], _ = await call_targets(ORDER, script)
+    assert status_line.startswith("HTTP/1.1 200 ")
+    assert rest.endswith(b"\r\n\r\n" + EVENT)
+
+
+@pytest.mark.parametrize("codings", ["", "identity", "Identity"])
+async def test_content_without_a_transfer_coding_is_passed_on(codings):
+    head = make_head("200", framing=f"Transfer-Encoding: {codings}")
+    script = make_script(head, closes=True)
+    [(status_line, rest)], _ = await call_targets(ORDER, script)
+    assert status_line.startswith("HTTP/1.1 200 ")
+    assert rest.endswith(b"\r\n\r\n" + EVENT)
+
+
 # Guards against a stream whose first target breaks off, and whose rest comes from an
 # answer that is none.
 @pytest.mark.parametrize("status", ["000", "200"])
