Tell operators what is invalid in a target's answer

What callers saw: a target that answered each order at once with status 000 counted as serving and as free, and got a third of the orders to the end. Since such answers are broken off, they count as failures; but calls that break off together count once, as after a crash, and the log told only that a connection had failed.

Cause: the reason did not travel with the fault.

What changes: a fault names what is invalid in the head of an answer. Each such answer is logged (answer_malformed, with its target and its request) and counted (malformed_answers_total), and counts as a failure of its own for the target's health, also beside others. A run of them ejects a target, and not the first, as it does where the form of an answer costs other calls their turns: one head that was damaged on its way says little of a target, and taking it away for that costs a service of three a third of its room.

The test of malformed answers to calls that were sent together needs the new quality.

--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -5,10 +5,12 @@
 from collections.abc import Mapping
 
 import aiohttp
+import msgspec
 from multidict import CIMultiDict
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from carobroute.engines._answer_head import find_defect
 from carobroute.engines._answer_limits import exceeded_limit
 from carobroute.engines._connector import CleanConnector, PacedConnector
 from carobroute.engines._interface import EngineParameters
@@ -169,8 +171,8 @@
                 return fail(ErrorKind.NO_TARGET, detail)
             fault = sent.failure()
             detail = f"nothing was sent: {fault.detail}"
-            unsent = Fault(
-                kind=ErrorKind.NO_TARGET, detail=detail, exceeded=fault.exceeded
+            unsent = msgspec.structs.replace(
+                fault, kind=ErrorKind.NO_TARGET, detail=detail
             )
             return Failure(once.refusal or (fault if fault.not_run else unsent))
         return sent
@@ -224,6 +226,7 @@
                 ErrorKind.TARGET_FAILED,
                 f"connection to {self._address} failed: {error!r}",
                 exceeded=exceeded_limit(error),
+                defect=find_defect(error),
             )
         assert isinstance(response, WatchedResponse)
         return Success(response)
--- a/carobroute/errors/_kinds.py
+++ b/carobroute/errors/_kinds.py
@@ -122,12 +122,15 @@
         Recommended delay before a resend, in milliseconds; 0 for none.
     exceeded : str, default=""
         Limit that another program's answer has exceeded; empty for none.
+    defect : str, default=""
+        What is invalid in the head of another program's answer; empty for nothing.
     """
 
     kind: ErrorKind
     detail: str
     retry_after_ms: float = 0.0
     exceeded: str = ""
+    defect: str = ""
 
     @property
     def answer(self) -> Answer:
@@ -158,7 +161,12 @@
 
 
 def fail(
-    kind: ErrorKind, detail: str, *, retry_after_ms: float = 0.0, exceeded: str = ""
+    kind: ErrorKind,
+    detail: str,
+    *,
+    retry_after_ms: float = 0.0,
+    exceeded: str = "",
+    defect: str = "",
 ) -> Result[Any, Fault]:
     """Return a `Failure` with a fault of `kind`.
 
@@ -173,5 +181,6 @@
             detail=detail,
             retry_after_ms=retry_after_ms,
             exceeded=exceeded,
+            defect=defect,
         )
     )
--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -174,6 +174,7 @@
         "_is_stopping",
         "_leaving",
         "_limits",
+        "_malformed",
         "_parts",
         "_pauses",
         "_record_changes",
@@ -201,6 +202,11 @@
             "Answers of targets that were broken off, by the limit that they exceeded.",
             ["service", "limit"],
         )
+        self._malformed = metrics.counter(
+            "malformed_answers",
+            "Answers of targets whose head was invalid, by what was.",
+            ["service", "defect"],
+        )
         self._ends = metrics.counter(
             "stream_ends",
             "Ends of streams without a length or chunks, by the evidence that decided.",
@@ -287,6 +293,32 @@
             detail=detail,
         )
 
+    def note_malformed(
+        self, record: CallRecord, target: str, defect: str, detail: str
+    ) -> None:
+        """Count and log an answer that was broken off, since its head was invalid.
+
+        Parameters
+        ----------
+        record : CallRecord
+            The call that was answered.
+        target : str
+            Run of the target.
+        defect : str
+            What was invalid.
+        detail : str
+            The line, and what is allowed.
+        """
+        self._malformed.labels(record.service, defect).inc()
+        self._events.event(
+            "answer_malformed",
+            level="warning",
+            request=record.request_id,
+            target=target,
+            defect=defect,
+            detail=detail,
+        )
+
     def count_end(self, service: str, evidence: str, verdict: str) -> None:
         """Count the end of a stream without a length or chunks that was judged."""
         self._ends.labels(service, evidence, verdict).inc()
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -458,6 +458,10 @@
             self._context.recorder.note_excess(
                 self._record, target.run_id, fault.exceeded, fault.detail
             )
+        if fault is not None and fault.defect:
+            self._context.recorder.note_malformed(
+                self._record, target.run_id, fault.defect, fault.detail
+            )
         self._record.note(
             "attempt_ended",
             target=target.incarnation,
@@ -501,6 +505,8 @@
             return None
         if fault is not None and fault.exceeded in COSTLY_LIMITS:
             return AnswerQuality.EXCESSIVE
+        if fault is not None and fault.defect:
+            return AnswerQuality.MALFORMED
         if attempt.outcome is AttemptOutcome.FAILED and self._ends.is_believable:
             # It need not answer a request for what comes after the last event.
             return None
--- a/carobroute/gateway/tests/test_malformed_answers.py
+++ b/carobroute/gateway/tests/test_malformed_answers.py
@@ -6,6 +6,7 @@
 
 from carobroute.domain import CallClass
 from carobroute.gateway.tests.gateway_harness import GatewayHarness
+from carobroute.health import OutlierParameters
 from carobroute.testing.gateway_data import make_configuration, make_route
 
 ORDER = make_route(
@@ -16,6 +17,7 @@
 ROUTES = {"order": ORDER, "lookup": LOOKUP, "stream": STREAM}
 EVENT = b"id: 1\ndata: bell\n\n"
 CALL_COUNT = 12
+FAILURE_RUN = OutlierParameters().min_failure_run
 INVALID_STATUSES = ["000", "001", "020", "099", "101", "600", "700", "999"]
 INVALID_LINES = [
     " X-Bad: 1",
@@ -115,10 +117,24 @@
     return ("\r\n".join(head) + "\r\n\r\n").encode("latin-1")
 
 
+# A head for each defect that an operator is told.
+DEFECTS = {
+    "status": make_head("000"),
+    "folded_line": make_head("200", " X-Bad: 1"),
+    "field_name": make_head("200", "X Bad: 1"),
+    "transfer_coding": make_head("200", framing="Transfer-Encoding: gzip"),
+}
+
+
 async def serve(call):
     await call.answer(body=EVENT)
 
 
+def find_lines(harness, event):
+    """Return the lines of the log that tell an event."""
+    return [line for line in harness.log.getvalue().splitlines() if event in line]
+
+
 async def call_raw(harness, number=0):
     """Send a request; return the status line and all that follows."""
     host, port = harness.url.removeprefix("http://").split(":")
@@ -343,3 +359,63 @@
     [(status_line, rest)], _ = await call_targets(ORDER, script)
     assert status_line.startswith("HTTP/1.1 200 ")
     assert rest.endswith(b"\r\n\r\n" + HEADLIKE_BODY)
+
+
+# Guards against a target that gets a share of the orders to the end, since its fast
+# answers count as served. It is ejected after a run of failures, or gets no calls
+# while the others are as free.
+@pytest.mark.parametrize("count_at_once", [1, 10])
+@pytest.mark.parametrize("defect", list(DEFECTS))
+async def test_a_target_with_malformed_answers_is_avoided(defect, count_at_once):
+    harness = GatewayHarness(configuration=make_configuration(routes=[ORDER]))
+    targets = await harness.start(make_script(DEFECTS[defect]), serve, serve)
+    try:
+        for begin in range(0, 60, count_at_once):
+            numbers = range(begin, begin + count_at_once)
+            await asyncio.gather(*(call_raw(harness, number) for number in numbers))
+    finally:
+        await harness.stop()
+    _, *others = harness.directory.all_targets()
+    assert not any(target.health.is_ejected for target in others)
+    trials = len(find_lines(harness, "target_tried "))
+    in_flight = count_at_once - 1
+    assert len(targets[0].calls) <= FAILURE_RUN + in_flight + trials
+
+
+# Guards against an operator who is not told why a target is avoided.
+@pytest.mark.parametrize("route", list(ROUTES))
+@pytest.mark.parametrize("defect", list(DEFECTS))
+async def test_the_defect_and_its_target_are_logged(defect, route):
+    harness = GatewayHarness(configuration=make_configuration(routes=[ROUTES[route]]))
+    await harness.start(make_script(DEFECTS[defect]))
+    try:
+        await call_raw(harness)
+    finally:
+        await harness.stop()
+    [line] = find_lines(harness, "answer_malformed ")
+    assert f"defect={defect} " in line
+    assert "target=i-0" in line
+    assert "request=r-0" in line
+
+
+# Guards against what a broken head says of its target.
+@pytest.mark.parametrize("defect", list(DEFECTS))
+async def test_nothing_in_a_malformed_head_is_believed(defect):
+    statements = (
+        b"Server-Leaving: 1\r\nServer-Limit: 1\r\nServer-Load: 6\r\n"
+        b"Cold-Ms: 5000\r\nRetry-After: 30\r\nNot-Run: 1\r\n\r\n"
+    )
+    head = DEFECTS[defect].removesuffix(b"\r\n") + statements
+    harness = GatewayHarness(configuration=make_configuration(routes=[ORDER]))
+    await harness.start(make_script(head.replace(b" 200 ", b" 503 ")))
+    try:
+        status_line, rest = await call_raw(harness)
+    finally:
+        await harness.stop()
+    assert status_line.startswith("HTTP/1.1 502 ")
+    assert b"Retry-After" not in rest
+    [target] = harness.directory.all_targets()
+    assert target.is_usable
+    assert target.load == 0
+    for event in ("target_leaving", "target_paused", "target_cold", "target_limit"):
+        assert not find_lines(harness, event)
--- a/carobroute/health/_answer_record.py
+++ b/carobroute/health/_answer_record.py
@@ -35,6 +35,8 @@
         Its stream was found to have broken off, although it ended in order.
     EXCESSIVE
         Its answer was broken off here, since its form cost too much.
+    MALFORMED
+        Its answer was broken off here, since its head was invalid.
     """
 
     SERVED = "served"
@@ -46,6 +48,7 @@
     ERROR = "error"
     BROKEN_STREAM = "broken_stream"
     EXCESSIVE = "excessive"
+    MALFORMED = "malformed"
 
 
 # What one answer adds to the failures of a target. A full target that refuses works,
@@ -60,6 +63,7 @@
     AnswerQuality.ERROR: 1.0,
     AnswerQuality.BROKEN_STREAM: 1.0,
     AnswerQuality.EXCESSIVE: 1.0,
+    AnswerQuality.MALFORMED: 1.0,
 }
 # Failures that the request may have caused.
 REQUEST_FAILURES = frozenset(
@@ -68,6 +72,7 @@
         AnswerQuality.INTERRUPTED,
         AnswerQuality.ERROR,
         AnswerQuality.EXCESSIVE,
+        AnswerQuality.MALFORMED,
     }
 )
 
--- a/carobroute/health/tests/test_answer_record.py
+++ b/carobroute/health/tests/test_answer_record.py
@@ -18,6 +18,7 @@
     AnswerQuality.INTERRUPTED,
     AnswerQuality.ERROR,
     AnswerQuality.BROKEN_STREAM,
+    AnswerQuality.MALFORMED,
 ]
 
 
@@ -82,7 +83,10 @@
 
 
 # Guards against a crashing request that makes each target it reaches an outlier.
-@pytest.mark.parametrize("quality", [AnswerQuality.INTERRUPTED, AnswerQuality.ERROR])
+@pytest.mark.parametrize(
+    "quality",
+    [AnswerQuality.INTERRUPTED, AnswerQuality.ERROR, AnswerQuality.MALFORMED],
+)
 def test_one_request_does_not_eject_a_target(quality):
     clock, record = make_record()
     for _ in range(20):
@@ -108,6 +112,17 @@
     assert record.failure_run == 1.0
 
 
+# Guards against a target that gets calls for longer the more of them it answers badly
+# at once; no crash has ended these.
+def test_malformed_answers_to_calls_sent_together_count_each():
+    clock, record = make_record()
+    sent_ms = clock.now_ms()
+    clock.advance_ms(100)
+    malformed = [AnswerQuality.MALFORMED] * PARAMETERS.min_failure_run
+    changes = note_all(record, *malformed, sent_ms=sent_ms)
+    assert changes[-1] is RecordChange.EJECTED
+
+
 # Guards against streams that began before the refusals and hide them.
 def test_calls_sent_before_the_refusals_neither_end_the_run_nor_are_trials():
     clock, record = make_record()
