Reuse no connection on which an answer came late

What callers would have seen: an engine that sends an answer, and another one on the same connection a moment later, answers the next request of the local process before that is sent; each answer from then on is that to the request before. With status 000 in the late one, that status reached its reader although heads are checked, since no answer was awaited as it came.

Cause: the pool of connections of rank orders to an engine and of weights took any open connection from its pool. Pools of calls and of the store look for bytes that nobody has asked for.

What changes: a session that names no pool gets one that looks for them, too. A second answer that comes once the next request is sent can't be told from the right one there; calls and orders to ranks of the users' platform name their request, or have a connection each.

--- a/carobroute/engines/_sessions.py
+++ b/carobroute/engines/_sessions.py
@@ -4,7 +4,7 @@
 
 import aiohttp
 
-from carobroute.engines._connector import PacedConnector
+from carobroute.engines._connector import CleanConnector, PacedConnector
 from carobroute.engines._watched import WatchedResponse
 
 
@@ -19,12 +19,13 @@
     Parameters
     ----------
     connector : PacedConnector, default=None
-        Pool of connections; None for a new one.
+        Pool of connections; None for a new one, which reuses no connection on which
+        anything has come since its last use.
     options : Any
         Further options of the session.
     """
     return aiohttp.ClientSession(
-        connector=connector or PacedConnector(),
+        connector=connector or CleanConnector(),
         response_class=WatchedResponse,
         **options,
     )
