Log answers that were broken off in one place

Two methods of CallRecorder counted and logged the same fields for limits that were exceeded and for invalid heads, and the exchange chose between them. One takes the fault and does so. Builders of readers start and stop what they use by one context manager.

--- a/carobroute/gateway/_call_records.py
+++ b/carobroute/gateway/_call_records.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from carobroute.errors import Fault
 from carobroute.gateway._event_framing import count_events
 from carobroute.gateway._group_limits import GroupLimit
 from carobroute.gateway._targets import Target
@@ -267,10 +268,8 @@
         """Count an answer of a target that was read to its end, or broke off."""
         self._answers.labels(service, framing, end).inc()
 
-    def note_excess(
-        self, record: CallRecord, target: str, limit: str, detail: str
-    ) -> None:
-        """Count and log an answer that was broken off, since it exceeded a limit.
+    def note_broken_off(self, record: CallRecord, target: str, fault: Fault) -> None:
+        """Count and log an answer that was broken off here, if a fault says why.
 
         Parameters
         ----------
@@ -278,45 +277,24 @@
             The call that was answered.
         target : str
             Run of the target.
-        limit : str
-            The limit.
-        detail : str
-            What has come, and what is allowed.
+        fault : Fault
+            Fault of the attempt.
         """
-        self._excesses.labels(record.service, limit).inc()
-        self._events.event(
-            "answer_excessive",
-            level="warning",
-            request=record.request_id,
-            target=target,
-            limit=limit,
-            detail=detail,
-        )
-
-    def note_malformed(
-        self, record: CallRecord, target: str, defect: str, detail: str
-    ) -> None:
-        """Count and log an answer that was broken off, since its head was invalid.
-
-        Parameters
-        ----------
-        record : CallRecord
-            The call that was answered.
-        target : str
-            Run of the target.
-        defect : str
-            What was invalid.
-        detail : str
-            The line, and what is allowed.
-        """
-        self._malformed.labels(record.service, defect).inc()
+        if fault.exceeded:
+            event, reason = "answer_excessive", {"limit": fault.exceeded}
+            self._excesses.labels(record.service, fault.exceeded).inc()
+        elif fault.defect:
+            event, reason = "answer_malformed", {"defect": fault.defect}
+            self._malformed.labels(record.service, fault.defect).inc()
+        else:
+            return
         self._events.event(
-            "answer_malformed",
+            event,
             level="warning",
             request=record.request_id,
             target=target,
-            defect=defect,
-            detail=detail,
+            **reason,
+            detail=fault.detail,
         )
 
     def count_end(self, service: str, evidence: str, verdict: str) -> None:
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -454,14 +454,8 @@
         if attempt is None:
             return
         fault = attempt.fault
-        if fault is not None and fault.exceeded:
-            self._context.recorder.note_excess(
-                self._record, target.run_id, fault.exceeded, fault.detail
-            )
-        if fault is not None and fault.defect:
-            self._context.recorder.note_malformed(
-                self._record, target.run_id, fault.defect, fault.detail
-            )
+        if fault is not None:
+            self._context.recorder.note_broken_off(self._record, target.run_id, fault)
         self._record.note(
             "attempt_ended",
             target=target.incarnation,
--- a/carobroute/testing/answer_readers.py
+++ b/carobroute/testing/answer_readers.py
@@ -1,7 +1,9 @@
 """Every program that reads answers over HTTP, asking one address."""
 
 import asyncio
-from typing import Any
+import contextlib
+from collections.abc import AsyncIterator
+from typing import Any, TypeVar
 
 from returns.result import Failure, Result, Success
 
@@ -22,6 +24,8 @@
 from carobroute.platform import OrderResult, RankClient, RankOrder
 from carobroute.platform._http_channel import HttpChannel
 
+Started = TypeVar("Started", bound=HttpTransport | PlainEngine | OpenAiEngine)
+
 TIMEOUT_MS = 60_000.0
 PARAMETERS = EngineParameters(side_call_ms=TIMEOUT_MS)
 CALL = EngineCall(request_id="r-1", method="POST", path="/orders")
@@ -36,12 +40,8 @@
 
 async def make_side_call(url: str) -> Result[Any, Any]:
     """Read an answer as the adapters of engines do beside their calls."""
-    transport = HttpTransport(address=url, parameters=PARAMETERS)
-    await transport.start()
-    try:
+    async with _started(HttpTransport(address=url, parameters=PARAMETERS)) as transport:
         return await transport.side_call("GET", "/load")
-    finally:
-        await transport.stop()
 
 
 async def ask_store(url: str) -> Result[Any, Any]:
@@ -79,24 +79,16 @@
 
 async def read_rank_report(url: str) -> Result[Any, Any]:
     """Read the report of a rank."""
-    transport = HttpTransport(address=url, parameters=PARAMETERS)
-    await transport.start()
-    try:
-        client = RankClient(read_timeout_ms=TIMEOUT_MS)
+    client = RankClient(read_timeout_ms=TIMEOUT_MS)
+    async with _started(HttpTransport(address=url, parameters=PARAMETERS)) as transport:
         return await client.read_report(transport)
-    finally:
-        await transport.stop()
 
 
 async def order_rank(url: str) -> Result[Any, Any]:
     """Read the answer to an order to a rank."""
-    transport = HttpTransport(address=url, parameters=PARAMETERS)
-    await transport.start()
-    try:
-        client = RankClient(order_timeout_ms=TIMEOUT_MS)
+    client = RankClient(order_timeout_ms=TIMEOUT_MS)
+    async with _started(HttpTransport(address=url, parameters=PARAMETERS)) as transport:
         result = await client.send_order(transport, "i-0", RANK_ORDER)
-    finally:
-        await transport.stop()
     is_answered = result in (OrderResult.BEGUN, OrderResult.IN_EFFECT)
     return Success(result) if is_answered else Failure(result)
 
@@ -113,33 +105,32 @@
 
 async def probe_plain_service(url: str) -> Result[Any, Any]:
     """Read the answer to a probe of a plain service."""
-    engine = PlainEngine(address=url, parameters=PARAMETERS)
-    await engine.start()
-    try:
+    async with _started(PlainEngine(address=url, parameters=PARAMETERS)) as engine:
         return await engine.probe()
-    finally:
-        await engine.stop()
 
 
 async def order_engine(url: str) -> Result[Any, Any]:
     """Read the answer to a fenced order to a model engine."""
-    engine = OpenAiEngine(address=url, parameters=PARAMETERS)
-    await engine.start()
-    try:
+    async with _started(OpenAiEngine(address=url, parameters=PARAMETERS)) as engine:
         return await engine.order(ORDER)
-    finally:
-        await engine.stop()
 
 
 async def _open(engine: PlainEngine | OpenAiEngine) -> Result[Any, Any]:
-    await engine.start()
-    try:
+    async with _started(engine):
         opened = await engine.open(CALL)
         if isinstance(opened, Success):
             await opened.unwrap().close()
         return opened
+
+
+@contextlib.asynccontextmanager
+async def _started(part: Started) -> AsyncIterator[Started]:
+    """Start a part, and stop it at the end."""
+    await part.start()
+    try:
+        yield part
     finally:
-        await engine.stop()
+        await part.stop()
 
 
 # Readers of a whole answer, and those that read its head alone or pass it on as well.
