Tell callers and logs nothing that a broken answer holds

What callers saw: the error of an order whose answer was broken, 502, quoted the bytes that were refused: a header line, the size of a chunk, or what stood in place of a head, such as the rest of another caller's answer that comes late on a connection. The fault's text is also logged.

What changes: describe_error tells the texts of the system's errors and of errors raised here, which share a class, BrokenAnswerError. Of any other, it tells the kinds of the exception and of its causes. An invalid head is told by the number of its line and what is wrong with it; a status by its three digits. All readers of answers make their faults with it.

Not changed: an answer that names another request's id is answered 502 with that id, which leads to its log.

--- a/carobroute/engines/__init__.py
+++ b/carobroute/engines/__init__.py
@@ -1,5 +1,6 @@
 """Adapters to what a local process stands beside: model engines and plain services."""
 
+from carobroute.engines._answer_errors import BrokenAnswerError, describe_error
 from carobroute.engines._answer_limits import (
     COSTLY_LIMITS,
     AnswerLimit,
@@ -37,6 +38,7 @@
     "AnswerLimit",
     "AnswerLimitError",
     "BLOCK_CHARS",
+    "BrokenAnswerError",
     "CHARS_PER_TOKEN",
     "COSTLY_LIMITS",
     "CacheEvent",
@@ -57,6 +59,7 @@
     "WatchedResponse",
     "block_hashes",
     "count_tokens",
+    "describe_error",
     "end_to_end",
     "engine_adapters",
     "exceeded_limit",
--- a/carobroute/engines/_answer_head.py
+++ b/carobroute/engines/_answer_head.py
@@ -3,16 +3,16 @@
 import enum
 import re
 
-import aiohttp
 from aiohttp.http import RawResponseMessage
 
+from carobroute.engines._answer_errors import BrokenAnswerError
+
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
-# Bytes of a line that an error shows.
-MAX_SHOWN_BYTES = 60
-
 # The first digit of a status is its class (RFC 9110, section 15).
-_STATUS_LINE = re.compile(rb"HTTP/\d\.\d ([1-5]\d\d)(?: |\Z)")
+VALID_STATUSES = range(100, 600)
+
+_STATUS_LINE = re.compile(rb"HTTP/\d\.\d (\d{3})(?: |\Z)")
 # A name is a token, and the colon follows it at once (RFC 9112, section 5.1).
 _FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
 
@@ -42,7 +42,7 @@
     TRANSFER_CODING = "transfer_coding"
 
 
-class MalformedAnswerError(aiohttp.ClientPayloadError):
+class MalformedAnswerError(BrokenAnswerError):
     """An answer was broken off, since its head is invalid.
 
     Parameters
@@ -50,7 +50,7 @@
     defect : AnswerDefect
         What is invalid.
     detail : str
-        What has come, and what is allowed.
+        Where it is.
     """
 
     def __init__(self, defect: AnswerDefect, detail: str):
@@ -72,10 +72,10 @@
     >>> AnswerHeadChecker().feed(b"HTTP/1.1 000 OK\\r\\n")
     Traceback (most recent call last):
         ...
-    carobroute.engines._answer_head.MalformedAnswerError: b'HTTP/1.1 000 OK' has no ...
+    carobroute.engines._answer_head.MalformedAnswerError: line 1 of the answer names ...
     """
 
-    __slots__ = ("_has_ended", "_line", "_status")
+    __slots__ = ("_has_ended", "_line", "_line_count", "_status")
 
     def __init__(self) -> None:
         self.reset()
@@ -86,6 +86,8 @@
         self._has_ended = False
         # The line that is not complete yet.
         self._line = bytearray()
+        # Complete lines, those of interim answers included.
+        self._line_count = 0
         # Status of the head that has begun; None between two of them.
         self._status: int | None = None
 
@@ -114,17 +116,40 @@
             self._check_line(line.removesuffix(b"\r"))
 
     def _check_line(self, line: bytes) -> None:
+        self._line_count += 1
         if self._status is None:
             # Parsers skip empty lines before a status line.
             if line:
-                self._status = _read_status(line)
+                self._status = self._read_status(line)
         elif line:
-            _check_field_line(line)
+            self._check_field_line(line)
         elif self._status < FIRST_FINAL_STATUS:
             self._status = None
         else:
             self._has_ended = True
 
+    def _read_status(self, line: bytes) -> int:
+        match = _STATUS_LINE.match(line)
+        if not match:
+            raise self._make_error(AnswerDefect.STATUS, "names no status")
+        status = int(match[1])
+        if status not in VALID_STATUSES or status == SWITCHING_PROTOCOLS:
+            raise self._make_error(AnswerDefect.STATUS, f"names status {status:03}")
+        return status
+
+    def _check_field_line(self, line: bytes) -> None:
+        if line.startswith((b" ", b"\t")):
+            raise self._make_error(AnswerDefect.FOLDED_LINE, "begins with a blank")
+        if not _FIELD_LINE.match(line):
+            raise self._make_error(
+                AnswerDefect.FIELD_NAME, "has no valid name before a colon"
+            )
+
+    def _make_error(self, defect: AnswerDefect, reason: str) -> MalformedAnswerError:
+        return MalformedAnswerError(
+            defect, f"line {self._line_count} of the answer {reason}"
+        )
+
 
 def check_transfer_codings(message: RawResponseMessage) -> None:
     """Make sure that a parser's content is what was sent, in chunks at the most.
@@ -146,35 +171,10 @@
     if codings != (["chunked"] if message.chunked else []):
         raise MalformedAnswerError(
             AnswerDefect.TRANSFER_CODING,
-            f"transfer codings {value[:MAX_SHOWN_BYTES]!r}, expected 'chunked' alone",
+            "the transfer codings are not 'chunked' alone",
         )
 
 
 def find_defect(error: Exception) -> str:
     """Return what makes an answer invalid by an exception; empty for nothing."""
     return error.defect.value if isinstance(error, MalformedAnswerError) else ""
-
-
-def _read_status(line: bytes) -> int:
-    match = _STATUS_LINE.match(line)
-    status = int(match[1]) if match else 0
-    if not match or status == SWITCHING_PROTOCOLS:
-        raise _make_error(
-            AnswerDefect.STATUS,
-            line,
-            f"has no status from 100 to 599 other than {SWITCHING_PROTOCOLS}",
-        )
-    return status
-
-
-def _check_field_line(line: bytes) -> None:
-    if line.startswith((b" ", b"\t")):
-        raise _make_error(AnswerDefect.FOLDED_LINE, line, "begins with a blank")
-    if not _FIELD_LINE.match(line):
-        raise _make_error(
-            AnswerDefect.FIELD_NAME, line, "has no valid name before a colon"
-        )
-
-
-def _make_error(defect: AnswerDefect, line: bytes, reason: str) -> MalformedAnswerError:
-    return MalformedAnswerError(defect, f"{line[:MAX_SHOWN_BYTES]!r} {reason}")
--- a/carobroute/engines/_answer_limits.py
+++ b/carobroute/engines/_answer_limits.py
@@ -2,7 +2,7 @@
 
 import enum
 
-import aiohttp
+from carobroute.engines._answer_errors import BrokenAnswerError
 
 # Interim answers, such as early hints, before a final one.
 MAX_INTERIM_ANSWERS = 64
@@ -42,7 +42,7 @@
 )
 
 
-class AnswerLimitError(aiohttp.ClientPayloadError):
+class AnswerLimitError(BrokenAnswerError):
     """An answer was broken off, since it exceeds a limit.
 
     Parameters
--- a/carobroute/engines/_http.py
+++ b/carobroute/engines/_http.py
@@ -10,6 +10,7 @@
 from returns.result import Failure, Result, Success
 from yarl import URL
 
+from carobroute.engines._answer_errors import describe_error
 from carobroute.engines._answer_head import find_defect
 from carobroute.engines._answer_limits import exceeded_limit
 from carobroute.engines._connector import CleanConnector, PacedConnector
@@ -224,7 +225,7 @@
             # then raises ValueError, OverflowError or UnicodeError.
             return fail(
                 ErrorKind.TARGET_FAILED,
-                f"connection to {self._address} failed: {error!r}",
+                f"connection to {self._address} failed: {describe_error(error)}",
                 exceeded=exceeded_limit(error),
                 defect=find_defect(error),
             )
@@ -256,7 +257,9 @@
             async with asyncio.timeout(limit_ms / MS_PER_S):
                 data = await response.read()
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return fail(ErrorKind.TARGET_FAILED, f"{path} broke off: {error!r}")
+            return fail(
+                ErrorKind.TARGET_FAILED, f"{path} broke off: {describe_error(error)}"
+            )
         finally:
             response.release()
         return self._judge(path, response.status, data)
--- a/carobroute/engines/_plain.py
+++ b/carobroute/engines/_plain.py
@@ -6,6 +6,7 @@
 from returns.result import Failure, Result, Success
 
 from carobroute.domain import CallClass
+from carobroute.engines._answer_errors import describe_error
 from carobroute.engines._events import EventSplitter
 from carobroute.engines._http import PIECE_BYTES, HttpTransport, end_to_end
 from carobroute.engines._interface import (
@@ -152,7 +153,7 @@
         raise FaultError(
             Fault(
                 kind=ErrorKind.STREAM_BROKEN,
-                detail=f"the answer's body broke off: {error!r}",
+                detail=f"the answer's body broke off: {describe_error(error)}",
             )
         ) from error
     finally:
--- a/carobroute/engines/_watched.py
+++ b/carobroute/engines/_watched.py
@@ -4,11 +4,11 @@
 import enum
 from weakref import WeakSet
 
-import aiohttp
 from aiohttp.client_proto import ResponseHandler
 from aiohttp.client_reqrep import ClientResponse
 
 from carobroute.engines._answer_connection import AnswerConnection
+from carobroute.engines._answer_errors import BrokenAnswerError
 from carobroute.engines._answer_limits import (
     MAX_BODY_BYTES,
     AnswerLimit,
@@ -140,11 +140,11 @@
 
         Raises
         ------
-        aiohttp.ClientPayloadError
+        BrokenAnswerError
             If only a broken connection ended it.
         """
         if self.framing is Framing.CONNECTION and not self.has_closed_in_order:
-            raise aiohttp.ClientPayloadError("the connection broke off")
+            raise BrokenAnswerError("the connection broke off")
 
 
 def _retrieve(end: asyncio.Future[None]) -> None:
--- a/carobroute/gateway/_exchange.py
+++ b/carobroute/gateway/_exchange.py
@@ -13,8 +13,10 @@
 from carobroute.engines import (
     COSTLY_LIMITS,
     AnswerLimit,
+    BrokenAnswerError,
     Framing,
     WatchedResponse,
+    describe_error,
     end_to_end,
     exceeded_limit,
 )
@@ -585,7 +587,9 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             if self._relay.caller_response is not None:
                 self._ends.note_broken()
-            detail = f"the answer of {target.incarnation} broke off: {error!r}"
+            detail = (
+                f"the answer of {target.incarnation} broke off: {describe_error(error)}"
+            )
             fault = Fault(
                 kind=ErrorKind.TARGET_FAILED,
                 detail=detail,
@@ -598,7 +602,8 @@
             if self._relay.caller_response is not None:
                 raise
             self._finals.note_exception(error)
-            detail = f"the answer of {target.incarnation} cannot be handled: {error!r}"
+            reason = describe_error(error)
+            detail = f"the answer of {target.incarnation} cannot be handled: {reason}"
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
             return Attempt(outcome=AttemptOutcome.UNKNOWN, fault=fault)
         finally:
@@ -803,14 +808,14 @@
 
         Raises
         ------
-        aiohttp.ClientPayloadError
+        BrokenAnswerError
             If its target has crashed.
         """
         # A process that crashes has its connections closed in order, too.
         if await self._context.crash_detector.has_crashed_at_end(
             target, request_id=self._record.request_id
         ):
-            raise aiohttp.ClientPayloadError("the target has crashed")
+            raise BrokenAnswerError("the target has crashed")
 
     def _judge_empty_answer(
         self, target: Target, answer: web.Response, *, is_framed: bool
@@ -828,7 +833,7 @@
 
         Raises
         ------
-        aiohttp.ClientPayloadError
+        BrokenAnswerError
             If nothing shows that it is whole.
         """
         answers, service = self._context.empty_answers, self._call.service.name
@@ -838,7 +843,7 @@
                 self._empty_target.health.note_success()
                 self._note_empty_judged(target.incarnation, is_whole=True)
                 return None
-            raise aiohttp.ClientPayloadError("the connection ended before the body")
+            raise BrokenAnswerError("the connection ended before the body")
         if is_framed:
             return None
         is_believed = answers.is_believed(service)
@@ -847,7 +852,7 @@
             return None
         self._empty_target = target
         if not answers.has_confirmed(service):
-            raise aiohttp.ClientPayloadError("the connection ended before the body")
+            raise BrokenAnswerError("the connection ended before the body")
         self._is_empty_pending = True
         if is_believed:
             self._empty_answer = answer
@@ -911,7 +916,7 @@
 
         Raises
         ------
-        aiohttp.ClientPayloadError
+        BrokenAnswerError
             If it broke off, or is longer than this gateway buffers.
         """
         max_bytes = self._context.parameters.body_buffer_bytes
@@ -952,7 +957,7 @@
             ),
         )
         if verdict is EndVerdict.BROKEN:
-            raise aiohttp.ClientPayloadError("the target has crashed")
+            raise BrokenAnswerError("the target has crashed")
         if verdict is EndVerdict.UNPROVEN:
             detail = f"nothing proves that the stream of {target.incarnation} is whole"
             fault = Fault(kind=ErrorKind.TARGET_FAILED, detail=detail)
--- a/carobroute/gateway/_relay.py
+++ b/carobroute/gateway/_relay.py
@@ -3,11 +3,16 @@
 import asyncio
 from collections.abc import Callable, Mapping
 
-import aiohttp
 from aiohttp import web
 from aiohttp.http import StreamWriter
 
-from carobroute.engines import AnswerLimit, Framing, WatchedResponse, end_to_end
+from carobroute.engines import (
+    AnswerLimit,
+    BrokenAnswerError,
+    Framing,
+    WatchedResponse,
+    end_to_end,
+)
 from carobroute.gateway._call_records import CallRecord
 from carobroute.gateway._context import GatewayContext
 from carobroute.gateway._event_framing import EventFramer, count_events
@@ -190,9 +195,9 @@
         elif self._framer.has_begun_event or (
             not is_framed and self._framer.has_begun_line
         ):
-            raise aiohttp.ClientPayloadError("the stream ended inside an event")
+            raise BrokenAnswerError("the stream ended inside an event")
         elif not (is_resumption or self._framer.has_event or is_framed):
-            raise aiohttp.ClientPayloadError("the stream ended before its first event")
+            raise BrokenAnswerError("the stream ended before its first event")
         elif self._framer.partial_event and self._framer.has_event:
             # Comments and blank lines behind the last event belong to the body, too.
             await self._write(self._framer.partial_event, response)
@@ -253,7 +258,7 @@
                 final_event.note_passed(earlier_events)
             self._check_partial_event(response)
             if self._framer.repeats_events:
-                raise aiohttp.ClientPayloadError("the resumption repeats events")
+                raise BrokenAnswerError("the resumption repeats events")
             if not events:
                 continue
             now_ms = self._context.clock.now_ms()
--- a/carobroute/gateway/tests/test_malformed_answers.py
+++ b/carobroute/gateway/tests/test_malformed_answers.py
@@ -123,6 +123,20 @@
     "field_name": make_head("200", "X Bad: 1"),
     "transfer_coding": make_head("200", framing="Transfer-Encoding: gzip"),
 }
+SECRET = "of-another-caller"
+# What a target sends, with a text that may belong to another call.
+FOREIGN_TEXTS = {
+    "no head": f"{SECRET}\r\n\r\n".encode(),
+    "a status": make_head(f"000 {SECRET}"),
+    "a name": make_head("200", f"X {SECRET}: 1"),
+    "a folded line": make_head("200", f" {SECRET}"),
+    "a value": make_head("200", f"X: {SECRET}\0"),
+    "a length": make_head("200", f"Content-Length: {SECRET}"),
+    "a coding": make_head("200", framing=f"Transfer-Encoding: {SECRET}"),
+    "half of a head": make_head("200", f"X: {SECRET}")[:-4],
+    "a size of a chunk": make_head("200", framing="Transfer-Encoding: chunked")
+    + f"{SECRET}\r\n".encode(),
+}
 
 
 async def serve(call):
@@ -428,3 +442,14 @@
     assert target.load == 0
     for event in ("target_leaving", "target_paused", "target_cold", "target_limit"):
         assert not find_lines(harness, event)
+
+
+# Guards against an error that tells a caller what a target has sent: it may belong to
+# another call.
+@pytest.mark.parametrize("route", list(ROUTES))
+@pytest.mark.parametrize("name", list(FOREIGN_TEXTS))
+async def test_an_error_does_not_show_what_a_target_has_sent(name, route):
+    script = make_script(FOREIGN_TEXTS[name], b"", closes=True)
+    [(status_line, rest)], _ = await call_targets(ROUTES[route], script)
+    assert status_line.startswith("HTTP/1.1 502 ")
+    assert SECRET.encode() not in rest
--- a/carobroute/placement/_http_engine.py
+++ b/carobroute/placement/_http_engine.py
@@ -8,7 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from carobroute.engines import open_session
+from carobroute.engines import describe_error, open_session
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.placement._interface import EngineStatus, PopularityReport, RankEngine
 from carobroute.placement._map import ExpertMap, MapVersion
@@ -172,7 +172,7 @@
                 answer = await response.read()
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return fail(ErrorKind.TARGET_FAILED, f"{url}: {error!r}")
+            return fail(ErrorKind.TARGET_FAILED, f"{url}: {describe_error(error)}")
         if status == HTTP_CONFLICT:
             return fail(ErrorKind.STALE_FENCE, f"{url}: {answer[:200]!r}")
         if status not in (200, HTTP_PARTIAL_CONTENT):
--- a/carobroute/placement/_weights.py
+++ b/carobroute/placement/_weights.py
@@ -8,6 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
+from carobroute.engines import describe_error
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.links import Endpoint, Message, Nack, Peer, message
 from carobroute.utils import Clock, content_hash
@@ -100,7 +101,7 @@
                 data = await response.read()
                 status = response.status
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            return fail(ErrorKind.STORE_UNAVAILABLE, f"{url}: {error!r}")
+            return fail(ErrorKind.STORE_UNAVAILABLE, f"{url}: {describe_error(error)}")
         if status == HTTP_PARTIAL_CONTENT or (status == 200 and len(data) <= length):
             return Success(data)
         return fail(ErrorKind.STORE_UNAVAILABLE, f"{url}: status {status}")
--- a/carobroute/platform/_http_channel.py
+++ b/carobroute/platform/_http_channel.py
@@ -7,7 +7,7 @@
 from returns.result import Result, Success
 from yarl import URL
 
-from carobroute.engines import CleanConnector, open_session
+from carobroute.engines import CleanConnector, describe_error, open_session
 from carobroute.errors import ErrorKind, Fault, fail
 
 JSON_CONTENT_TYPE = "application/json"
@@ -101,7 +101,8 @@
             )
         except (aiohttp.ClientError, OSError) as error:
             return fail(
-                ErrorKind.STORE_UNAVAILABLE, f"{method} {path} failed: {error!r}"
+                ErrorKind.STORE_UNAVAILABLE,
+                f"{method} {path} failed: {describe_error(error)}",
             )
         finally:
             await self._release(pool)
--- a/carobroute/platform/_rank_client.py
+++ b/carobroute/platform/_rank_client.py
@@ -8,7 +8,7 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from carobroute.engines import HttpTransport, WatchedResponse
+from carobroute.engines import HttpTransport, WatchedResponse, describe_error
 from carobroute.errors import ErrorKind, Fault, fail
 from carobroute.platform._call_headers import (
     EXPECTED_TARGET_HEADER,
@@ -319,7 +319,7 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             return fail(
                 ErrorKind.TARGET_FAILED,
-                f"{path}: reading the answer failed: {error!r}",
+                f"{path}: reading the answer failed: {describe_error(error)}",
             )
         finally:
             response.close()
