Tell operators of heads that the parser refuses, too

Cause: the defect was told for the checks made here only.

What changes: what the HTTP library refuses before it has handed on a head is the defect "unparsable", with the log line, the counter and the failure of its own of the others. Callers get what they got before.

Evidence: the three cases of test_the_defect_and_its_target_are_logged[unparsable] failed before.

--- a/carobroute/engines/_answer_head.py
+++ b/carobroute/engines/_answer_head.py
@@ -3,6 +3,7 @@
 import enum
 import re
 
+import aiohttp
 from aiohttp.http import RawResponseMessage
 
 from carobroute.engines._answer_errors import BrokenAnswerError
@@ -34,12 +35,15 @@
     TRANSFER_CODING
         Transfer codings that no reader here removes, or that a parser has read
         otherwise, so that its content is not what was sent.
+    UNPARSABLE
+        What else a parser refuses before it has handed on a head, such as two lengths.
     """
 
     STATUS = "status"
     FIELD_NAME = "field_name"
     FOLDED_LINE = "folded_line"
     TRANSFER_CODING = "transfer_coding"
+    UNPARSABLE = "unparsable"
 
 
 class MalformedAnswerError(BrokenAnswerError):
@@ -176,5 +180,20 @@
 
 
 def find_defect(error: Exception) -> str:
-    """Return what makes an answer invalid by an exception; empty for nothing."""
-    return error.defect.value if isinstance(error, MalformedAnswerError) else ""
+    """Return what makes the head of an answer invalid by an exception.
+
+    Parameters
+    ----------
+    error : Exception
+        Exception that a request has raised.
+
+    Returns
+    -------
+    defect : str
+        Value of an `AnswerDefect`; empty if the head is not the cause.
+    """
+    if isinstance(error, MalformedAnswerError):
+        return error.defect.value
+    if isinstance(error, aiohttp.ClientResponseError):
+        return AnswerDefect.UNPARSABLE.value
+    return ""
--- a/carobroute/gateway/tests/test_malformed_answers.py
+++ b/carobroute/gateway/tests/test_malformed_answers.py
@@ -122,6 +122,7 @@
     "folded_line": make_head("200", " X-Bad: 1"),
     "field_name": make_head("200", "X Bad: 1"),
     "transfer_coding": make_head("200", framing="Transfer-Encoding: gzip"),
+    "unparsable": make_head("200", "Content-Length: 1"),
 }
 SECRET = "of-another-caller"
 # What a target sends, with a text that may belong to another call.
